--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# The two commands of the README are `make demo` and `make test`.  Each makes
+# its environment first when there is none.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core store node cli standins
+EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
+SOURCES := packages tests tools
+
+.PHONY: demo test measure check format clean
+
+$(VENV)/.ready: constraints.txt requirements-dev.txt \
+		$(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -c constraints.txt setuptools
+	$(BIN)/pip install --quiet -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install --quiet -c constraints.txt --no-build-isolation \
+		$(EDITABLE)
+	touch $@
+
+demo: $(VENV)/.ready
+	$(BIN)/python -m marjoramledge_standins.demo
+
+check: $(VENV)/.ready
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/mypy packages/*/marjoramledge_* tests tools
+	$(BIN)/python tools/check_imports.py packages
+
+test: check
+	$(BIN)/pytest
+
+measure: $(VENV)/.ready
+	$(BIN)/python -m marjoramledge_standins.measure
+
+format: $(VENV)/.ready
+	$(BIN)/ruff check --fix $(SOURCES)
+	$(BIN)/ruff format $(SOURCES)
+
+clean:
+	rm -rf $(VENV) build .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/packages/cli/marjoramledge_cli/_fleet_client.py
@@ -0,0 +1,178 @@
+"""Asks the nodes of a fleet how they stand."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import json
+import typing
+
+import aiohttp
+from marjoramledge_core import node
+from marjoramledge_node import peers
+from returns import result
+
+REQUEST_TIMEOUT_S: typing.Final = 2.0
+# Statuses asked for at the same time, at any size of the fleet.
+MAX_PARALLEL: typing.Final = 64
+POLL_PERIOD_S: typing.Final = 0.1
+
+_PRESENT: typing.Final = frozenset({"alive", "suspect"})
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MemberStatus:
+    """One member, as the node that was asked knows it."""
+
+    node_id: str
+    address: node.Address
+    zone: str
+    status: str
+    service: str
+    server: str
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NodeStatus:
+    """How one node stands, by its own word."""
+
+    node_id: str
+    zone: str
+    version: int
+    is_store_up: bool
+    running: int
+    queued: int
+    limit: int
+    members: tuple[MemberStatus, ...]
+
+    def present(self) -> tuple[MemberStatus, ...]:
+        """List the members that have not departed."""
+        return tuple(m for m in self.members if m.status in _PRESENT)
+
+
+class FleetClient:
+    """Client of the nodes' peer ports.
+
+    Parameters
+    ----------
+    keys
+        Keys that the nodes let in.
+    """
+
+    def __init__(self, *, keys: peers.KeyRing) -> None:
+        self._keys = keys
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        )
+        self._slots = asyncio.Semaphore(MAX_PARALLEL)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def read_status(
+        self, address: node.Address
+    ) -> result.Result[NodeStatus, str]:
+        """Ask one node."""
+        target = peers.STATUS_TARGET
+        url = f"http://{address.host}:{address.port}{target}"
+        headers = peers.sign_request(self._keys, "GET", target, b"")
+        try:
+            async with self._slots:
+                async with self._session.get(url, headers=headers) as reply:
+                    content = await reply.read()
+                    if reply.status != 200:
+                        return result.Failure(f"status {reply.status}")
+        except (aiohttp.ClientError, OSError) as error:
+            return result.Failure(f"{address.host}:{address.port}: {error}")
+        return _parse_status(content)
+
+    async def read_any(
+        self, addresses: collections.abc.Iterable[node.Address]
+    ) -> result.Result[NodeStatus, str]:
+        """Ask nodes one after another until one answers."""
+        outcome: result.Result[NodeStatus, str] = result.Failure(
+            "no node is known; name one with --peers"
+        )
+        for address in addresses:
+            outcome = await self.read_status(address)
+            if isinstance(outcome, result.Success):
+                return outcome
+        return outcome
+
+    async def wait_in_force(
+        self,
+        version: int,
+        addresses: collections.abc.Sequence[node.Address],
+        timeout_s: float,
+    ) -> tuple[str, ...]:
+        """Wait until every live node has a version in force.
+
+        Returns
+        -------
+        tuple of str
+            The nodes that have not, when the time is over.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        while True:
+            behind = await self._find_behind(version, addresses)
+            if not behind or loop.time() >= deadline:
+                return behind
+            await asyncio.sleep(POLL_PERIOD_S)
+
+    async def _find_behind(
+        self,
+        version: int,
+        addresses: collections.abc.Sequence[node.Address],
+    ) -> tuple[str, ...]:
+        known = await self.read_any(addresses)
+        if isinstance(known, result.Failure):
+            return (known.failure(),)
+        members = known.unwrap().present()
+        statuses = await asyncio.gather(
+            *(self.read_status(member.address) for member in members)
+        )
+        behind = []
+        for member, status in zip(members, statuses, strict=True):
+            if isinstance(status, result.Failure):
+                behind.append(f"{member.node_id}: {status.failure()}")
+            elif status.unwrap().version < version:
+                behind.append(
+                    f"{member.node_id}: version {status.unwrap().version}"
+                )
+        return tuple(behind)
+
+
+def _parse_status(content: bytes) -> result.Result[NodeStatus, str]:
+    try:
+        fields = json.loads(content)
+        gate = fields["gate"]
+        return result.Success(
+            NodeStatus(
+                node_id=fields["node"],
+                zone=fields["zone"],
+                version=fields["version"],
+                is_store_up=fields["is_store_up"],
+                running=gate["running"],
+                queued=gate["queued"],
+                limit=gate["limit"],
+                members=tuple(map(_parse_member, fields["members"])),
+            )
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return result.Failure(f"not a status: {error!r}")
+
+
+def _parse_member(
+    fields: collections.abc.Mapping[str, typing.Any],
+) -> MemberStatus:
+    return MemberStatus(
+        node_id=fields["node"],
+        address=node.Address(host=fields["host"], port=fields["port"]),
+        zone=fields["zone"],
+        status=fields["status"],
+        service=fields["service"],
+        server=fields["server"],
+        slots=fields["slots"],
+    )
--- /dev/null
+++ b/packages/cli/marjoramledge_cli/_main.py
@@ -0,0 +1,410 @@
+"""Command line of ``marjoramledge``."""
+
+import asyncio
+import collections.abc
+import enum
+import getpass
+import pathlib
+import sys
+import typing
+
+from marjoramledge_core import configuration
+from marjoramledge_core import node
+from marjoramledge_node import peers
+from marjoramledge_store import client
+from returns import result
+import typer
+
+from marjoramledge_cli import _apply
+from marjoramledge_cli import _documents
+from marjoramledge_cli import _fleet_client
+from marjoramledge_cli import _reports
+
+DEFAULT_TIMEOUT_S: typing.Final = 10.0
+SEED_ROWS: typing.Final = 16
+
+app = typer.Typer(
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+    no_args_is_help=True,
+    help="Check, apply and watch the configuration of a marjoramledge fleet.",
+)
+
+
+class ExitStatus(enum.IntEnum):
+    """Exit statuses for scripts."""
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNKNOWN = 4
+    NOT_IN_FORCE = 5
+
+
+Folder = typing.Annotated[
+    pathlib.Path,
+    typer.Argument(
+        help="Folder with inventory.toml and rules.toml.",
+        exists=True,
+        file_okay=False,
+    ),
+]
+StoreUrl = typing.Annotated[
+    str,
+    typer.Option(
+        "--store-url",
+        envvar="MARJORAMLEDGE_STORE_URL",
+        help="URL of the platform's table service and object store.",
+    ),
+]
+Keys = typing.Annotated[
+    str,
+    typer.Option(
+        "--keys",
+        envvar="MARJORAMLEDGE_KEYS",
+        help="Shared keys as ID:SECRET[,ID:SECRET...].",
+    ),
+]
+Peers = typing.Annotated[
+    str,
+    typer.Option(
+        "--peers",
+        envvar="MARJORAMLEDGE_PEERS",
+        help="Peer IP:PORT[,IP:PORT...] of nodes to ask; the table names "
+        "some when this is empty.",
+    ),
+]
+Timeout = typing.Annotated[
+    float,
+    typer.Option(
+        "--timeout-s",
+        envvar="MARJORAMLEDGE_TIMEOUT_S",
+        min=0.1,
+        max=3600,
+        help="Seconds for which to try when the store does not answer.",
+    ),
+]
+
+
+@app.command()
+def validate(folder: Folder) -> None:
+    """Check the documents of a folder; exit status 1 if any is wrong."""
+    checked = _check(folder)
+    print(
+        f"{folder}: valid, {len(checked.services)} services, "
+        f"{len(checked.zones)} zones, {len(checked.kinds)} kinds of request"
+    )
+
+
+@app.command()
+def plan(
+    folder: Folder,
+    *,
+    store_url: StoreUrl,
+    timeout_s: Timeout = DEFAULT_TIMEOUT_S,
+) -> None:
+    """Show what an apply of a folder would change."""
+    checked = _check(folder)
+
+    async def read(
+        store: client.StoreClient,
+    ) -> result.Result[_apply.Current, _apply.Failure]:
+        return await _apply.read_current(store, timeout_s)
+
+    current = _unwrap(_with_store(store_url, read))
+    changes = configuration.compare_configurations(current.declared, checked)
+    print(_reports.format_plan(current.ref.version, changes))
+
+
+@app.command()
+def apply(
+    folder: Folder,
+    *,
+    store_url: StoreUrl,
+    note: typing.Annotated[
+        str, typer.Option("--note", help="Why, for the history.")
+    ] = "",
+    author: typing.Annotated[
+        str,
+        typer.Option(
+            "--author",
+            envvar="MARJORAMLEDGE_AUTHOR",
+            help="Who, for the history; the login name by default.",
+        ),
+    ] = "",
+    expect_version: typing.Annotated[
+        int,
+        typer.Option(
+            "--expect-version",
+            min=-1,
+            help="Refuse unless this version is in force; -1 for any.",
+        ),
+    ] = -1,
+    wait: typing.Annotated[
+        bool,
+        typer.Option(
+            "--wait/--no-wait",
+            help="Return when every live node has the change in force.",
+        ),
+    ] = False,
+    keys: Keys = "",
+    peer_addresses: Peers = "",
+    timeout_s: Timeout = DEFAULT_TIMEOUT_S,
+) -> None:
+    """Put the documents of a folder in force.
+
+    Exit status 3 when another change was accepted first, 4 when the store
+    did not tell, 5 when --wait ran out of time.
+    """
+    checked = _check(folder)
+    key_ring = _parse_keys(keys) if wait else None
+    change = _apply.Change(
+        files=_documents.read_documents(folder),
+        author=author or getpass.getuser(),
+        note=note,
+    )
+
+    async def put(
+        store: client.StoreClient,
+    ) -> result.Result[configuration.VersionRef, _apply.Failure]:
+        read = await _apply.read_current(store, timeout_s)
+        if isinstance(read, result.Failure):
+            return read
+        current = read.unwrap()
+        changes = configuration.compare_configurations(
+            current.declared, checked
+        )
+        print(_reports.format_plan(current.ref.version, changes))
+        if expect_version not in (-1, current.ref.version):
+            return result.Failure(
+                _apply.Failure(
+                    error=_apply.ApplyError.CONFLICT,
+                    details=(f"version {current.ref.version} is in force",),
+                )
+            )
+        if not changes:
+            return result.Success(current.ref)
+        accepted = await _apply.put_in_force(store, current, change, timeout_s)
+        return await _explain_conflict(store, current, accepted, timeout_s)
+
+    ref = _unwrap(_with_store(store_url, put))
+    print(f"Version {ref.version} is accepted.")
+    if key_ring is not None:
+        _wait_in_force(
+            ref.version, key_ring, peer_addresses, store_url, timeout_s
+        )
+
+
+@app.command()
+def history(
+    *,
+    store_url: StoreUrl,
+    count: typing.Annotated[
+        int, typer.Option("--count", min=1, help="Versions to show.")
+    ] = 20,
+    timeout_s: Timeout = DEFAULT_TIMEOUT_S,
+) -> None:
+    """Show the accepted versions, the newest first."""
+
+    async def walk(
+        store: client.StoreClient,
+    ) -> result.Result[list[configuration.Manifest], _apply.Failure]:
+        read = await _apply.read_current(store, timeout_s)
+        if isinstance(read, result.Failure):
+            return read
+        manifest = read.unwrap().manifest
+        found: list[configuration.Manifest] = []
+        while manifest is not None and len(found) < count:
+            found.append(manifest)
+            if not manifest.parent:
+                break
+            parent = await _apply.read_manifest(
+                store, manifest.parent, timeout_s
+            )
+            if isinstance(parent, result.Failure):
+                return parent
+            manifest = parent.unwrap()
+        return result.Success(found)
+
+    for manifest in _unwrap(_with_store(store_url, walk)):
+        print(_reports.format_manifest(manifest))
+
+
+@app.command()
+def status(
+    *,
+    keys: Keys,
+    peer_addresses: Peers = "",
+    store_url: StoreUrl = "",
+    as_json: typing.Annotated[
+        bool, typer.Option("--json", help="Print JSON.")
+    ] = False,
+) -> None:
+    """Show how the fleet stands, as one of its nodes sees it."""
+    key_ring = _parse_keys(keys)
+
+    async def ask() -> result.Result[_fleet_client.NodeStatus, str]:
+        fleet = _fleet_client.FleetClient(keys=key_ring)
+        try:
+            addresses = await _find_peers(peer_addresses, store_url)
+            return await fleet.read_any(addresses)
+        finally:
+            await fleet.close()
+
+    answer = asyncio.run(ask())
+    if isinstance(answer, result.Failure):
+        _fail([answer.failure()], ExitStatus.FAILED)
+    seen = answer.unwrap()
+    if as_json:
+        print(_reports.format_status_json(seen))
+    else:
+        print(_reports.format_status(seen))
+
+
+def _check(folder: pathlib.Path) -> configuration.Configuration:
+    parsed = configuration.parse_documents(_documents.read_documents(folder))
+    if isinstance(parsed, result.Failure):
+        lines = [f"{folder}/{problem}" for problem in parsed.failure()]
+        _fail(lines, ExitStatus.FAILED)
+    return parsed.unwrap()
+
+
+async def _explain_conflict(
+    store: client.StoreClient,
+    base: _apply.Current,
+    accepted: result.Result[configuration.VersionRef, _apply.Failure],
+    timeout_s: float,
+) -> result.Result[configuration.VersionRef, _apply.Failure]:
+    """Add what the change that won has changed."""
+    if isinstance(accepted, result.Success):
+        return accepted
+    failure = accepted.failure()
+    if failure.error is not _apply.ApplyError.CONFLICT:
+        return accepted
+    read = await _apply.read_current(store, timeout_s)
+    if isinstance(read, result.Failure):
+        return accepted
+    current = read.unwrap()
+    if current.manifest is None or current.declared is None:
+        return accepted
+    changes = configuration.compare_configurations(
+        base.declared, current.declared
+    )
+    details = (
+        f"accepted instead: {_reports.format_manifest(current.manifest)}",
+        _reports.format_plan(base.ref.version, changes),
+    )
+    return result.Failure(_apply.Failure(error=failure.error, details=details))
+
+
+def _wait_in_force(
+    version: int,
+    key_ring: peers.KeyRing,
+    peer_addresses: str,
+    store_url: str,
+    timeout_s: float,
+) -> None:
+    async def wait() -> tuple[str, ...]:
+        fleet = _fleet_client.FleetClient(keys=key_ring)
+        try:
+            addresses = await _find_peers(peer_addresses, store_url)
+            return await fleet.wait_in_force(version, addresses, timeout_s)
+        finally:
+            await fleet.close()
+
+    behind = asyncio.run(wait())
+    if behind:
+        lines = ["not in force everywhere; behind are:", *behind]
+        _fail(lines, ExitStatus.NOT_IN_FORCE)
+    print(f"Version {version} is in force on every live node.")
+
+
+async def _find_peers(
+    text: str, store_url: str
+) -> collections.abc.Sequence[node.Address]:
+    if text:
+        return [
+            _parse_address(part.strip())
+            for part in text.split(",")
+            if part.strip()
+        ]
+    if not store_url:
+        return []
+    store = client.StoreClient(base_url=store_url)
+    try:
+        found = await store.list_members(SEED_ROWS)
+    finally:
+        await store.close()
+    return found.value_or(())
+
+
+def _parse_address(text: str) -> node.Address:
+    parsed = peers.parse_address(text)
+    if isinstance(parsed, result.Failure):
+        raise typer.BadParameter(parsed.failure(), param_hint="'--peers'")
+    return parsed.unwrap()
+
+
+def _parse_keys(text: str) -> peers.KeyRing:
+    parsed = peers.parse_keys(text)
+    if isinstance(parsed, result.Failure):
+        raise typer.BadParameter(parsed.failure(), param_hint="'--keys'")
+    return parsed.unwrap()
+
+
+T = typing.TypeVar("T")
+StoreOperation = collections.abc.Callable[
+    [client.StoreClient],
+    collections.abc.Coroutine[None, None, result.Result[T, _apply.Failure]],
+]
+
+
+def _with_store(
+    store_url: str, operation: StoreOperation[T]
+) -> result.Result[T, _apply.Failure]:
+    async def run() -> result.Result[T, _apply.Failure]:
+        store = client.StoreClient(base_url=store_url.rstrip("/"))
+        try:
+            return await operation(store)
+        finally:
+            await store.close()
+
+    return asyncio.run(run())
+
+
+_STATUS_OF_ERROR: typing.Final = {
+    _apply.ApplyError.INVALID: ExitStatus.FAILED,
+    _apply.ApplyError.CONFLICT: ExitStatus.CONFLICT,
+    _apply.ApplyError.STORE: ExitStatus.FAILED,
+    _apply.ApplyError.UNKNOWN: ExitStatus.UNKNOWN,
+}
+
+
+def _unwrap(outcome: result.Result[T, _apply.Failure]) -> T:
+    if isinstance(outcome, result.Failure):
+        failure = outcome.failure()
+        _fail(
+            [failure.error.value, *failure.details],
+            _STATUS_OF_ERROR[failure.error],
+        )
+    return outcome.unwrap()
+
+
+def _fail(
+    lines: collections.abc.Iterable[str], exit_status: ExitStatus
+) -> typing.NoReturn:
+    for line in lines:
+        print(f"marjoramledge: {line}", file=sys.stderr)
+    raise typer.Exit(int(exit_status))
+
+
+def main() -> None:
+    """Run the command and turn a wrong setting into one clear line."""
+    try:
+        exit_status = app(standalone_mode=False)
+    except typer.TyperException as error:
+        print(f"marjoramledge: {error.format_message()}", file=sys.stderr)
+        sys.exit(int(ExitStatus.USAGE))
+    sys.exit(exit_status if isinstance(exit_status, int) else 0)
--- /dev/null
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -0,0 +1,433 @@
+"""The entry: the life of a call from its arrival to its answer.
+
+A call is accepted, waits at the own gate or is sent, and ends answered,
+refused as not run, or unknown.  ``_may_send_again`` is the one place that
+decides whether a call may be sent another time; nothing else starts a second
+attempt except ``hedge_due``, which asks it too.  An answer of a backend
+server, whatever its status, is final: only what never became an answer is
+sent again, so the levels of a deep call do not multiply their retries.
+"""
+
+import typing
+
+from marjoramledge_core import _budget
+from marjoramledge_core import _commands
+from marjoramledge_core import _directory
+from marjoramledge_core import _events
+from marjoramledge_core import _gate
+from marjoramledge_core import _ids
+from marjoramledge_core import _load
+from marjoramledge_core import _outcomes
+from marjoramledge_core import _queue
+from marjoramledge_core import _records
+from marjoramledge_core import _routing
+from marjoramledge_core import _state
+from marjoramledge_core import _timers
+from marjoramledge_core import _work
+
+MAX_ATTEMPTS: typing.Final = 4
+RETRY_AFTER_S: typing.Final = 1
+
+_WAITING: typing.Final = frozenset(
+    {
+        _state.CallPhase.ACCEPTED,
+        _state.CallPhase.QUEUED,
+        _state.CallPhase.SENT,
+    }
+)
+_RETRY_LATER: typing.Final = frozenset(
+    {
+        _outcomes.Reason.NO_CONFIGURATION,
+        _outcomes.Reason.NO_SERVER,
+        _outcomes.Reason.OVERLOADED,
+        _outcomes.Reason.SERVER_LEAVING,
+        _outcomes.Reason.ZONE_CLOSED,
+        _outcomes.Reason.NODE_STOPPING,
+        _outcomes.Reason.SERVER_REFUSED,
+        _outcomes.Reason.SERVER_UNREACHABLE,
+        _outcomes.Reason.PEER_UNREACHABLE,
+    }
+)
+# These say that a server or its network is at fault, not merely busy.
+_FAULTS: typing.Final = frozenset(
+    {
+        _outcomes.Reason.SERVER_UNREACHABLE,
+        _outcomes.Reason.PEER_UNREACHABLE,
+        _outcomes.Reason.ANSWER_LOST,
+        _outcomes.Reason.ANSWER_CUT_SHORT,
+    }
+)
+
+
+def begin(step: _state.Step, event: _events.CallArrived) -> None:
+    """Accept a call and place it."""
+    configuration = step.state.versions.configuration
+    if configuration is None:
+        _answer_unplaced(step, event, _outcomes.Reason.NO_CONFIGURATION)
+        return
+    service = configuration.find_service(event.host)
+    if service is None:
+        _answer_unplaced(step, event, _outcomes.Reason.UNKNOWN_SERVICE)
+        return
+    kind = configuration.classify(service.name, event.method, event.path)
+    deadline_s = kind.deadline_s
+    if event.deadline_s is not None:
+        deadline_s = min(deadline_s, event.deadline_s)
+    if deadline_s <= 0.0:
+        _answer_unplaced(step, event, _outcomes.Reason.DEADLINE_PASSED)
+        return
+    call = _state.Call(
+        call=event.call,
+        kind=kind,
+        deadline_at=step.now + deadline_s,
+        is_body_held=event.is_body_held,
+        attempts={},
+        tried=set(),
+    )
+    step.state.calls[call.call] = call
+    _budget_of(step, kind.service).earn()
+    step.state.timers.set(
+        call.deadline_at, _timers.TimerKind.CALL_DEADLINE, subject=call.call
+    )
+    if kind.hedge_after_s is not None:
+        step.state.timers.set(
+            step.now + kind.hedge_after_s,
+            _timers.TimerKind.CALL_HEDGE,
+            subject=call.call,
+        )
+    _place(step, call)
+
+
+def attempt_answered(
+    step: _state.Step, event: _events.AttemptAnswered
+) -> None:
+    """Deliver the first answer; a later one is a loser."""
+    call = step.state.calls.get(event.call)
+    attempt = None if call is None else call.attempts.get(event.attempt)
+    if call is None or attempt is None or not attempt.is_open:
+        step.out.append(_commands.CancelAttempt(attempt=event.attempt))
+        return
+    _learn(step, attempt.server, event.load, event.is_error)
+    call.phase = _state.CallPhase.ANSWERED
+    call.delivered = attempt
+    for other in call.attempts.values():
+        if other is not attempt:
+            _cancel(step, other)
+    step.out.append(
+        _commands.DeliverAnswer(
+            call=call.call, attempt=attempt.attempt, kind=call.kind
+        )
+    )
+
+
+def attempt_failed(step: _state.Step, event: _events.AttemptFailed) -> None:
+    """Settle an attempt that has no answer, and go on if that is safe."""
+    call = step.state.calls.get(event.call)
+    attempt = None if call is None else call.attempts.get(event.attempt)
+    if call is None or attempt is None or not attempt.is_open:
+        return
+    _learn(step, attempt.server, event.load, event.reason in _FAULTS)
+    call.is_body_gone = call.is_body_gone or event.is_body_gone
+    _settle_failure(step, call, attempt, event.run, event.reason)
+
+
+def answer_lost(step: _state.Step, event: _events.AnswerLost) -> None:
+    """Go on with a call whose answer broke off unread by the caller."""
+    call = step.state.calls.get(event.call)
+    if call is None or call.delivered is None:
+        return
+    attempt = call.delivered
+    call.delivered = None
+    call.phase = _state.CallPhase.SENT
+    call.is_body_gone = not call.is_body_held
+    _learn(step, attempt.server, None, True)
+    _settle_failure(
+        step,
+        call,
+        attempt,
+        _outcomes.RunState.MAY_HAVE_RUN,
+        _outcomes.Reason.ANSWER_CUT_SHORT,
+    )
+
+
+def take_back(
+    step: _state.Step, work: _queue.Work, reason: _outcomes.Reason
+) -> None:
+    """Place anew a call that the own gate gave back unrun."""
+    if work.call is None:
+        raise AssertionError("a peer's work was handed to the entry")
+    call = step.state.calls.get(work.call)
+    attempt = None if call is None else call.attempts.get(work.attempt)
+    if call is None or attempt is None or not attempt.is_open:
+        return
+    _settle_failure(step, call, attempt, _outcomes.RunState.NOT_RUN, reason)
+
+
+def end(step: _state.Step, call_id: _ids.CallId) -> None:
+    """Forget a call whose answer has been passed on, or cut."""
+    call = step.state.calls.pop(call_id, None)
+    if call is not None:
+        _close_attempts(step, call)
+
+
+def caller_left(step: _state.Step, call_id: _ids.CallId) -> None:
+    """Cancel whatever runs for a caller that hung up."""
+    call = step.state.calls.pop(call_id, None)
+    if call is not None:
+        call.phase = _state.CallPhase.ABANDONED
+        for attempt in call.attempts.values():
+            _cancel(step, attempt)
+
+
+def deadline_passed(step: _state.Step, call_id: _ids.CallId) -> None:
+    """Give up a call that has no answer by its deadline."""
+    call = step.state.calls.get(call_id)
+    if call is None or call.phase not in _WAITING:
+        return
+    for attempt in call.attempts.values():
+        if attempt.is_open and not _cancel(step, attempt):
+            call.may_have_run = True
+    _refuse(step, call, _outcomes.Reason.DEADLINE_PASSED)
+
+
+def hedge_due(step: _state.Step, call_id: _ids.CallId) -> None:
+    """Send a slow idempotent call to a second server as well."""
+    call = step.state.calls.get(call_id)
+    if call is None or call.phase is not _state.CallPhase.SENT:
+        return
+    if not call.is_body_held or not _may_send_again(step, call):
+        return
+    if not _budget_of(step, call.kind.service).spend():
+        return
+    server = _pick(step, call)
+    if server is None or server.is_local:
+        return
+    step.record(
+        _records.RecordKind.CALL_HEDGED,
+        service=call.kind.service,
+        call=call.call,
+        peer=server.node,
+    )
+    _send(step, call, server)
+
+
+def _may_send_again(step: _state.Step, call: _state.Call) -> bool:
+    if len(call.attempts) >= MAX_ATTEMPTS or step.now >= call.deadline_at:
+        return False
+    if call.is_body_gone:
+        return False
+    if call.kind.idempotent:
+        return True
+    # An attempt that is still open may run at any moment.
+    is_any_open = any(a.is_open for a in call.attempts.values())
+    return not call.may_have_run and not is_any_open
+
+
+def _settle_failure(
+    step: _state.Step,
+    call: _state.Call,
+    attempt: _state.Attempt,
+    run: _outcomes.RunState,
+    reason: _outcomes.Reason,
+) -> None:
+    _close(attempt)
+    call.last_reason = reason
+    if run is _outcomes.RunState.MAY_HAVE_RUN:
+        call.may_have_run = True
+    if any(other.is_open for other in call.attempts.values()):
+        return
+    if not _may_send_again(step, call):
+        _refuse(step, call, reason)
+        return
+    if not _budget_of(step, call.kind.service).spend():
+        _refuse(step, call, reason)
+        return
+    step.record(
+        _records.RecordKind.CALL_RETRIED,
+        service=call.kind.service,
+        call=call.call,
+        peer=attempt.server.node,
+        detail=reason.value,
+    )
+    call.phase = _state.CallPhase.ACCEPTED
+    _place(step, call)
+
+
+def _place(step: _state.Step, call: _state.Call) -> None:
+    while True:
+        server = _pick(step, call)
+        if server is None:
+            _refuse(step, call, call.last_reason)
+            return
+        if _send(step, call, server):
+            return
+        call.last_reason = _outcomes.Reason.OVERLOADED
+        if len(call.attempts) >= MAX_ATTEMPTS:
+            _refuse(step, call, call.last_reason)
+            return
+
+
+def _pick(step: _state.Step, call: _state.Call) -> _load.ServerLoad | None:
+    state = step.state
+    directory = _fresh_directory(step)
+    gate = state.gate
+    local = directory.loads.get(state.node)
+    if (
+        local is not None
+        and gate.server is not None
+        and gate.server.service == call.kind.service
+        and local.node not in call.tried
+        and _work.reason_to_refuse(step) is None
+    ):
+        report = gate.report()
+        local.note_report(report, step.now)
+        if gate.has_room and not local.is_ejected(step.now):
+            return local
+    return _routing.choose_server(
+        directory.candidates(call.kind.service),
+        call.tried,
+        step.now,
+        step.rng,
+    )
+
+
+def _send(
+    step: _state.Step, call: _state.Call, server: _load.ServerLoad
+) -> bool:
+    attempt_id = _ids.AttemptId(f"{call.call}.{len(call.attempts)}")
+    attempt = _state.Attempt(attempt=attempt_id, server=server)
+    call.attempts[attempt_id] = attempt
+    call.tried.add(server.node)
+    server.start_call()
+    if not server.is_local:
+        call.phase = _state.CallPhase.SENT
+        step.out.append(
+            _commands.SendToPeer(
+                call=call.call,
+                attempt=attempt_id,
+                node=server.node,
+                address=server.address,
+                deadline_at=call.deadline_at,
+                is_hedged=call.kind.hedge_after_s is not None,
+            )
+        )
+        return True
+    admission = _work.offer_local(step, call, attempt_id)
+    if admission is _gate.Admission.REFUSED:
+        _close(attempt)
+        return False
+    if admission is _gate.Admission.QUEUED:
+        call.phase = _state.CallPhase.QUEUED
+    return True
+
+
+def _cancel(step: _state.Step, attempt: _state.Attempt) -> bool:
+    """Break off an open attempt; tell whether it surely has not run."""
+    if not attempt.is_open:
+        return False
+    _close(attempt)
+    if attempt.server.is_local and step.state.gate.abandon(attempt.attempt):
+        return True
+    step.out.append(_commands.CancelAttempt(attempt=attempt.attempt))
+    return False
+
+
+def _close(attempt: _state.Attempt) -> None:
+    attempt.is_open = False
+    attempt.server.end_call()
+
+
+def _close_attempts(step: _state.Step, call: _state.Call) -> None:
+    for attempt in call.attempts.values():
+        if attempt.is_open:
+            if attempt is call.delivered:
+                _close(attempt)
+            else:
+                _cancel(step, attempt)
+
+
+def _refuse(
+    step: _state.Step, call: _state.Call, reason: _outcomes.Reason
+) -> None:
+    del step.state.calls[call.call]
+    run = _outcomes.RunState.NOT_RUN
+    call.phase = _state.CallPhase.REFUSED
+    kind = _records.RecordKind.CALL_REFUSED
+    if call.may_have_run:
+        run = _outcomes.RunState.MAY_HAVE_RUN
+        call.phase = _state.CallPhase.UNKNOWN
+        kind = _records.RecordKind.CALL_UNKNOWN
+    step.record(
+        kind, service=call.kind.service, call=call.call, detail=reason.value
+    )
+    _answer(step, call.call, reason, run)
+
+
+def _answer_unplaced(
+    step: _state.Step,
+    event: _events.CallArrived,
+    reason: _outcomes.Reason,
+) -> None:
+    step.record(
+        _records.RecordKind.CALL_REFUSED,
+        call=event.call,
+        detail=reason.value,
+    )
+    _answer(step, event.call, reason, _outcomes.RunState.NOT_RUN)
+
+
+def _answer(
+    step: _state.Step,
+    call: _ids.CallId,
+    reason: _outcomes.Reason,
+    run: _outcomes.RunState,
+) -> None:
+    step.out.append(
+        _commands.RefuseCall(
+            call=call,
+            reason=reason,
+            run=run,
+            retry_after_s=RETRY_AFTER_S if reason in _RETRY_LATER else None,
+        )
+    )
+
+
+def _learn(
+    step: _state.Step,
+    server: _load.ServerLoad,
+    report: _load.LoadReport | None,
+    is_fault: bool,
+) -> None:
+    if report is not None:
+        server.note_report(report, step.now)
+    if not is_fault:
+        if report is not None and server.note_success(step.now):
+            step.record(_records.RecordKind.PEER_READMITTED, peer=server.node)
+    elif server.note_failure(step.now):
+        step.record(
+            _records.RecordKind.PEER_EJECTED,
+            peer=server.node,
+            detail=f"until {server.ejected_until - step.now:.1f} s from now",
+        )
+
+
+def _budget_of(
+    step: _state.Step, service: _ids.ServiceName
+) -> _budget.RetryBudget:
+    budget = step.state.budgets.get(service)
+    if budget is None:
+        budget = _budget.RetryBudget()
+        step.state.budgets[service] = budget
+    return budget
+
+
+def _fresh_directory(step: _state.Step) -> _directory.Directory:
+    state = step.state
+    revision = (state.membership.revision, state.versions.ref.version)
+    configuration = state.versions.configuration
+    if revision != state.directory_revision and configuration is not None:
+        state.directory_revision = revision
+        state.directory.rebuild(
+            state.membership.members.values(), configuration
+        )
+    return state.directory
--- /dev/null
+++ b/packages/core/marjoramledge_core/_directory.py
@@ -0,0 +1,132 @@
+"""Backend servers that this entry may choose among, by service.
+
+The lists are rebuilt only when membership, configuration or the own server
+change, not on each call.  At size an entry keeps a subset of each service's
+servers, picked by rendezvous hashing, so that its state and its connections
+do not grow with the fleet while the entries together still cover all servers
+evenly.
+"""
+
+import collections.abc
+import hashlib
+import typing
+
+from marjoramledge_core import _ids
+from marjoramledge_core import _load
+from marjoramledge_core import _members
+from marjoramledge_core import _settings
+
+MAX_SUBSET: typing.Final = 24
+OTHER_ZONE_COST_S: typing.Final = 0.0025
+OTHER_REGION_COST_S: typing.Final = 0.025
+
+
+class Directory:
+    """Candidates of each service, with their load as this entry knows it.
+
+    Parameters
+    ----------
+    node, zone
+        The entry's own.
+    """
+
+    def __init__(self, *, node: _ids.NodeId, zone: _ids.ZoneName) -> None:
+        self._node = node
+        self._zone = zone
+        self._loads: dict[_ids.NodeId, _load.ServerLoad] = {}
+        self._services: dict[
+            _ids.ServiceName, tuple[_load.ServerLoad, ...]
+        ] = {}
+
+    @property
+    def loads(
+        self,
+    ) -> collections.abc.Mapping[_ids.NodeId, _load.ServerLoad]:
+        """Load records by node."""
+        return self._loads
+
+    def candidates(
+        self, service: _ids.ServiceName
+    ) -> tuple[_load.ServerLoad, ...]:
+        """Servers of a service that may be given new work."""
+        return self._services.get(service, ())
+
+    def rebuild(
+        self,
+        members: collections.abc.Iterable[_members.Member],
+        configuration: _settings.Configuration,
+    ) -> None:
+        """Build the lists anew from membership and configuration."""
+        by_service: dict[_ids.ServiceName, list[_members.Member]] = {}
+        present: set[_ids.NodeId] = set()
+        for member in members:
+            present.add(member.node)
+            if member.accepts_work and configuration.zone_takes_work(
+                member.zone
+            ):
+                by_service.setdefault(member.service, []).append(member)
+        for node in self._loads.keys() - present:
+            del self._loads[node]
+        self._services = {
+            service: self._select(service, found, configuration)
+            for service, found in by_service.items()
+        }
+
+    def _select(
+        self,
+        service: _ids.ServiceName,
+        members: list[_members.Member],
+        configuration: _settings.Configuration,
+    ) -> tuple[_load.ServerLoad, ...]:
+        region = _region_of(self._zone, configuration)
+        near = [
+            member
+            for member in members
+            if _region_of(member.zone, configuration) == region
+        ]
+        chosen = near or members
+        if len(chosen) > MAX_SUBSET:
+            chosen = sorted(chosen, key=self._rendezvous_rank)[:MAX_SUBSET]
+        return tuple(self._load_of(m, region, configuration) for m in chosen)
+
+    def _rendezvous_rank(self, member: _members.Member) -> bytes:
+        # The own server is always kept: calling it costs no second hop.
+        if member.node == self._node:
+            return b""
+        pair = f"{self._node}\n{member.node}".encode()
+        return hashlib.blake2b(pair, digest_size=8).digest()
+
+    def _load_of(
+        self,
+        member: _members.Member,
+        region: _ids.RegionName | None,
+        configuration: _settings.Configuration,
+    ) -> _load.ServerLoad:
+        load = self._loads.get(member.node)
+        if load is None or load.address != member.address:
+            load = _load.ServerLoad(
+                node=member.node,
+                address=member.address,
+                zone=member.zone,
+                zone_cost_s=0.0,
+                slots=member.slots,
+                is_local=member.node == self._node,
+            )
+            self._loads[member.node] = load
+        load.slots = member.slots
+        if load.reported_at == 0.0:
+            load.limit = float(max(1, member.slots))
+        if member.zone == self._zone:
+            load.zone_cost_s = 0.0
+        elif _region_of(member.zone, configuration) == region:
+            load.zone_cost_s = OTHER_ZONE_COST_S
+        else:
+            load.zone_cost_s = OTHER_REGION_COST_S
+        return load
+
+
+def _region_of(
+    zone: _ids.ZoneName, configuration: _settings.Configuration
+) -> _ids.RegionName | None:
+    known = configuration.zones.get(zone)
+    return None if known is None else known.region
--- /dev/null
+++ b/packages/core/marjoramledge_core/_document.py
@@ -0,0 +1,387 @@
+"""Reading of the operators' documents, ``inventory.toml`` and ``rules.toml``.
+
+Nodes and the operator command share this reader, so a document that the
+command accepts is one that every node accepts.  All problems are reported in
+one go: each names the file, the key and what is allowed, since an operator
+who mends one error only to meet the next loses time during an incident.
+"""
+
+import collections.abc
+import dataclasses
+import tomllib
+import typing
+
+from returns import result
+
+from marjoramledge_core import _ids
+from marjoramledge_core import _settings
+
+INVENTORY_FILE: typing.Final = "inventory.toml"
+RULES_FILE: typing.Final = "rules.toml"
+FILE_NAMES: typing.Final = (INVENTORY_FILE, RULES_FILE)
+
+_METHODS: typing.Final = frozenset(
+    {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+)
+_MAX_DEADLINE_MS: typing.Final = 3_600_000
+_NAME_CHARACTERS: typing.Final = frozenset(
+    "abcdefghijklmnopqrstuvwxyz0123456789-"
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Problem:
+    """One fault of a document."""
+
+    file: str
+    key: str
+    message: str
+
+    def __str__(self) -> str:
+        """Render the problem on one line."""
+        return f"{self.file}: {self.key}: {self.message}"
+
+
+class _TableReader:
+    """Takes typed values out of one TOML table and notes what is wrong."""
+
+    def __init__(
+        self,
+        *,
+        file: str,
+        prefix: str,
+        table: object,
+        problems: list[Problem],
+    ) -> None:
+        self._file = file
+        self._prefix = prefix
+        self._problems = problems
+        self._taken: set[str] = set()
+        self._table: dict[str, object] = {}
+        if isinstance(table, dict):
+            self._table = table
+        else:
+            self.report("", "must be a table")
+
+    def report(self, key: str, message: str) -> None:
+        """Note a problem with one key of the table."""
+        path = ".".join(part for part in (self._prefix, key) if part)
+        self._problems.append(
+            Problem(file=self._file, key=path or "(file)", message=message)
+        )
+
+    def reject_unknown(self) -> None:
+        """Note every key that nothing has asked for."""
+        allowed = ", ".join(sorted(self._taken))
+        for key in self._table:
+            if key not in self._taken:
+                self.report(key, f"unknown key; allowed are: {allowed}")
+
+    def text(self, key: str, default: str | None = None) -> str:
+        """Take a string; required when there is no default."""
+        value = self._take(key, default)
+        if isinstance(value, str) and value:
+            return value
+        if value is not None:
+            self.report(key, "must be a string that is not empty")
+        return default or ""
+
+    def name(self, key: str) -> str:
+        """Take a required name."""
+        value = self.text(key)
+        if value:
+            self.check_name(key, value)
+        return value
+
+    def check_name(self, key: str, value: str) -> None:
+        """Note a name with characters that are not allowed."""
+        if not value or not _NAME_CHARACTERS.issuperset(value):
+            self.report(key, "must be of a-z, 0-9 and '-' only")
+
+    def flag(self, key: str, default: bool | None = None) -> bool:
+        """Take a boolean; required when there is no default."""
+        value = self._take(key, default)
+        if isinstance(value, bool):
+            return value
+        if value is not None:
+            self.report(key, "must be true or false")
+        return bool(default)
+
+    def integer(
+        self, key: str, low: int, high: int, default: int | None = None
+    ) -> int:
+        """Take an integer within bounds, both included."""
+        value = self._take(key, default)
+        if (
+            isinstance(value, int)
+            and not isinstance(value, bool)
+            and low <= value <= high
+        ):
+            return value
+        if value is not None:
+            self.report(key, f"must be an integer from {low} to {high}")
+        return low if default is None else default
+
+    def number(
+        self, key: str, low: float, high: float, default: float
+    ) -> float:
+        """Take a number within bounds, both included."""
+        value = self._take(key, default)
+        if (
+            isinstance(value, int | float)
+            and not isinstance(value, bool)
+            and low <= value <= high
+        ):
+            return float(value)
+        self.report(key, f"must be a number from {low:g} to {high:g}")
+        return default
+
+    def texts(self, key: str) -> tuple[str, ...]:
+        """Take a required list of strings that is not empty."""
+        value = self._take(key, None)
+        if (
+            isinstance(value, list)
+            and value
+            and all(isinstance(entry, str) and entry for entry in value)
+        ):
+            return tuple(value)
+        if value is not None:
+            self.report(key, "must be a list of strings that is not empty")
+        return ()
+
+    def choice(self, key: str, allowed: tuple[str, ...], default: str) -> str:
+        """Take one of the allowed strings."""
+        value = self._take(key, default)
+        if isinstance(value, str) and value in allowed:
+            return value
+        self.report(key, f"must be one of: {', '.join(allowed)}")
+        return default
+
+    def table(self, key: str) -> "_TableReader":
+        """Take an optional sub-table."""
+        return self._child(key, self._take(key, {}))
+
+    def tables(self, key: str) -> "list[tuple[str, _TableReader]]":
+        """Take a required table whose values are tables, by their names."""
+        value = self._take(key, None)
+        if not isinstance(value, dict) or not value:
+            if value is not None:
+                self.report(key, "must hold at least one table")
+            return []
+        readers = []
+        for name, entry in value.items():
+            self.check_name(f"{key}.{name}", name)
+            readers.append((name, self._child(f"{key}.{name}", entry)))
+        return readers
+
+    def array(self, key: str) -> "list[_TableReader]":
+        """Take an optional array of tables."""
+        value = self._take(key, [])
+        if not isinstance(value, list):
+            self.report(key, f"must be an array of tables, [[{key}]]")
+            return []
+        return [
+            self._child(f"{key}[{position}]", entry)
+            for position, entry in enumerate(value)
+        ]
+
+    def _take(self, key: str, default: object) -> object:
+        self._taken.add(key)
+        if key not in self._table:
+            if default is None:
+                self.report(key, "is missing")
+            return default
+        value = self._table[key]
+        if value is None:
+            return default
+        return value
+
+    def _child(self, key: str, table: object) -> "_TableReader":
+        path = ".".join(part for part in (self._prefix, key) if part)
+        return _TableReader(
+            file=self._file,
+            prefix=path,
+            table=table,
+            problems=self._problems,
+        )
+
+
+def parse_documents(
+    files: collections.abc.Mapping[str, str],
+) -> result.Result[_settings.Configuration, tuple[Problem, ...]]:
+    """Build a configuration from the texts of the operators' documents.
+
+    Parameters
+    ----------
+    files
+        Text of each document by its file name, see ``FILE_NAMES``.
+
+    Returns
+    -------
+    Result
+        The configuration, or every problem that was found.
+    """
+    problems: list[Problem] = []
+    inventory = _read_toml(files, INVENTORY_FILE, problems)
+    rules = _read_toml(files, RULES_FILE, problems)
+    if inventory is None or rules is None:
+        return result.Failure(tuple(problems))
+    organisation = inventory.text("organisation")
+    zones = _read_zones(inventory)
+    services = _read_services(inventory)
+    inventory.reject_unknown()
+    defaults = rules.table("defaults")
+    default_deadline_ms = defaults.integer(
+        "deadline_ms",
+        1,
+        _MAX_DEADLINE_MS,
+        int(_settings.DEFAULT_DEADLINE_S * 1000),
+    )
+    defaults.reject_unknown()
+    measuring = _read_measuring(rules.table("measuring"))
+    kinds = _read_kinds(rules, services, default_deadline_ms)
+    rules.reject_unknown()
+    if problems:
+        return result.Failure(tuple(problems))
+    return result.Success(
+        _settings.Configuration(
+            organisation=organisation,
+            services=services,
+            zones=zones,
+            kinds=kinds,
+            measuring=measuring,
+            default_deadline_s=default_deadline_ms / 1000,
+        )
+    )
+
+
+def _read_toml(
+    files: collections.abc.Mapping[str, str],
+    name: str,
+    problems: list[Problem],
+) -> _TableReader | None:
+    if name not in files:
+        problems.append(Problem(file=name, key="(file)", message="is missing"))
+        return None
+    try:
+        table = tomllib.loads(files[name])
+    except tomllib.TOMLDecodeError as error:
+        problems.append(
+            Problem(file=name, key="(file)", message=f"not TOML: {error}")
+        )
+        return None
+    return _TableReader(file=name, prefix="", table=table, problems=problems)
+
+
+def _read_zones(inventory: _TableReader) -> tuple[_settings.Zone, ...]:
+    zones = []
+    for name, reader in inventory.tables("zones"):
+        zones.append(
+            _settings.Zone(
+                name=_ids.ZoneName(name),
+                region=_ids.RegionName(reader.name("region")),
+                takes_work=reader.flag("takes_work"),
+            )
+        )
+        reader.reject_unknown()
+    if zones and not any(zone.takes_work for zone in zones):
+        inventory.report("zones", "at least one zone must take work")
+    return tuple(zones)
+
+
+def _read_services(inventory: _TableReader) -> tuple[_settings.Service, ...]:
+    services = []
+    hosts: dict[str, str] = {}
+    for name, reader in inventory.tables("services"):
+        service = _settings.Service(
+            name=_ids.ServiceName(name),
+            hosts=tuple(host.lower() for host in reader.texts("hosts")),
+            servers=reader.integer("servers", 1, 100_000),
+            slots=reader.integer("slots", 1, 100_000),
+            connections=reader.integer("connections", 1, 100_000),
+            cold_concurrency=reader.integer(
+                "cold_concurrency",
+                1,
+                100_000,
+                _settings.DEFAULT_COLD_CONCURRENCY,
+            ),
+        )
+        for host in service.hosts:
+            if host in hosts:
+                reader.report(
+                    "hosts", f"{host} already names service {hosts[host]}"
+                )
+            hosts[host] = name
+        reader.reject_unknown()
+        services.append(service)
+    return tuple(services)
+
+
+def _read_measuring(reader: _TableReader) -> _settings.Measuring:
+    measuring = _settings.Measuring(
+        calls_per_s=reader.number(
+            "calls_per_s", 0.01, 100, _settings.DEFAULT_PROBES_PER_S
+        ),
+        slot_share=reader.number(
+            "slot_share", 0.00001, 1, _settings.DEFAULT_PROBE_SLOT_SHARE
+        ),
+    )
+    reader.reject_unknown()
+    return measuring
+
+
+def _read_kinds(
+    rules: _TableReader,
+    services: tuple[_settings.Service, ...],
+    default_deadline_ms: int,
+) -> tuple[_settings.RequestKind, ...]:
+    service_names = {service.name for service in services}
+    names: set[str] = set()
+    kinds = []
+    for reader in rules.array("kinds"):
+        kind = _read_kind(reader, default_deadline_ms)
+        if kind.name in names:
+            reader.report("name", f"{kind.name} is declared twice")
+        names.add(kind.name)
+        if kind.service and kind.service not in service_names:
+            allowed = ", ".join(sorted(service_names)) or "none declared"
+            reader.report(
+                "service",
+                f"must be a service of {INVENTORY_FILE}: {allowed}",
+            )
+        reader.reject_unknown()
+        kinds.append(kind)
+    return tuple(kinds)
+
+
+def _read_kind(
+    reader: _TableReader, default_deadline_ms: int
+) -> _settings.RequestKind:
+    name = reader.name("name")
+    service = reader.name("service")
+    methods = reader.texts("methods")
+    if not _METHODS.issuperset(methods):
+        reader.report("methods", f"must be of: {', '.join(sorted(_METHODS))}")
+    path = reader.text("path")
+    if path and (not path.startswith("/") or "*" in path.removesuffix("/*")):
+        reader.report("path", "must start with '/'; '*' only in a final '/*'")
+    priorities = tuple(level.name.lower() for level in _settings.Priority)
+    priority = reader.choice("priority", priorities, "normal")
+    idempotent = reader.flag("idempotent")
+    deadline_ms = reader.integer(
+        "deadline_ms", 1, _MAX_DEADLINE_MS, default_deadline_ms
+    )
+    hedge_after_ms = reader.integer("hedge_after_ms", 0, _MAX_DEADLINE_MS, 0)
+    if hedge_after_ms and not idempotent:
+        reader.report("hedge_after_ms", "allowed only with idempotent = true")
+    return _settings.RequestKind(
+        name=_ids.KindName(name),
+        service=_ids.ServiceName(service),
+        methods=frozenset(methods),
+        path=path,
+        priority=_settings.Priority[priority.upper()],
+        idempotent=idempotent,
+        deadline_s=deadline_ms / 1000,
+        hedge_after_s=hedge_after_ms / 1000 if hedge_after_ms else None,
+        max_slot_share=reader.number("max_slot_share", 0.01, 1, 1.0),
+    )
--- /dev/null
+++ b/packages/core/marjoramledge_core/_events.py
@@ -0,0 +1,211 @@
+"""What happens to a node, as its decisions are told of it."""
+
+import dataclasses
+
+from marjoramledge_core import _gate
+from marjoramledge_core import _ids
+from marjoramledge_core import _load
+from marjoramledge_core import _manifest
+from marjoramledge_core import _members
+from marjoramledge_core import _outcomes
+from marjoramledge_core import _settings
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class CallArrived:
+    """A caller's request came in at this node.
+
+    ``deadline_s`` is what the caller allows, in seconds from now, and
+    ``is_body_held`` tells that the whole body is at hand.
+    """
+
+    call: _ids.CallId
+    host: str
+    method: str
+    path: str
+    deadline_s: float | None
+    is_body_held: bool
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class AttemptAnswered:
+    """The head of an answer came back.
+
+    ``is_error`` marks an answer that speaks of a fault of the server.
+    """
+
+    call: _ids.CallId
+    attempt: _ids.AttemptId
+    is_error: bool
+    load: _load.LoadReport | None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class AttemptFailed:
+    """An attempt ended without an answer that can be passed on.
+
+    ``is_body_gone`` tells that part of a body that was not held has been
+    taken from the caller, so that the request can't be sent again.
+    """
+
+    call: _ids.CallId
+    attempt: _ids.AttemptId
+    run: _outcomes.RunState
+    reason: _outcomes.Reason
+    load: _load.LoadReport | None
+    is_body_gone: bool
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class AnswerLost:
+    """A delivered answer broke off before any of it was passed on."""
+
+    call: _ids.CallId
+    attempt: _ids.AttemptId
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class CallEnded:
+    """Nothing more will be passed on to the caller."""
+
+    call: _ids.CallId
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class CallerLeft:
+    """The caller hung up before its answer."""
+
+    call: _ids.CallId
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class WorkOffered:
+    """A peer offers a request for the backend server on this VM."""
+
+    attempt: _ids.AttemptId
+    host: str
+    method: str
+    path: str
+    deadline_s: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class WorkEnded:
+    """The backend server is done with a request, for good or ill.
+
+    ``head_s`` is the time from sending it to the head of the answer.
+    """
+
+    attempt: _ids.AttemptId
+    outcome: _outcomes.ServerOutcome
+    head_s: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class WorkAbandoned:
+    """The peer that offered a request no longer wants it."""
+
+    attempt: _ids.AttemptId
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ServerAnnounced:
+    """The backend server on this VM announced itself."""
+
+    server: _gate.Server
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ServerDraining:
+    """The backend server on this VM wants no new work."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ServerWithdrawn:
+    """The backend server on this VM is gone, by its own word."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ProbeEnded:
+    """A probe of the backend server on this VM ended."""
+
+    is_healthy: bool
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class MessageReceived:
+    """An authentic membership datagram came in."""
+
+    message: _members.Message
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class MembersReceived:
+    """A peer told of all members that it knows."""
+
+    members: tuple[_members.Member, ...]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class SeedsFound:
+    """Addresses were read at which other nodes may be reached."""
+
+    addresses: tuple[_members.Address, ...]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class VersionRead:
+    """The table named the version in force."""
+
+    ref: _manifest.VersionRef
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ManifestFetched:
+    """A configuration was fetched and is valid."""
+
+    ref: _manifest.VersionRef
+    configuration: _settings.Configuration
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ManifestFailed:
+    """A configuration could not be fetched, or is not valid."""
+
+    ref: _manifest.VersionRef
+    detail: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class StopRequested:
+    """The node is to stop, without cutting a call."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class TimePassed:
+    """A moment asked for has come."""
+
+
+Event = (
+    CallArrived
+    | AttemptAnswered
+    | AttemptFailed
+    | AnswerLost
+    | CallEnded
+    | CallerLeft
+    | WorkOffered
+    | WorkEnded
+    | WorkAbandoned
+    | ServerAnnounced
+    | ServerDraining
+    | ServerWithdrawn
+    | ProbeEnded
+    | MessageReceived
+    | MembersReceived
+    | SeedsFound
+    | VersionRead
+    | ManifestFetched
+    | ManifestFailed
+    | StopRequested
+    | TimePassed
+)
--- /dev/null
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -0,0 +1,290 @@
+"""The gate: admission of calls to the backend server on this VM.
+
+Every call for the backend server passes here, whether it entered at this
+node or at a peer, so the gate's counts are exact.  It starts a call, lets it
+wait for a short time, or refuses it; a refused call has not run, by
+construction.
+"""
+
+import dataclasses
+import enum
+import typing
+
+from marjoramledge_core import _ids
+from marjoramledge_core import _limit
+from marjoramledge_core import _load
+from marjoramledge_core import _members
+from marjoramledge_core import _outcomes
+from marjoramledge_core import _queue
+
+MAX_QUEUE_WAIT_S: typing.Final = 0.25
+QUEUE_PER_SLOT: typing.Final = 2
+MIN_QUEUE: typing.Final = 4
+
+_FAILURES: typing.Final = frozenset(
+    {_outcomes.ServerOutcome.SHED, _outcomes.ServerOutcome.BROKE_OFF}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Server:
+    """A backend server as it announced itself."""
+
+    service: _ids.ServiceName
+    host: str
+    port: int
+    slots: int
+    connections: int
+    cold_concurrency: int
+    is_cold: bool
+    health_path: str
+
+
+class Admission(enum.Enum):
+    """Answer of the gate to an offered call."""
+
+    STARTED = enum.auto()
+    QUEUED = enum.auto()
+    REFUSED = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Offer:
+    """Answer to an offered call, and the call that gave way to it."""
+
+    admission: Admission
+    displaced: _queue.Work | None = None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Ending:
+    """What followed from the end of a call at the gate."""
+
+    started: list[_queue.Work]
+    refused: list[_queue.Work]
+    fell_cold: bool = False
+    became_unreachable: bool = False
+
+
+class Gate:
+    """State of the gate."""
+
+    def __init__(self) -> None:
+        self._server: Server | None = None
+        self._state = _members.ServerState.ABSENT
+        self._limit = _limit.ConcurrencyLimit(
+            slots=1, cold_concurrency=1, is_cold=True
+        )
+        self._queue = _queue.WorkQueue(capacity=MIN_QUEUE)
+        self._running: dict[_ids.AttemptId, _queue.Work] = {}
+        self._waiting: dict[_ids.AttemptId, _queue.Work] = {}
+        self._running_by_kind: dict[_ids.KindName, int] = {}
+        self._heard_at = 0.0
+
+    @property
+    def server(self) -> Server | None:
+        """The backend server, when one has announced itself."""
+        return self._server
+
+    @property
+    def state(self) -> _members.ServerState:
+        """Standing of the backend server."""
+        return self._state
+
+    @property
+    def running(self) -> int:
+        """Calls that the backend server holds."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Calls that wait."""
+        return len(self._waiting)
+
+    @property
+    def heard_at(self) -> float:
+        """Time of the last sign of life from the backend server."""
+        return self._heard_at
+
+    @property
+    def accepts_work(self) -> bool:
+        """Whether the backend server may be given new work at all."""
+        return self._state in _members.ACCEPTING_STATES
+
+    @property
+    def has_room(self) -> bool:
+        """Whether an offered call would start at once."""
+        return (
+            self._state in _members.ACCEPTING_STATES
+            and not self._waiting
+            and len(self._running) < self._limit.current
+        )
+
+    def report(self) -> _load.LoadReport:
+        """Describe the load at this moment."""
+        return _load.LoadReport(
+            in_flight=len(self._running) + len(self._waiting),
+            limit=self._limit.current,
+            service_s=self._limit.latency_s or _load.INITIAL_LATENCY_S,
+        )
+
+    def announce(self, server: Server, now: float) -> None:
+        """Take in the announcement of a backend server.
+
+        A repeated announcement of the same server only moves it between cold
+        and warm; calls that run are kept.
+        """
+        same = self._server is not None and (
+            self._server.port == server.port
+            and self._server.slots == server.slots
+            and self._server.is_cold == server.is_cold
+        )
+        self._server = server
+        self._heard_at = now
+        if same and self.accepts_work:
+            return
+        self._limit = _limit.ConcurrencyLimit(
+            slots=server.slots,
+            cold_concurrency=server.cold_concurrency,
+            is_cold=server.is_cold,
+        )
+        self._state = (
+            _members.ServerState.COLD
+            if server.is_cold
+            else _members.ServerState.WARM
+        )
+        self._queue.resize(max(MIN_QUEUE, QUEUE_PER_SLOT * server.slots))
+
+    def restart_ramp(self) -> None:
+        """Give the backend server only what a cold one bears, for a start."""
+        self._limit.restart_ramp()
+
+    def drain(self) -> list[_queue.Work]:
+        """Take no new work; return the calls that waited."""
+        if self._state is not _members.ServerState.ABSENT:
+            self._state = _members.ServerState.DRAINING
+        return self.drop_waiting()
+
+    def withdraw(self) -> list[_queue.Work]:
+        """Forget the backend server; return the calls that waited."""
+        self._state = _members.ServerState.ABSENT
+        self._server = None
+        return self.drop_waiting()
+
+    def offer(self, work: _queue.Work, now: float) -> Offer:
+        """Decide on a new call."""
+        if not self.accepts_work or self._is_over_share(work):
+            return Offer(admission=Admission.REFUSED)
+        if not self._waiting and len(self._running) < self._limit.current:
+            self._start(work, now)
+            return Offer(admission=Admission.STARTED)
+        displaced = self._queue.push(work)
+        if displaced is work:
+            return Offer(admission=Admission.REFUSED)
+        self._waiting[work.attempt] = work
+        if displaced is not None:
+            del self._waiting[displaced.attempt]
+        return Offer(admission=Admission.QUEUED, displaced=displaced)
+
+    def end(
+        self,
+        attempt: _ids.AttemptId,
+        outcome: _outcomes.ServerOutcome,
+        head_s: float,
+        now: float,
+    ) -> Ending:
+        """Take in the end of a running call and start others in its place.
+
+        Parameters
+        ----------
+        attempt
+            The call that ended.
+        outcome
+            How the backend server ended it.
+        head_s
+            Seconds until the head of the answer; only read for an answer.
+        now
+            Monotonic time in seconds.
+        """
+        work = self._running.pop(attempt, None)
+        if work is None:
+            raise AssertionError(f"attempt {attempt} is not running")
+        self._running_by_kind[work.kind.name] -= 1
+        ending = Ending(started=[], refused=[])
+        self._learn(outcome, head_s, now, ending)
+        if self.accepts_work:
+            ending.started = self._start_waiting(now)
+        return ending
+
+    def abandon(self, attempt: _ids.AttemptId) -> bool:
+        """Remove a call that waits; false when it does not wait."""
+        work = self._waiting.pop(attempt, None)
+        if work is None:
+            return False
+        self._queue.remove(work)
+        return True
+
+    def find(self, attempt: _ids.AttemptId) -> _queue.Work | None:
+        """Find a call that runs or waits."""
+        return self._running.get(attempt) or self._waiting.get(attempt)
+
+    def note_probe(self, is_healthy: bool, now: float) -> bool:
+        """Take in a probe; tell whether the server came back or went."""
+        if is_healthy:
+            self._heard_at = now
+            if self._state is not _members.ServerState.UNREACHABLE:
+                return False
+            self._state = _members.ServerState.WARM
+            self._limit.restart_ramp()
+            return True
+        if not self.accepts_work:
+            return False
+        self._state = _members.ServerState.UNREACHABLE
+        return True
+
+    def drop_waiting(self) -> list[_queue.Work]:
+        """Remove and return the calls that wait."""
+        self._waiting.clear()
+        return self._queue.drain()
+
+    def _learn(
+        self,
+        outcome: _outcomes.ServerOutcome,
+        head_s: float,
+        now: float,
+        ending: Ending,
+    ) -> None:
+        if outcome is _outcomes.ServerOutcome.ANSWERED:
+            self._heard_at = now
+            self._limit.note_success(head_s, len(self._running), now)
+        elif outcome is _outcomes.ServerOutcome.UNREACHABLE:
+            if self.accepts_work:
+                self._state = _members.ServerState.UNREACHABLE
+                ending.became_unreachable = True
+                ending.refused = self.drop_waiting()
+        elif outcome in _FAILURES:
+            ending.fell_cold = self._limit.note_shed(now)
+
+    def _start(self, work: _queue.Work, now: float) -> None:
+        work.started_at = now
+        self._running[work.attempt] = work
+        name = work.kind.name
+        self._running_by_kind[name] = self._running_by_kind.get(name, 0) + 1
+
+    def _start_waiting(self, now: float) -> list[_queue.Work]:
+        started = []
+        while self._waiting and len(self._running) < self._limit.current:
+            work = self._queue.take()
+            if work is None:
+                raise AssertionError("the queue lost a waiting call")
+            del self._waiting[work.attempt]
+            self._start(work, now)
+            started.append(work)
+        return started
+
+    def _is_over_share(self, work: _queue.Work) -> bool:
+        share = work.kind.max_slot_share
+        if share >= 1.0 or self._server is None:
+            return False
+        held = self._running_by_kind.get(work.kind.name, 0)
+        return held >= max(1.0, share * self._server.slots)
--- /dev/null
+++ b/packages/core/marjoramledge_core/_ids.py
@@ -0,0 +1,22 @@
+"""Identifiers that the parts of the system exchange.
+
+They are plain strings and integers at run time; the distinct types keep a
+zone from being passed where a service is expected.
+"""
+
+import typing
+
+NodeId = typing.NewType("NodeId", str)
+ServiceName = typing.NewType("ServiceName", str)
+ZoneName = typing.NewType("ZoneName", str)
+RegionName = typing.NewType("RegionName", str)
+KindName = typing.NewType("KindName", str)
+CallId = typing.NewType("CallId", str)
+AttemptId = typing.NewType("AttemptId", str)
+ConfigVersion = typing.NewType("ConfigVersion", int)
+Digest = typing.NewType("Digest", str)
+
+NO_SERVICE: typing.Final = ServiceName("")
+NO_CALL: typing.Final = CallId("")
+NO_NODE: typing.Final = NodeId("")
+NO_CONFIGURATION: typing.Final = ConfigVersion(0)
--- /dev/null
+++ b/packages/core/marjoramledge_core/_load.py
@@ -0,0 +1,109 @@
+"""What an entry knows of the load of one backend server.
+
+A report is stale from the moment it is sent.  The estimate therefore joins
+three sources of different freshness: this entry's own calls in flight, which
+are exact; the calls of others in the last report, whose weight fades with its
+age; and latency, averaged over the answers seen here and the gate's own view.
+"""
+
+import dataclasses
+import typing
+
+from marjoramledge_core import _ids
+from marjoramledge_core import _members
+
+# A report says little about a queue that turns over within milliseconds.
+REPORT_HALF_LIFE_S: typing.Final = 0.25
+LATENCY_WEIGHT: typing.Final = 0.2
+INITIAL_LATENCY_S: typing.Final = 0.005
+
+# Failures in a row after which a server is put aside.
+EJECT_AFTER_FAILURES: typing.Final = 3
+FIRST_EJECTION_S: typing.Final = 0.5
+MAX_EJECTION_S: typing.Final = 30.0
+# Share of the ordinary chance that a returning server gets at first.
+READMISSION_RAMP_S: typing.Final = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoadReport:
+    """A gate's own view, carried on its answers.
+
+    ``in_flight`` counts running and queued calls, ``limit`` is the gate's
+    concurrency limit, ``service_s`` the recent mean time of a call at the
+    backend server in seconds.
+    """
+
+    in_flight: int
+    limit: int
+    service_s: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ServerLoad:
+    """Running estimate of one backend server, as one entry sees it."""
+
+    node: _ids.NodeId
+    address: _members.Address
+    zone: _ids.ZoneName
+    zone_cost_s: float
+    slots: int
+    is_local: bool = False
+    own_in_flight: int = 0
+    others: float = 0.0
+    limit: float = 1.0
+    latency_s: float = INITIAL_LATENCY_S
+    reported_at: float = 0.0
+    failures_in_row: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    readmitted_at: float = -READMISSION_RAMP_S
+
+    def start_call(self) -> None:
+        """Count a call sent to the server."""
+        self.own_in_flight += 1
+
+    def end_call(self) -> None:
+        """Count the end of a call, however it ended."""
+        if self.own_in_flight <= 0:
+            raise AssertionError("a call ended that was not counted")
+        self.own_in_flight -= 1
+
+    def note_report(self, report: LoadReport, now: float) -> None:
+        """Take in a gate's report of its own load."""
+        self.others = max(0.0, report.in_flight - self.own_in_flight)
+        self.limit = max(1.0, report.limit)
+        self.latency_s += LATENCY_WEIGHT * (report.service_s - self.latency_s)
+        self.reported_at = now
+
+    def note_success(self, now: float) -> bool:
+        """Take in a whole answer; tell whether it ends an ejection."""
+        self.failures_in_row = 0
+        if not self.ejections:
+            return False
+        if now - self.readmitted_at > READMISSION_RAMP_S:
+            self.ejections = 0
+        return True
+
+    def note_failure(self, now: float) -> bool:
+        """Take in a failure; tell whether the server is now put aside."""
+        self.failures_in_row += 1
+        if self.failures_in_row < EJECT_AFTER_FAILURES and not self.ejections:
+            return False
+        if now < self.ejected_until:
+            return False
+        pause = FIRST_EJECTION_S * 2.0**self.ejections
+        self.ejected_until = now + min(MAX_EJECTION_S, pause)
+        self.readmitted_at = self.ejected_until
+        self.ejections = min(self.ejections + 1, 16)
+        return True
+
+    def is_ejected(self, now: float) -> bool:
+        """Tell whether the server is put aside at present."""
+        return now < self.ejected_until
+
+    def estimate_in_flight(self, now: float) -> float:
+        """Estimate the calls at the server, running and queued."""
+        age = now - self.reported_at
+        fade = REPORT_HALF_LIFE_S / (REPORT_HALF_LIFE_S + age)
+        return self.own_in_flight + self.others * fade
--- /dev/null
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -0,0 +1,608 @@
+"""Which nodes there are: failure detection and spread of news by gossip.
+
+Each node probes one other per period, in a shuffled round, directly and then
+through a few helpers.  A member that does not answer is suspected, told to
+everyone, and taken as failed unless it refutes in time by a higher
+incarnation.  News rides on the probes and, since a leaving backend server
+must lose its callers at once, is also pushed to a few random members within
+``NEWS_DELAY_S``.  Rarely, two nodes exchange all they know, which heals what
+a partition left apart.
+
+Source: Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent
+Infection-style Process Group Membership Protocol", DSN 2002; the care for a
+node that was itself paused follows Dadgar, Phillips and Currey, "Lifeguard:
+Local Health Awareness for More Accurate Failure Detection", 2017.
+"""
+
+import collections.abc
+import dataclasses
+import math
+import random
+import typing
+
+from marjoramledge_core import _commands
+from marjoramledge_core import _ids
+from marjoramledge_core import _manifest
+from marjoramledge_core import _members
+from marjoramledge_core import _records
+from marjoramledge_core import _timers
+
+PROBE_PERIOD_S: typing.Final = 1.0
+PROBE_TIMEOUT_S: typing.Final = 0.4
+INDIRECT_PROBES: typing.Final = 3
+MIN_SUSPICION_S: typing.Final = 3.0
+NEWS_DELAY_S: typing.Final = 0.05
+NEWS_FANOUT: typing.Final = 3
+# Keeps a datagram below the usual path MTU at about 70 bytes a member.
+NEWS_PER_MESSAGE: typing.Final = 14
+TRANSMISSIONS_PER_LOG: typing.Final = 3
+MIN_SYNC_PERIOD_S: typing.Final = 30.0
+SYNC_PERIOD_PER_MEMBER_S: typing.Final = 0.2
+JOIN_PERIOD_S: typing.Final = 0.5
+REGISTER_PERIOD_S: typing.Final = 300.0
+# How long a departed member is remembered, so that old news of it is known
+# to be old and a partition can be healed through it.
+REMEMBER_DEPARTED_S: typing.Final = 600.0
+# A probe period this much late means that this node itself was paused.
+PAUSE_THRESHOLD_S: typing.Final = 2.0
+MAX_SEEDS: typing.Final = 64
+
+_DEPARTED: typing.Final = frozenset(
+    {_members.MemberStatus.FAILED, _members.MemberStatus.LEFT}
+)
+_RECORD_OF_STATUS: typing.Final = {
+    _members.MemberStatus.ALIVE: _records.RecordKind.MEMBER_JOINED,
+    _members.MemberStatus.SUSPECT: _records.RecordKind.MEMBER_SUSPECTED,
+    _members.MemberStatus.FAILED: _records.RecordKind.MEMBER_FAILED,
+    _members.MemberStatus.LEFT: _records.RecordKind.MEMBER_LEFT,
+}
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Probe:
+    target: _ids.NodeId
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Relay:
+    origin: _members.Address
+    sequence: int
+
+
+class Membership:
+    """View of all members that one node holds, and its protocol state.
+
+    Methods append the commands that follow to ``out``.
+
+    Parameters
+    ----------
+    myself
+        First record of this node.
+    seeds
+        Addresses from the settings at which to look for others.
+    timers
+        The node's timers.
+    """
+
+    def __init__(
+        self,
+        *,
+        myself: _members.Member,
+        seeds: collections.abc.Iterable[_members.Address],
+        timers: _timers.TimerQueue,
+    ) -> None:
+        self._myself = myself
+        self._seeds = [seed for seed in seeds if seed != myself.address]
+        self._timers = timers
+        self._members: dict[_ids.NodeId, _members.Member] = {
+            myself.node: myself
+        }
+        self._config = _manifest.NO_VERSION
+        self._departed_at: dict[_ids.NodeId, float] = {}
+        self._round: list[_ids.NodeId] = []
+        self._probes: dict[int, _Probe] = {}
+        self._relays: dict[int, _Relay] = {}
+        self._sequence = 0
+        self._news: dict[_ids.NodeId, int] = {}
+        self._push_is_set = False
+        self._probed_at: float | None = None
+        self._revision = 0
+
+    @property
+    def myself(self) -> _members.Member:
+        """Own record of this node."""
+        return self._myself
+
+    @property
+    def members(
+        self,
+    ) -> collections.abc.Mapping[_ids.NodeId, _members.Member]:
+        """All members known, departed ones included."""
+        return self._members
+
+    @property
+    def revision(self) -> int:
+        """Number that grows whenever a record changes."""
+        return self._revision
+
+    @property
+    def present_count(self) -> int:
+        """Members that have not departed, this one included."""
+        return len(self._members) - len(self._departed_at)
+
+    @property
+    def suspicion_s(self) -> float:
+        """Seconds that a suspected member has to refute."""
+        return MIN_SUSPICION_S * max(1.0, math.log10(len(self._members)))
+
+    def start(self, now: float) -> None:
+        """Set the first timers of a node that starts."""
+        self._timers.set(now, _timers.TimerKind.MEMBER_REGISTER)
+        self._timers.set(now, _timers.TimerKind.MEMBER_SYNC)
+        self._timers.set(now + PROBE_PERIOD_S, _timers.TimerKind.MEMBER_PROBE)
+
+    def set_config(self, ref: _manifest.VersionRef) -> None:
+        """Set the configuration version that messages tell of."""
+        self._config = ref
+
+    def tell_now(
+        self, rng: random.Random, out: list[_commands.Command]
+    ) -> None:
+        """Push the configuration version and fresh news to a few members."""
+        for member in self._pick_present(NEWS_FANOUT, rng):
+            self._send(_members.MessageKind.NEWS, member.address, out)
+
+    def update_myself(
+        self,
+        *,
+        status: _members.MemberStatus = _members.MemberStatus.ALIVE,
+        service: _ids.ServiceName,
+        server: _members.ServerState,
+        slots: int,
+        now: float,
+    ) -> None:
+        """Publish a change of this node or of its backend server."""
+        changed = dataclasses.replace(
+            self._myself,
+            status=status,
+            service=service,
+            server=server,
+            slots=slots,
+        )
+        if changed != self._myself:
+            self._raise_incarnation(changed, self._myself.incarnation, now)
+
+    def add_seeds(
+        self, addresses: collections.abc.Iterable[_members.Address]
+    ) -> None:
+        """Add addresses at which to look for others."""
+        for address in addresses:
+            if address != self._myself.address and address not in self._seeds:
+                self._seeds.append(address)
+        del self._seeds[:-MAX_SEEDS]
+
+    def take_members(
+        self,
+        members: collections.abc.Iterable[_members.Member],
+        now: float,
+        out: list[_commands.Command],
+    ) -> None:
+        """Take in records of members, from news or from a peer's whole view.
+
+        Records that are older than what is known change nothing, so they may
+        come late, twice or in any order.
+        """
+        for member in members:
+            self._take_member(member, now, out)
+
+    def take_message(
+        self,
+        message: _members.Message,
+        now: float,
+        out: list[_commands.Command],
+    ) -> None:
+        """Take in a message and answer it where it asks for an answer."""
+        self.take_members(message.news, now, out)
+        self._answer_outdated_sender(message)
+        if message.kind is _members.MessageKind.PING:
+            self._send(
+                _members.MessageKind.ACK,
+                message.sender_address,
+                out,
+                sequence=message.sequence,
+                about=message.sender,
+            )
+        elif message.kind is _members.MessageKind.ACK:
+            self._take_ack(message, out)
+        elif message.kind is _members.MessageKind.PING_REQUEST:
+            self._relay_probe(message, out)
+
+    def probe_next(
+        self,
+        now: float,
+        rng: random.Random,
+        out: list[_commands.Command],
+    ) -> None:
+        """Probe the next member of the round; runs once a period."""
+        if self._was_paused(now):
+            self._restart_suspicions(now)
+        self._probed_at = now
+        self._forget_departed(now)
+        self._timers.set(
+            now + PROBE_PERIOD_S * rng.uniform(0.95, 1.05),
+            _timers.TimerKind.MEMBER_PROBE,
+        )
+        target = self._next_target(rng)
+        if target is None:
+            return
+        sequence = self._next_sequence()
+        self._probes[sequence] = _Probe(target=target.node)
+        self._send(
+            _members.MessageKind.PING,
+            target.address,
+            out,
+            sequence=sequence,
+            about=target.node,
+        )
+        self._timers.set(
+            now + PROBE_TIMEOUT_S,
+            _timers.TimerKind.PROBE_TIMEOUT,
+            number=sequence,
+        )
+
+    def probe_timed_out(
+        self,
+        sequence: int,
+        now: float,
+        rng: random.Random,
+        out: list[_commands.Command],
+    ) -> None:
+        """Go on with a probe that has no answer: helpers, then suspicion."""
+        probe = self._probes.get(sequence)
+        if probe is None:
+            return
+        helpers = self._pick_present(
+            INDIRECT_PROBES, rng, without=probe.target
+        )
+        if sequence > 0 and helpers:
+            self._probes[-sequence] = self._probes.pop(sequence)
+            for helper in helpers:
+                self._send(
+                    _members.MessageKind.PING_REQUEST,
+                    helper.address,
+                    out,
+                    sequence=sequence,
+                    about=probe.target,
+                )
+            self._timers.set(
+                now + PROBE_PERIOD_S - PROBE_TIMEOUT_S,
+                _timers.TimerKind.PROBE_TIMEOUT,
+                number=-sequence,
+            )
+            return
+        del self._probes[sequence]
+        if not self._was_paused(now):
+            self._suspect(probe.target, now, out)
+
+    def suspicion_ended(
+        self,
+        node: _ids.NodeId,
+        incarnation: int,
+        now: float,
+        out: list[_commands.Command],
+    ) -> None:
+        """Take a suspected member as failed unless it has refuted."""
+        member = self._members.get(node)
+        if (
+            member is None
+            or member.status is not _members.MemberStatus.SUSPECT
+            or member.incarnation != incarnation
+        ):
+            return
+        if self._was_paused(now):
+            self._set_suspicion_timer(member, now)
+            return
+        failed = dataclasses.replace(
+            member, status=_members.MemberStatus.FAILED
+        )
+        self._store(failed, now, out)
+
+    def push_news(
+        self, rng: random.Random, out: list[_commands.Command]
+    ) -> None:
+        """Send fresh news to a few members without waiting for a probe."""
+        self._push_is_set = False
+        if self._news:
+            self.tell_now(rng, out)
+
+    def sync_next(
+        self,
+        now: float,
+        rng: random.Random,
+        out: list[_commands.Command],
+    ) -> None:
+        """Exchange all members with one peer, a seed while alone."""
+        known = {
+            member.address
+            for member in self._members.values()
+            if member.node != self._myself.node
+            and member.status is not _members.MemberStatus.LEFT
+        }
+        is_alone = self.present_count <= 1
+        choices = list(known | set(self._seeds)) if is_alone else list(known)
+        if choices:
+            choices.sort(key=lambda address: (address.host, address.port))
+            address = choices[int(rng.random() * len(choices))]
+            out.append(_commands.SyncMembers(address=address))
+        period = max(
+            MIN_SYNC_PERIOD_S, SYNC_PERIOD_PER_MEMBER_S * self.present_count
+        )
+        self._timers.set(
+            now
+            + (JOIN_PERIOD_S if is_alone else period) * rng.uniform(0.8, 1.2),
+            _timers.TimerKind.MEMBER_SYNC,
+        )
+
+    def register_next(
+        self,
+        now: float,
+        rng: random.Random,
+        out: list[_commands.Command],
+    ) -> None:
+        """Keep this node's row in the table fresh."""
+        out.append(_commands.RegisterMember())
+        self._timers.set(
+            now + REGISTER_PERIOD_S * rng.uniform(0.8, 1.2),
+            _timers.TimerKind.MEMBER_REGISTER,
+        )
+
+    def leave(
+        self, now: float, rng: random.Random, out: list[_commands.Command]
+    ) -> None:
+        """Tell a few members that this node is gone for good."""
+        self.update_myself(
+            status=_members.MemberStatus.LEFT,
+            service=self._myself.service,
+            server=_members.ServerState.ABSENT,
+            slots=0,
+            now=now,
+        )
+        self.tell_now(rng, out)
+
+    def _take_member(
+        self,
+        member: _members.Member,
+        now: float,
+        out: list[_commands.Command],
+    ) -> None:
+        if member.node == self._myself.node:
+            self._refute(member, now)
+            return
+        known = self._members.get(member.node)
+        if known is None:
+            if member.status not in _DEPARTED:
+                self._store(member, now, out)
+        elif member.supersedes(known):
+            self._store(member, now, out)
+
+    def _refute(self, claim: _members.Member, now: float) -> None:
+        if claim == self._myself or (
+            claim.incarnation < self._myself.incarnation
+        ):
+            return
+        if self._myself.status is _members.MemberStatus.LEFT:
+            return
+        self._raise_incarnation(self._myself, claim.incarnation, now)
+
+    def _raise_incarnation(
+        self, record: _members.Member, above: int, now: float
+    ) -> None:
+        self._myself = dataclasses.replace(record, incarnation=above + 1)
+        self._members[record.node] = self._myself
+        self._revision += 1
+        self._spread(record.node, now)
+
+    def _store(
+        self,
+        member: _members.Member,
+        now: float,
+        out: list[_commands.Command],
+    ) -> None:
+        known = self._members.get(member.node)
+        self._members[member.node] = member
+        self._revision += 1
+        self._spread(member.node, now)
+        if member.status in _DEPARTED:
+            self._departed_at[member.node] = now
+        else:
+            self._departed_at.pop(member.node, None)
+        if member.status is _members.MemberStatus.SUSPECT:
+            self._set_suspicion_timer(member, now)
+        if known is None or known.status is not member.status:
+            record = _records.Record(
+                kind=_RECORD_OF_STATUS[member.status],
+                peer=member.node,
+                service=member.service,
+                detail=f"incarnation {member.incarnation}",
+            )
+            out.append(_commands.WriteRecord(record=record))
+
+    def _suspect(
+        self,
+        node: _ids.NodeId,
+        now: float,
+        out: list[_commands.Command],
+    ) -> None:
+        member = self._members.get(node)
+        if member is None or member.status is not _members.MemberStatus.ALIVE:
+            return
+        suspect = dataclasses.replace(
+            member, status=_members.MemberStatus.SUSPECT
+        )
+        self._store(suspect, now, out)
+
+    def _set_suspicion_timer(
+        self, member: _members.Member, now: float
+    ) -> None:
+        self._timers.set(
+            now + self.suspicion_s,
+            _timers.TimerKind.SUSPICION,
+            subject=member.node,
+            number=member.incarnation,
+        )
+
+    def _restart_suspicions(self, now: float) -> None:
+        # A node that was paused heard no refutation; its old timers, which
+        # are all due at once now, must not count.
+        self._probes.clear()
+        for member in self._members.values():
+            if member.status is _members.MemberStatus.SUSPECT:
+                self._set_suspicion_timer(member, now)
+
+    def _was_paused(self, now: float) -> bool:
+        if self._probed_at is None:
+            return False
+        late = now - self._probed_at - PROBE_PERIOD_S
+        return late > PAUSE_THRESHOLD_S
+
+    def _forget_departed(self, now: float) -> None:
+        expired = [
+            node
+            for node, departed_at in self._departed_at.items()
+            if now - departed_at > REMEMBER_DEPARTED_S
+        ]
+        for node in expired:
+            del self._departed_at[node]
+            del self._members[node]
+            self._news.pop(node, None)
+            self._revision += 1
+
+    def _next_target(self, rng: random.Random) -> _members.Member | None:
+        for _ in range(2):
+            while self._round:
+                member = self._members.get(self._round.pop())
+                if member is not None and member.status not in _DEPARTED:
+                    return member
+            self._round = [
+                node for node in self._members if node != self._myself.node
+            ]
+            rng.shuffle(self._round)
+        return None
+
+    def _pick_present(
+        self,
+        count: int,
+        rng: random.Random,
+        without: _ids.NodeId | None = None,
+    ) -> list[_members.Member]:
+        nodes = list(self._members)
+        picked: list[_members.Member] = []
+        # A few draws find enough of them unless most have departed.
+        for _ in range(4 * count):
+            member = self._members[nodes[int(rng.random() * len(nodes))]]
+            if (
+                member.node not in (self._myself.node, without)
+                and member.status not in _DEPARTED
+                and member not in picked
+            ):
+                picked.append(member)
+                if len(picked) == count:
+                    break
+        return picked
+
+    def _take_ack(
+        self, message: _members.Message, out: list[_commands.Command]
+    ) -> None:
+        relay = self._relays.pop(message.sequence, None)
+        if relay is not None:
+            self._send(
+                _members.MessageKind.ACK,
+                relay.origin,
+                out,
+                sequence=relay.sequence,
+                about=message.target,
+            )
+            return
+        self._probes.pop(message.sequence, None)
+        self._probes.pop(-message.sequence, None)
+
+    def _relay_probe(
+        self, message: _members.Message, out: list[_commands.Command]
+    ) -> None:
+        target = self._members.get(message.target)
+        if target is None:
+            return
+        sequence = self._next_sequence()
+        self._relays[sequence] = _Relay(
+            origin=message.sender_address, sequence=message.sequence
+        )
+        while len(self._relays) > MAX_SEEDS:
+            del self._relays[next(iter(self._relays))]
+        self._send(
+            _members.MessageKind.PING,
+            target.address,
+            out,
+            sequence=sequence,
+            about=target.node,
+        )
+
+    def _answer_outdated_sender(self, message: _members.Message) -> None:
+        # A sender that is thought to be gone must hear so, or it cannot
+        # refute; the next message to it then carries its record.
+        known = self._members.get(message.sender)
+        if known is not None and (
+            known.status is not _members.MemberStatus.ALIVE
+        ):
+            self._news.setdefault(message.sender, 1)
+
+    def _spread(self, node: _ids.NodeId, now: float) -> None:
+        self._news[node] = TRANSMISSIONS_PER_LOG * math.ceil(
+            math.log2(len(self._members) + 1)
+        )
+        if not self._push_is_set:
+            self._push_is_set = True
+            self._timers.set(now + NEWS_DELAY_S, _timers.TimerKind.NEWS)
+
+    def _take_news(
+        self, about: _ids.NodeId | None
+    ) -> tuple[_members.Member, ...]:
+        chosen = [self._myself.node]
+        if about is not None and about in self._members:
+            chosen.append(about)
+        # The least often told news goes first.
+        fresh = sorted(self._news, key=lambda n: -self._news[n])
+        chosen.extend(node for node in fresh if node not in chosen)
+        del chosen[NEWS_PER_MESSAGE:]
+        for node in chosen:
+            left = self._news.get(node)
+            if left is None:
+                continue
+            if left <= 1:
+                del self._news[node]
+            else:
+                self._news[node] = left - 1
+        return tuple(self._members[node] for node in chosen)
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    def _send(
+        self,
+        kind: _members.MessageKind,
+        address: _members.Address,
+        out: list[_commands.Command],
+        *,
+        sequence: int = 0,
+        about: _ids.NodeId | None = None,
+    ) -> None:
+        message = _members.Message(
+            kind=kind,
+            sender=self._myself.node,
+            sender_address=self._myself.address,
+            sequence=sequence,
+            target=about or self._myself.node,
+            config=self._config,
+            news=self._take_news(about),
+        )
+        out.append(_commands.SendMessage(address=address, message=message))
--- /dev/null
+++ b/packages/core/marjoramledge_core/_node.py
@@ -0,0 +1,322 @@
+"""One node's decisions as a state machine without I/O.
+
+``handle`` is the only door: an event and the moment go in, commands come out.
+It reads no clock, draws no randomness but from the generator that it is
+given, and keeps no state elsewhere, so that a recorded sequence of events
+replays to the same commands and a test or a bench can drive many nodes under
+virtual time.
+"""
+
+import collections.abc
+import dataclasses
+import random
+import typing
+
+from marjoramledge_core import _calls
+from marjoramledge_core import _commands
+from marjoramledge_core import _directory
+from marjoramledge_core import _events
+from marjoramledge_core import _gate
+from marjoramledge_core import _ids
+from marjoramledge_core import _members
+from marjoramledge_core import _membership
+from marjoramledge_core import _outcomes
+from marjoramledge_core import _records
+from marjoramledge_core import _state
+from marjoramledge_core import _timers
+from marjoramledge_core import _versions
+from marjoramledge_core import _work
+
+# How long a stopping node goes on serving callers, so that the news of its
+# leaving reaches every entry and each caller's connection is told to close.
+STOP_SPREAD_S: typing.Final = 1.5
+STOP_CHECK_S: typing.Final = 0.05
+# How long a node lives on after its last word, so that the word gets out.
+STOP_FAREWELL_S: typing.Final = 0.2
+MAX_FETCH_SOURCES: typing.Final = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Identity:
+    """Who a node is.
+
+    ``incarnation`` must grow from one start of a node to its next, as well as
+    the shell can tell; the protocol corrects it where it does not.
+    """
+
+    node: _ids.NodeId
+    address: _members.Address
+    zone: _ids.ZoneName
+    incarnation: int
+
+
+def create_state(
+    *,
+    identity: Identity,
+    seeds: collections.abc.Iterable[_members.Address],
+    stop_limit_s: float,
+    now: float,
+) -> _state.NodeState:
+    """Make the state of a node that starts.
+
+    Parameters
+    ----------
+    identity
+        Who the node is.
+    seeds
+        Peer addresses at which to look for the fleet.
+    stop_limit_s
+        Seconds that a planned stop waits for running calls.
+    now
+        Monotonic time in seconds.
+    """
+    timers = _timers.TimerQueue()
+    myself = _members.Member(
+        node=identity.node,
+        address=identity.address,
+        zone=identity.zone,
+        incarnation=identity.incarnation,
+        status=_members.MemberStatus.ALIVE,
+        service=_ids.ServiceName(""),
+        server=_members.ServerState.ABSENT,
+        slots=0,
+    )
+    state = _state.NodeState(
+        node=identity.node,
+        zone=identity.zone,
+        options=_state.Options(stop_limit_s=stop_limit_s),
+        timers=timers,
+        gate=_gate.Gate(),
+        membership=_membership.Membership(
+            myself=myself, seeds=seeds, timers=timers
+        ),
+        versions=_versions.Versions(timers=timers),
+        directory=_directory.Directory(node=identity.node, zone=identity.zone),
+        calls={},
+        budgets={},
+    )
+    state.membership.start(now)
+    state.versions.start(now)
+    timers.set(now, _timers.TimerKind.SERVER_PROBE)
+    return state
+
+
+def handle(
+    state: _state.NodeState,
+    event: _events.Event,
+    now: float,
+    rng: random.Random,
+) -> list[_commands.Command]:
+    """Take one step.
+
+    Parameters
+    ----------
+    state
+        State of the node; changed in place.
+    event
+        What happened.
+    now
+        Monotonic time in seconds; must not go back.
+    rng
+        Source of randomness.
+
+    Returns
+    -------
+    list of Command
+        What the surroundings are to do, in order.
+    """
+    step = _state.Step(state=state, now=now, rng=rng, out=[], handed_back=[])
+    _HANDLERS[type(event)](step, event)
+    while step.handed_back:
+        work, reason = step.handed_back.pop()
+        _calls.take_back(step, work, reason)
+    return step.out
+
+
+def next_wakeup(state: _state.NodeState) -> float | None:
+    """Time at which ``TimePassed`` is wanted, or None."""
+    return state.timers.next_at
+
+
+def _take_message(step: _state.Step, event: _events.MessageReceived) -> None:
+    message = event.message
+    step.state.membership.take_message(message, step.now, step.out)
+    step.state.versions.note_version(
+        message.config, message.sender_address, step.out
+    )
+
+
+def _take_members(step: _state.Step, event: _events.MembersReceived) -> None:
+    step.state.membership.take_members(event.members, step.now, step.out)
+
+
+def _take_seeds(step: _state.Step, event: _events.SeedsFound) -> None:
+    step.state.membership.add_seeds(event.addresses)
+
+
+def _take_version(step: _state.Step, event: _events.VersionRead) -> None:
+    step.state.versions.note_version(event.ref, None, step.out)
+
+
+def _take_manifest(step: _state.Step, event: _events.ManifestFetched) -> None:
+    state = step.state
+    was_open = step.is_zone_open()
+    if not state.versions.adopt(event.ref, event.configuration):
+        return
+    state.membership.set_config(event.ref)
+    state.membership.tell_now(step.rng, step.out)
+    step.record(
+        _records.RecordKind.CONFIG_ADOPTED,
+        detail=f"version {event.ref.version}",
+    )
+    is_open = step.is_zone_open()
+    if was_open and not is_open:
+        step.record(_records.RecordKind.ZONE_CLOSED, detail=state.zone)
+        _work.refuse_waiting(step, _outcomes.Reason.ZONE_CLOSED)
+    elif is_open and not was_open:
+        step.record(_records.RecordKind.ZONE_OPENED, detail=state.zone)
+        state.gate.restart_ramp()
+
+
+def _fail_manifest(step: _state.Step, event: _events.ManifestFailed) -> None:
+    step.record(
+        _records.RecordKind.CONFIG_REFUSED,
+        detail=f"version {event.ref.version}: {event.detail}",
+    )
+    step.state.versions.fetch_failed(event.ref, step.now, step.rng)
+
+
+def _request_stop(step: _state.Step, _event: _events.StopRequested) -> None:
+    state = step.state
+    if state.stop_phase is not _state.StopPhase.RUNNING:
+        return
+    state.stop_phase = _state.StopPhase.DRAINING
+    state.stop_begun_at = step.now
+    step.record(_records.RecordKind.STOP_BEGUN)
+    _work.drain_server(step)
+    state.membership.tell_now(step.rng, step.out)
+    state.timers.set(step.now + STOP_SPREAD_S, _timers.TimerKind.STOP_STEP)
+
+
+def _step_stop(step: _state.Step) -> None:
+    state = step.state
+    if state.stop_phase is _state.StopPhase.DRAINING:
+        state.stop_phase = _state.StopPhase.CLOSED
+        step.out.append(_commands.StopAccepting())
+    if state.stop_phase is _state.StopPhase.LEFT:
+        _finish_stop(step)
+        return
+    is_idle = not state.calls and not state.gate.running
+    is_over = step.now - state.stop_begun_at > state.options.stop_limit_s
+    if not is_idle and not is_over:
+        state.timers.set(step.now + STOP_CHECK_S, _timers.TimerKind.STOP_STEP)
+        return
+    state.stop_phase = _state.StopPhase.LEFT
+    state.membership.leave(step.now, step.rng, step.out)
+    state.timers.set(step.now + STOP_FAREWELL_S, _timers.TimerKind.STOP_STEP)
+
+
+def _finish_stop(step: _state.Step) -> None:
+    state = step.state
+    state.stop_phase = _state.StopPhase.STOPPED
+    cut_calls = len(state.calls) + state.gate.running
+    step.record(
+        _records.RecordKind.STOP_FINISHED, detail=f"{cut_calls} calls cut"
+    )
+    step.out.append(_commands.StopNode(cut_calls=cut_calls))
+
+
+def _pass_time(step: _state.Step, _event: _events.TimePassed) -> None:
+    while True:
+        timer = step.state.timers.pop_due(step.now)
+        if timer is None:
+            return
+        _TIMER_HANDLERS[timer.kind](step, timer)
+
+
+def _fetch_again(step: _state.Step, timer: _timers.Timer) -> None:
+    members = step.state.membership.members
+    peers = [
+        member.address
+        for member in members.values()
+        if member.node != step.state.node
+        and member.status is _members.MemberStatus.ALIVE
+    ]
+    step.state.versions.fetch_again(timer.number, peers, step.rng, step.out)
+
+
+_Handler = typing.Callable[[_state.Step, typing.Any], None]
+_TimerHandler = typing.Callable[[_state.Step, _timers.Timer], None]
+
+_HANDLERS: typing.Final[dict[type, _Handler]] = {
+    _events.CallArrived: _calls.begin,
+    _events.AttemptAnswered: _calls.attempt_answered,
+    _events.AttemptFailed: _calls.attempt_failed,
+    _events.AnswerLost: _calls.answer_lost,
+    _events.CallEnded: lambda step, event: _calls.end(step, event.call),
+    _events.CallerLeft: lambda step, event: _calls.caller_left(
+        step, event.call
+    ),
+    _events.WorkOffered: _work.take_offer,
+    _events.WorkEnded: _work.end_work,
+    _events.WorkAbandoned: _work.abandon_work,
+    _events.ServerAnnounced: _work.announce_server,
+    _events.ServerDraining: lambda step, event: _work.drain_server(step),
+    _events.ServerWithdrawn: lambda step, event: _work.withdraw_server(step),
+    _events.ProbeEnded: _work.end_probe,
+    _events.MessageReceived: _take_message,
+    _events.MembersReceived: _take_members,
+    _events.SeedsFound: _take_seeds,
+    _events.VersionRead: _take_version,
+    _events.ManifestFetched: _take_manifest,
+    _events.ManifestFailed: _fail_manifest,
+    _events.StopRequested: _request_stop,
+    _events.TimePassed: _pass_time,
+}
+
+_TIMER_HANDLERS: typing.Final[dict[_timers.TimerKind, _TimerHandler]] = {
+    _timers.TimerKind.CALL_DEADLINE: lambda step, timer: (
+        _calls.deadline_passed(step, _ids.CallId(timer.subject))
+    ),
+    _timers.TimerKind.CALL_HEDGE: lambda step, timer: _calls.hedge_due(
+        step, _ids.CallId(timer.subject)
+    ),
+    _timers.TimerKind.QUEUE_WAIT: lambda step, timer: _work.queue_wait_ended(
+        step, _ids.AttemptId(timer.subject)
+    ),
+    _timers.TimerKind.SERVER_PROBE: lambda step, timer: _work.probe_server(
+        step
+    ),
+    _timers.TimerKind.MEMBER_PROBE: lambda step, timer: (
+        step.state.membership.probe_next(step.now, step.rng, step.out)
+    ),
+    _timers.TimerKind.PROBE_TIMEOUT: lambda step, timer: (
+        step.state.membership.probe_timed_out(
+            timer.number, step.now, step.rng, step.out
+        )
+    ),
+    _timers.TimerKind.SUSPICION: lambda step, timer: (
+        step.state.membership.suspicion_ended(
+            _ids.NodeId(timer.subject), timer.number, step.now, step.out
+        )
+    ),
+    _timers.TimerKind.NEWS: lambda step, timer: (
+        step.state.membership.push_news(step.rng, step.out)
+    ),
+    _timers.TimerKind.MEMBER_SYNC: lambda step, timer: (
+        step.state.membership.sync_next(step.now, step.rng, step.out)
+    ),
+    _timers.TimerKind.MEMBER_REGISTER: lambda step, timer: (
+        step.state.membership.register_next(step.now, step.rng, step.out)
+    ),
+    _timers.TimerKind.CONFIG_READ: lambda step, timer: (
+        step.state.versions.read_next(
+            step.state.membership.present_count,
+            step.now,
+            step.rng,
+            step.out,
+        )
+    ),
+    _timers.TimerKind.CONFIG_FETCH: _fetch_again,
+    _timers.TimerKind.STOP_STEP: lambda step, timer: _step_stop(step),
+}
--- /dev/null
+++ b/packages/core/marjoramledge_core/_outcomes.py
@@ -0,0 +1,46 @@
+"""What became of a call, in the terms that callers are told.
+
+``RunState.NOT_RUN`` is a promise: no byte of the request reached a backend
+server, or the backend server itself said that it did not start it.
+"""
+
+import enum
+
+
+class RunState(enum.Enum):
+    """Whether a backend server may have run a request."""
+
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+
+
+class Reason(enum.Enum):
+    """Why the system itself answered a call, machine-readable."""
+
+    NO_CONFIGURATION = "no-configuration"
+    UNKNOWN_SERVICE = "unknown-service"
+    NO_SERVER = "no-server"
+    OVERLOADED = "overloaded"
+    DEADLINE_PASSED = "deadline-passed"
+    SERVER_LEAVING = "server-leaving"
+    ZONE_CLOSED = "zone-closed"
+    NODE_STOPPING = "node-stopping"
+    SERVER_REFUSED = "server-refused"
+    SERVER_UNREACHABLE = "server-unreachable"
+    PEER_UNREACHABLE = "peer-unreachable"
+    ANSWER_LOST = "answer-lost"
+    ANSWER_CUT_SHORT = "answer-cut-short"
+    BAD_REQUEST = "bad-request"
+    BODY_STALLED = "body-stalled"
+    NOT_A_MEMBER = "not-a-member"
+
+
+class ServerOutcome(enum.Enum):
+    """How a backend server ended a request, as its gate saw it."""
+
+    ANSWERED = enum.auto()
+    ERRORED = enum.auto()
+    SHED = enum.auto()
+    UNREACHABLE = enum.auto()
+    BROKE_OFF = enum.auto()
+    CANCELLED = enum.auto()
--- /dev/null
+++ b/packages/core/marjoramledge_core/_queue.py
@@ -0,0 +1,101 @@
+"""Short queue of calls that wait for a slot of a backend server.
+
+The gate owns one.  Order is by priority, then by arrival.  It is bounded in
+length and in time, because a call that waits here could be served elsewhere.
+Every ``FAIR_TURN``-th call taken is the one that has waited longest whatever
+its priority, so that no class starves for ever.
+"""
+
+import collections
+import dataclasses
+import typing
+
+from marjoramledge_core import _ids
+from marjoramledge_core import _settings
+
+FAIR_TURN: typing.Final = 20
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Work:
+    """A call at a gate, from its offer to its end.
+
+    ``call`` is set when the call entered at this same node.
+    """
+
+    attempt: _ids.AttemptId
+    call: _ids.CallId | None
+    kind: _settings.RequestKind
+    deadline_at: float
+    offered_at: float
+    started_at: float = 0.0
+
+
+class WorkQueue:
+    """Bounded queue by priority.
+
+    Parameters
+    ----------
+    capacity
+        Calls that may wait at once.
+    """
+
+    def __init__(self, *, capacity: int) -> None:
+        self._capacity = capacity
+        self._lanes: dict[_settings.Priority, collections.deque[Work]] = {
+            priority: collections.deque() for priority in _settings.Priority
+        }
+        self._length = 0
+        self._taken = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def resize(self, capacity: int) -> None:
+        """Change the capacity; calls that wait already stay."""
+        self._capacity = capacity
+
+    def push(self, work: Work) -> Work | None:
+        """Add a call; return the one that has to give way, if any.
+
+        When the queue is full, the youngest call of the lowest class gives
+        way, which may be the new one.
+        """
+        self._lanes[work.kind.priority].append(work)
+        self._length += 1
+        if self._length <= self._capacity:
+            return None
+        for priority in reversed(_settings.Priority):
+            if self._lanes[priority]:
+                self._length -= 1
+                return self._lanes[priority].pop()
+        raise AssertionError("a full queue holds no work")
+
+    def take(self) -> Work | None:
+        """Remove the call to run next."""
+        if not self._length:
+            return None
+        self._taken += 1
+        lanes = [lane for lane in self._lanes.values() if lane]
+        lane = lanes[0]
+        if self._taken % FAIR_TURN == 0:
+            lane = min(lanes, key=lambda waiting: waiting[0].offered_at)
+        self._length -= 1
+        return lane.popleft()
+
+    def remove(self, work: Work) -> bool:
+        """Remove one call that waits; false when it does not."""
+        try:
+            self._lanes[work.kind.priority].remove(work)
+        except ValueError:
+            return False
+        self._length -= 1
+        return True
+
+    def drain(self) -> list[Work]:
+        """Remove and return all calls that wait."""
+        waiting = [work for lane in self._lanes.values() for work in lane]
+        for lane in self._lanes.values():
+            lane.clear()
+        self._length = 0
+        return waiting
--- /dev/null
+++ b/packages/core/marjoramledge_core/_records.py
@@ -0,0 +1,49 @@
+"""Events of the time line.
+
+Every decision that an operator may later ask about leaves one record.  The
+names are stable: logs, metrics and the time line use the same ones.
+"""
+
+import dataclasses
+import enum
+
+from marjoramledge_core import _ids
+
+
+class RecordKind(enum.Enum):
+    """Stable names of what may happen."""
+
+    CALL_REFUSED = "call-refused"
+    CALL_RETRIED = "call-retried"
+    CALL_HEDGED = "call-hedged"
+    CALL_UNKNOWN = "call-unknown"
+    SERVER_ANNOUNCED = "server-announced"
+    SERVER_DRAINING = "server-draining"
+    SERVER_WITHDRAWN = "server-withdrawn"
+    SERVER_UNREACHABLE = "server-unreachable"
+    SERVER_FELL_COLD = "server-fell-cold"
+    PEER_EJECTED = "peer-ejected"
+    PEER_READMITTED = "peer-readmitted"
+    MEMBER_JOINED = "member-joined"
+    MEMBER_SUSPECTED = "member-suspected"
+    MEMBER_FAILED = "member-failed"
+    MEMBER_LEFT = "member-left"
+    CONFIG_ADOPTED = "config-adopted"
+    CONFIG_REFUSED = "config-refused"
+    ZONE_CLOSED = "zone-closed"
+    ZONE_OPENED = "zone-opened"
+    STORE_FAILED = "store-failed"
+    STORE_RECOVERED = "store-recovered"
+    STOP_BEGUN = "stop-begun"
+    STOP_FINISHED = "stop-finished"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Record:
+    """One event of the time line; empty fields do not apply."""
+
+    kind: RecordKind
+    service: _ids.ServiceName = _ids.NO_SERVICE
+    call: _ids.CallId = _ids.NO_CALL
+    peer: _ids.NodeId = _ids.NO_NODE
+    detail: str = ""
--- /dev/null
+++ b/packages/core/marjoramledge_core/_state.py
@@ -0,0 +1,145 @@
+"""State of one node's decisions, and of one step over it."""
+
+import dataclasses
+import enum
+import random
+
+from marjoramledge_core import _budget
+from marjoramledge_core import _commands
+from marjoramledge_core import _directory
+from marjoramledge_core import _gate
+from marjoramledge_core import _ids
+from marjoramledge_core import _load
+from marjoramledge_core import _membership
+from marjoramledge_core import _outcomes
+from marjoramledge_core import _queue
+from marjoramledge_core import _records
+from marjoramledge_core import _settings
+from marjoramledge_core import _timers
+from marjoramledge_core import _versions
+
+
+class CallPhase(enum.Enum):
+    """Where a call stands at the node where it entered."""
+
+    ACCEPTED = enum.auto()
+    QUEUED = enum.auto()
+    SENT = enum.auto()
+    ANSWERED = enum.auto()
+    REFUSED = enum.auto()
+    UNKNOWN = enum.auto()
+    ABANDONED = enum.auto()
+
+
+class StopPhase(enum.IntEnum):
+    """How far a planned stop has come."""
+
+    RUNNING = 0
+    DRAINING = 1
+    CLOSED = 2
+    LEFT = 3
+    STOPPED = 4
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Attempt:
+    """One sending of a call to one backend server.
+
+    ``is_open`` holds until its outcome is known or no longer wanted.
+    """
+
+    attempt: _ids.AttemptId
+    server: _load.ServerLoad
+    is_open: bool = True
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Call:
+    """A call from its arrival at this node to its end."""
+
+    call: _ids.CallId
+    kind: _settings.RequestKind
+    deadline_at: float
+    is_body_held: bool
+    is_body_gone: bool = False
+    phase: CallPhase = CallPhase.ACCEPTED
+    attempts: dict[_ids.AttemptId, Attempt]
+    tried: set[_ids.NodeId]
+    delivered: Attempt | None = None
+    may_have_run: bool = False
+    last_reason: _outcomes.Reason = _outcomes.Reason.NO_SERVER
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Options:
+    """Options of the decisions."""
+
+    stop_limit_s: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class NodeState:
+    """Everything that one node's decisions depend on."""
+
+    node: _ids.NodeId
+    zone: _ids.ZoneName
+    options: Options
+    timers: _timers.TimerQueue
+    gate: _gate.Gate
+    membership: _membership.Membership
+    versions: _versions.Versions
+    directory: _directory.Directory
+    directory_revision: tuple[int, int] = (-1, -1)
+    calls: dict[_ids.CallId, Call]
+    budgets: dict[_ids.ServiceName, _budget.RetryBudget]
+    stop_phase: StopPhase = StopPhase.RUNNING
+    stop_begun_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Step:
+    """One step: the state, the moment, and what follows.
+
+    ``handed_back`` holds calls of this same node that the gate gave back
+    unrun; they are placed anew before the step ends.
+    """
+
+    state: NodeState
+    now: float
+    rng: random.Random
+    out: list[_commands.Command]
+    handed_back: list[tuple[_queue.Work, _outcomes.Reason]]
+
+    def record(
+        self,
+        kind: _records.RecordKind,
+        *,
+        service: _ids.ServiceName = _ids.NO_SERVICE,
+        call: _ids.CallId = _ids.NO_CALL,
+        peer: _ids.NodeId = _ids.NO_NODE,
+        detail: str = "",
+    ) -> None:
+        """Add an event to the time line."""
+        record = _records.Record(
+            kind=kind, service=service, call=call, peer=peer, detail=detail
+        )
+        self.out.append(_commands.WriteRecord(record=record))
+
+    def publish_server(self) -> None:
+        """Tell the other nodes how the backend server stands."""
+        gate = self.state.gate
+        server = gate.server
+        myself = self.state.membership.myself
+        self.state.membership.update_myself(
+            service=myself.service if server is None else server.service,
+            server=gate.state,
+            slots=myself.slots if server is None else server.slots,
+            now=self.now,
+        )
+
+    def is_zone_open(self) -> bool:
+        """Tell whether this node's zone takes work."""
+        configuration = self.state.versions.configuration
+        return configuration is not None and configuration.zone_takes_work(
+            self.state.zone
+        )
--- /dev/null
+++ b/packages/core/marjoramledge_core/_timers.py
@@ -0,0 +1,66 @@
+"""Pending wake-ups of a node, ordered by time.
+
+The core asks for none from its surroundings: the shell looks at ``next_at``
+after each step and sends ``TimePassed`` when that moment has come.
+"""
+
+import dataclasses
+import enum
+import heapq
+
+
+class TimerKind(enum.Enum):
+    """What to do when a timer is due."""
+
+    CALL_DEADLINE = enum.auto()
+    CALL_HEDGE = enum.auto()
+    QUEUE_WAIT = enum.auto()
+    SERVER_PROBE = enum.auto()
+    MEMBER_PROBE = enum.auto()
+    PROBE_TIMEOUT = enum.auto()
+    SUSPICION = enum.auto()
+    NEWS = enum.auto()
+    MEMBER_SYNC = enum.auto()
+    MEMBER_REGISTER = enum.auto()
+    CONFIG_READ = enum.auto()
+    CONFIG_FETCH = enum.auto()
+    STOP_STEP = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Timer:
+    """One wake-up; ``subject`` names the call, attempt or member meant."""
+
+    kind: TimerKind
+    subject: str = ""
+    number: int = 0
+
+
+class TimerQueue:
+    """Heap of timers.  Timers that no longer apply are ignored when due."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._pushed = 0
+
+    def __len__(self) -> int:
+        return len(self._heap)
+
+    @property
+    def next_at(self) -> float | None:
+        """Time of the earliest timer, or None."""
+        return self._heap[0][0] if self._heap else None
+
+    def set(
+        self, at: float, kind: TimerKind, subject: str = "", number: int = 0
+    ) -> None:
+        """Add a timer."""
+        self._pushed += 1
+        timer = Timer(kind=kind, subject=subject, number=number)
+        heapq.heappush(self._heap, (at, self._pushed, timer))
+
+    def pop_due(self, now: float) -> Timer | None:
+        """Remove and return the earliest timer that is due."""
+        if self._heap and self._heap[0][0] <= now:
+            return heapq.heappop(self._heap)[2]
+        return None
--- /dev/null
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -0,0 +1,120 @@
+"""Which configuration is in force at this node, and the way to a newer one.
+
+Every message between nodes names the sender's version, so a new one reaches
+all within a few rounds of gossip; the table is read only now and then, by
+some node of the fleet each tenth of a second at any size.  A node never
+adopts a version lower than the one it has.
+"""
+
+import random
+import typing
+
+from marjoramledge_core import _commands
+from marjoramledge_core import _ids
+from marjoramledge_core import _manifest
+from marjoramledge_core import _members
+from marjoramledge_core import _settings
+from marjoramledge_core import _timers
+
+MIN_READ_PERIOD_S: typing.Final = 2.0
+# Reads of the version row that the whole fleet makes in a second.
+FLEET_READS_PER_S: typing.Final = 10.0
+FIRST_FETCH_RETRY_S: typing.Final = 0.2
+MAX_FETCH_RETRY_S: typing.Final = 5.0
+
+
+class Versions:
+    """State of the configuration at one node."""
+
+    def __init__(self, *, timers: _timers.TimerQueue) -> None:
+        self._timers = timers
+        self._configuration: _settings.Configuration | None = None
+        self._ref = _manifest.NO_VERSION
+        self._wanted = _manifest.NO_VERSION
+        self._source: _members.Address | None = None
+        self._retry_s = FIRST_FETCH_RETRY_S
+
+    @property
+    def configuration(self) -> _settings.Configuration | None:
+        """The configuration in force, or None before the first."""
+        return self._configuration
+
+    @property
+    def ref(self) -> _manifest.VersionRef:
+        """The version in force."""
+        return self._ref
+
+    def start(self, now: float) -> None:
+        """Set the first timer of a node that starts."""
+        self._timers.set(now, _timers.TimerKind.CONFIG_READ)
+
+    def read_next(
+        self,
+        member_count: int,
+        now: float,
+        rng: random.Random,
+        out: list[_commands.Command],
+    ) -> None:
+        """Ask the table for the version in force."""
+        out.append(_commands.ReadVersion())
+        period = max(MIN_READ_PERIOD_S, member_count / FLEET_READS_PER_S)
+        self._timers.set(
+            now + period * rng.uniform(0.5, 1.5),
+            _timers.TimerKind.CONFIG_READ,
+        )
+
+    def note_version(
+        self,
+        ref: _manifest.VersionRef,
+        source: _members.Address | None,
+        out: list[_commands.Command],
+    ) -> None:
+        """Take in that a version exists; fetch it when it is newer."""
+        if ref.version <= max(self._ref.version, self._wanted.version):
+            return
+        self._wanted = ref
+        self._source = source
+        self._retry_s = FIRST_FETCH_RETRY_S
+        out.append(_commands.FetchManifest(ref=ref, source=source))
+
+    def adopt(
+        self,
+        ref: _manifest.VersionRef,
+        configuration: _settings.Configuration,
+    ) -> bool:
+        """Put a version in force; false when it is not newer."""
+        if ref.version <= self._ref.version:
+            return False
+        self._ref = ref
+        self._configuration = configuration
+        return True
+
+    def fetch_failed(
+        self, ref: _manifest.VersionRef, now: float, rng: random.Random
+    ) -> None:
+        """Plan another try for a version that is still wanted."""
+        if ref != self._wanted or ref.version <= self._ref.version:
+            return
+        self._timers.set(
+            now + self._retry_s * rng.uniform(0.5, 1.5),
+            _timers.TimerKind.CONFIG_FETCH,
+            number=ref.version,
+        )
+        self._retry_s = min(MAX_FETCH_RETRY_S, 2 * self._retry_s)
+
+    def fetch_again(
+        self,
+        version: int,
+        peers: list[_members.Address],
+        rng: random.Random,
+        out: list[_commands.Command],
+    ) -> None:
+        """Try once more to fetch a version, from a peer or from the store."""
+        is_current = _ids.ConfigVersion(version) == self._wanted.version
+        if not is_current or version <= self._ref.version:
+            return
+        # Peers and the store take turns, since either may be away.
+        source = None
+        if peers and rng.random() < 0.5:
+            source = peers[int(rng.random() * len(peers))]
+        out.append(_commands.FetchManifest(ref=self._wanted, source=source))
--- /dev/null
+++ b/packages/core/marjoramledge_core/_work.py
@@ -0,0 +1,244 @@
+"""Work at the gate: offers, ends, and the backend server's announcements.
+
+Offers come from peers by message and from the entry of this same node by
+function call.  Whatever the gate gives back has not run: a peer is told so,
+and a call of this node is placed anew by ``_calls``.
+"""
+
+from marjoramledge_core import _commands
+from marjoramledge_core import _events
+from marjoramledge_core import _gate
+from marjoramledge_core import _ids
+from marjoramledge_core import _outcomes
+from marjoramledge_core import _queue
+from marjoramledge_core import _records
+from marjoramledge_core import _settings
+from marjoramledge_core import _state
+from marjoramledge_core import _timers
+
+
+def reason_to_refuse(step: _state.Step) -> _outcomes.Reason | None:
+    """Tell why no new work may be given to the backend server here."""
+    if step.state.stop_phase is not _state.StopPhase.RUNNING:
+        return _outcomes.Reason.NODE_STOPPING
+    if not step.state.gate.accepts_work:
+        return _outcomes.Reason.SERVER_LEAVING
+    if not step.is_zone_open():
+        return _outcomes.Reason.ZONE_CLOSED
+    return None
+
+
+def offer_local(
+    step: _state.Step,
+    call: _state.Call,
+    attempt: _ids.AttemptId,
+) -> _gate.Admission:
+    """Offer a call that entered at this node."""
+    if reason_to_refuse(step) is not None:
+        return _gate.Admission.REFUSED
+    return _offer(
+        step,
+        _queue.Work(
+            attempt=attempt,
+            call=call.call,
+            kind=call.kind,
+            deadline_at=call.deadline_at,
+            offered_at=step.now,
+        ),
+    )
+
+
+def take_offer(step: _state.Step, event: _events.WorkOffered) -> None:
+    """Decide on a request that a peer offers."""
+    reason = reason_to_refuse(step)
+    kind = None if reason else _find_kind(step, event)
+    if event.deadline_s <= 0.0:
+        reason = _outcomes.Reason.DEADLINE_PASSED
+    elif kind is None and reason is None:
+        reason = _outcomes.Reason.UNKNOWN_SERVICE
+    if reason is not None or kind is None:
+        _refuse(step, event.attempt, reason or _outcomes.Reason.OVERLOADED)
+        return
+    work = _queue.Work(
+        attempt=event.attempt,
+        call=None,
+        kind=kind,
+        deadline_at=step.now + event.deadline_s,
+        offered_at=step.now,
+    )
+    if _offer(step, work) is _gate.Admission.REFUSED:
+        _refuse(step, event.attempt, _outcomes.Reason.OVERLOADED)
+
+
+def end_work(step: _state.Step, event: _events.WorkEnded) -> None:
+    """Take in how the backend server ended a request."""
+    gate = step.state.gate
+    ending = gate.end(event.attempt, event.outcome, event.head_s, step.now)
+    for work in ending.started:
+        start_work(step, work)
+    for work in ending.refused:
+        hand_back(step, work, _outcomes.Reason.SERVER_UNREACHABLE)
+    if ending.became_unreachable:
+        step.record(_records.RecordKind.SERVER_UNREACHABLE)
+        step.publish_server()
+    if ending.fell_cold:
+        step.record(_records.RecordKind.SERVER_FELL_COLD)
+
+
+def abandon_work(step: _state.Step, event: _events.WorkAbandoned) -> None:
+    """Drop a request that waits; one that runs is ended by its task."""
+    step.state.gate.abandon(event.attempt)
+
+
+def queue_wait_ended(step: _state.Step, attempt: _ids.AttemptId) -> None:
+    """Give back a call that has waited for as long as it may."""
+    gate = step.state.gate
+    work = gate.find(attempt)
+    if work is None or not gate.abandon(attempt):
+        return
+    reason = _outcomes.Reason.OVERLOADED
+    if step.now >= work.deadline_at:
+        reason = _outcomes.Reason.DEADLINE_PASSED
+    hand_back(step, work, reason)
+
+
+def start_work(step: _state.Step, work: _queue.Work) -> None:
+    """Send a call to the backend server, now that the gate has let it in."""
+    server = step.state.gate.server
+    if server is None:
+        raise AssertionError("work was started without a backend server")
+    if work.call is None:
+        step.out.append(
+            _commands.StartWork(
+                attempt=work.attempt,
+                server=server,
+                deadline_at=work.deadline_at,
+            )
+        )
+        return
+    call = step.state.calls[work.call]
+    call.phase = _state.CallPhase.SENT
+    step.out.append(
+        _commands.RunOnServer(
+            call=work.call,
+            attempt=work.attempt,
+            server=server,
+            deadline_at=work.deadline_at,
+            is_hedged=work.kind.hedge_after_s is not None,
+        )
+    )
+
+
+def hand_back(
+    step: _state.Step, work: _queue.Work, reason: _outcomes.Reason
+) -> None:
+    """Return a call unrun to where it came from."""
+    if work.call is None:
+        _refuse(step, work.attempt, reason)
+    else:
+        step.handed_back.append((work, reason))
+
+
+def announce_server(step: _state.Step, event: _events.ServerAnnounced) -> None:
+    """Take in the announcement of the backend server on this VM."""
+    gate = step.state.gate
+    before = (gate.server, gate.state)
+    gate.announce(event.server, step.now)
+    if before == (gate.server, gate.state):
+        return
+    step.record(
+        _records.RecordKind.SERVER_ANNOUNCED,
+        service=event.server.service,
+        detail=gate.state.name.lower(),
+    )
+    step.publish_server()
+
+
+def drain_server(step: _state.Step) -> None:
+    """Take no new work for the backend server; running calls finish."""
+    for work in step.state.gate.drain():
+        hand_back(step, work, _outcomes.Reason.SERVER_LEAVING)
+    step.record(_records.RecordKind.SERVER_DRAINING)
+    step.publish_server()
+
+
+def withdraw_server(step: _state.Step) -> None:
+    """Forget the backend server."""
+    for work in step.state.gate.withdraw():
+        hand_back(step, work, _outcomes.Reason.SERVER_LEAVING)
+    step.record(_records.RecordKind.SERVER_WITHDRAWN)
+    step.publish_server()
+
+
+def refuse_waiting(step: _state.Step, reason: _outcomes.Reason) -> None:
+    """Give back every call that waits."""
+    for work in step.state.gate.drop_waiting():
+        hand_back(step, work, reason)
+
+
+def probe_server(step: _state.Step) -> None:
+    """Probe the backend server unless traffic has just told enough."""
+    configuration = step.state.versions.configuration
+    measuring = (
+        _settings.Measuring()
+        if configuration is None
+        else configuration.measuring
+    )
+    interval_s = 1.0 / measuring.calls_per_s
+    step.state.timers.set(
+        step.now + interval_s, _timers.TimerKind.SERVER_PROBE
+    )
+    gate = step.state.gate
+    is_quiet = step.now - gate.heard_at >= interval_s
+    if gate.server is not None and is_quiet:
+        step.out.append(_commands.ProbeServer(server=gate.server))
+
+
+def end_probe(step: _state.Step, event: _events.ProbeEnded) -> None:
+    """Take in the outcome of a probe."""
+    if not step.state.gate.note_probe(event.is_healthy, step.now):
+        return
+    if event.is_healthy:
+        step.record(
+            _records.RecordKind.SERVER_ANNOUNCED, detail="found by probe"
+        )
+    else:
+        refuse_waiting(step, _outcomes.Reason.SERVER_UNREACHABLE)
+        step.record(_records.RecordKind.SERVER_UNREACHABLE)
+    step.publish_server()
+
+
+def _offer(step: _state.Step, work: _queue.Work) -> _gate.Admission:
+    offer = step.state.gate.offer(work, step.now)
+    if offer.displaced is not None:
+        hand_back(step, offer.displaced, _outcomes.Reason.OVERLOADED)
+    if offer.admission is _gate.Admission.STARTED:
+        start_work(step, work)
+    elif offer.admission is _gate.Admission.QUEUED:
+        step.state.timers.set(
+            min(work.deadline_at, step.now + _gate.MAX_QUEUE_WAIT_S),
+            _timers.TimerKind.QUEUE_WAIT,
+            subject=work.attempt,
+        )
+    return offer.admission
+
+
+def _find_kind(
+    step: _state.Step, event: _events.WorkOffered
+) -> _settings.RequestKind | None:
+    configuration = step.state.versions.configuration
+    server = step.state.gate.server
+    if configuration is None or server is None:
+        return None
+    service = configuration.find_service(event.host)
+    if service is None or service.name != server.service:
+        return None
+    return configuration.classify(service.name, event.method, event.path)
+
+
+def _refuse(
+    step: _state.Step,
+    attempt: _ids.AttemptId,
+    reason: _outcomes.Reason,
+) -> None:
+    step.out.append(_commands.RefuseWork(attempt=attempt, reason=reason))
--- /dev/null
+++ b/packages/core/marjoramledge_core/configuration.py
@@ -0,0 +1,30 @@
+"""Inventory and rules: their values, documents, versions and differences."""
+
+from marjoramledge_core import _document
+from marjoramledge_core import _manifest
+from marjoramledge_core import _plan
+from marjoramledge_core import _settings
+
+FILE_NAMES = _document.FILE_NAMES
+INVENTORY_FILE = _document.INVENTORY_FILE
+MAX_MANIFEST_BYTES = _manifest.MAX_MANIFEST_BYTES
+NO_VERSION = _manifest.NO_VERSION
+RULES_FILE = _document.RULES_FILE
+
+Change = _plan.Change
+ChangeAction = _plan.ChangeAction
+Configuration = _settings.Configuration
+Manifest = _manifest.Manifest
+Measuring = _settings.Measuring
+Priority = _settings.Priority
+Problem = _document.Problem
+RequestKind = _settings.RequestKind
+Service = _settings.Service
+VersionRef = _manifest.VersionRef
+Zone = _settings.Zone
+
+compare_configurations = _plan.compare_configurations
+decode_manifest = _manifest.decode_manifest
+digest_of = _manifest.digest_of
+encode_manifest = _manifest.encode_manifest
+parse_documents = _document.parse_documents
--- /dev/null
+++ b/packages/core/marjoramledge_core/ids.py
@@ -0,0 +1,15 @@
+"""Identifiers that the parts of the system exchange."""
+
+from marjoramledge_core import _ids
+
+AttemptId = _ids.AttemptId
+CallId = _ids.CallId
+ConfigVersion = _ids.ConfigVersion
+Digest = _ids.Digest
+KindName = _ids.KindName
+NodeId = _ids.NodeId
+RegionName = _ids.RegionName
+ServiceName = _ids.ServiceName
+ZoneName = _ids.ZoneName
+
+NO_CONFIGURATION = _ids.NO_CONFIGURATION
--- /dev/null
+++ b/packages/core/marjoramledge_core/node.py
@@ -0,0 +1,73 @@
+"""The state machine of one node, and the values that it speaks in."""
+
+from marjoramledge_core import _commands
+from marjoramledge_core import _events
+from marjoramledge_core import _gate
+from marjoramledge_core import _load
+from marjoramledge_core import _members
+from marjoramledge_core import _node
+from marjoramledge_core import _outcomes
+from marjoramledge_core import _records
+from marjoramledge_core import _state
+
+Identity = _node.Identity
+NodeState = _state.NodeState
+StopPhase = _state.StopPhase
+create_state = _node.create_state
+handle = _node.handle
+next_wakeup = _node.next_wakeup
+
+Address = _members.Address
+LoadReport = _load.LoadReport
+Member = _members.Member
+MemberStatus = _members.MemberStatus
+Message = _members.Message
+MessageKind = _members.MessageKind
+Reason = _outcomes.Reason
+Record = _records.Record
+RecordKind = _records.RecordKind
+RunState = _outcomes.RunState
+Server = _gate.Server
+ServerOutcome = _outcomes.ServerOutcome
+ServerState = _members.ServerState
+
+AnswerLost = _events.AnswerLost
+AttemptAnswered = _events.AttemptAnswered
+AttemptFailed = _events.AttemptFailed
+CallArrived = _events.CallArrived
+CallEnded = _events.CallEnded
+CallerLeft = _events.CallerLeft
+Event = _events.Event
+ManifestFailed = _events.ManifestFailed
+ManifestFetched = _events.ManifestFetched
+MembersReceived = _events.MembersReceived
+MessageReceived = _events.MessageReceived
+ProbeEnded = _events.ProbeEnded
+SeedsFound = _events.SeedsFound
+ServerAnnounced = _events.ServerAnnounced
+ServerDraining = _events.ServerDraining
+ServerWithdrawn = _events.ServerWithdrawn
+StopRequested = _events.StopRequested
+TimePassed = _events.TimePassed
+VersionRead = _events.VersionRead
+WorkAbandoned = _events.WorkAbandoned
+WorkEnded = _events.WorkEnded
+WorkOffered = _events.WorkOffered
+
+CancelAttempt = _commands.CancelAttempt
+Command = _commands.Command
+DeliverAnswer = _commands.DeliverAnswer
+FetchManifest = _commands.FetchManifest
+ProbeServer = _commands.ProbeServer
+ReadVersion = _commands.ReadVersion
+RefuseCall = _commands.RefuseCall
+RefuseWork = _commands.RefuseWork
+RegisterMember = _commands.RegisterMember
+RunOnServer = _commands.RunOnServer
+SendMessage = _commands.SendMessage
+SendToPeer = _commands.SendToPeer
+StartWork = _commands.StartWork
+StopAccepting = _commands.StopAccepting
+StopNode = _commands.StopNode
+SyncMembers = _commands.SyncMembers
+WriteRecord = _commands.WriteRecord
--- /dev/null
+++ b/packages/node/marjoramledge_node/_auth.py
@@ -0,0 +1,98 @@
+"""Shared keys that let nodes and operators in at the peer port.
+
+The first key signs, all keys verify, so a fleet moves from one to the next
+without a stop: add the new key last, then put it first, then drop the old.
+"""
+
+import collections.abc
+import dataclasses
+import hmac
+import typing
+
+from returns import result
+
+MIN_SECRET_LENGTH: typing.Final = 16
+_MAC_BYTES: typing.Final = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Key:
+    """One shared key."""
+
+    key_id: str
+    secret: bytes
+
+
+class KeyRing:
+    """The keys that are valid at present.
+
+    Parameters
+    ----------
+    keys
+        At least one; the first one signs.
+    """
+
+    def __init__(self, *, keys: collections.abc.Sequence[Key]) -> None:
+        if not keys:
+            raise AssertionError("a key ring needs a key")
+        self._signing = keys[0]
+        self._keys = {key.key_id: key for key in keys}
+
+    @property
+    def signing_key_id(self) -> str:
+        """Identifier of the key that signs."""
+        return self._signing.key_id
+
+    def sign(self, content: bytes) -> bytes:
+        """Compute the code of a message under the signing key."""
+        return _compute(self._signing, content)
+
+    def verify(self, key_id: str, mac: bytes, content: bytes) -> bool:
+        """Tell whether a message was signed with a valid key."""
+        key = self._keys.get(key_id)
+        return key is not None and hmac.compare_digest(
+            mac, _compute(key, content)
+        )
+
+    def sign_header(self, content: bytes) -> str:
+        """Compute the value of an authentication header."""
+        return f"{self._signing.key_id}:{self.sign(content).hex()}"
+
+    def verify_header(self, text: str | None, content: bytes) -> bool:
+        """Tell whether an authentication header is valid."""
+        key_id, _, mac = (text or "").partition(":")
+        try:
+            return self.verify(key_id, bytes.fromhex(mac), content)
+        except ValueError:
+            return False
+
+
+def parse_keys(text: str) -> result.Result[KeyRing, str]:
+    """Read keys written as ``id:secret[,id:secret...]``."""
+    keys = []
+    for part in text.split(","):
+        key_id, separator, secret = part.strip().partition(":")
+        if not separator or not key_id:
+            return result.Failure("each key must be written id:secret")
+        if len(secret) < MIN_SECRET_LENGTH:
+            return result.Failure(
+                f"the secret of key {key_id} must have at least "
+                f"{MIN_SECRET_LENGTH} characters"
+            )
+        keys.append(Key(key_id=key_id, secret=secret.encode()))
+    if len({key.key_id for key in keys}) != len(keys):
+        return result.Failure("key ids must differ")
+    return result.Success(KeyRing(keys=keys))
+
+
+def request_content(
+    method: str, target: str, subject: str, body: bytes
+) -> bytes:
+    """Join the parts of an HTTP request that its code covers."""
+    return b"\n".join(
+        (method.encode(), target.encode(), subject.encode(), body)
+    )
+
+
+def _compute(key: Key, content: bytes) -> bytes:
+    return hmac.digest(key.secret, content, "sha256")[:_MAC_BYTES]
--- /dev/null
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -0,0 +1,404 @@
+"""The port of the callers: takes a request in and gives the answer out.
+
+One task serves one request.  It reads the head, and the body when that is
+small, tells the engine, and then does what the commands in its mailbox say:
+send to the backend server here, send to a peer, deliver, refuse.
+"""
+
+import asyncio
+import itertools
+import typing
+
+from aiohttp import web
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from returns import result
+
+from marjoramledge_node import _auth
+from marjoramledge_node import _cancellation
+from marjoramledge_node import _engine
+from marjoramledge_node import _headers
+from marjoramledge_node import _mailbox
+from marjoramledge_node import _options
+from marjoramledge_node import _refusals
+from marjoramledge_node import _relay
+from marjoramledge_node import _upstream
+
+BODY_TIMEOUT_S: typing.Final = 10.0
+
+
+class _Exchange:
+    """One caller's request, from its arrival to the end of its answer."""
+
+    def __init__(
+        self,
+        *,
+        request: web.BaseRequest,
+        call: ids.CallId,
+        target: str,
+        mailbox: _mailbox.Mailbox,
+        body: bytes | None,
+    ) -> None:
+        self.request = request
+        self.call = call
+        self.target = target
+        self.mailbox = mailbox
+        self.body = body
+        self.stream = (
+            _upstream.BodyStream(reader=request.content)
+            if body is None and request.body_exists
+            else None
+        )
+        self.answers: dict[ids.AttemptId, _upstream.Answer] = {}
+        self.local_attempts: set[ids.AttemptId] = set()
+        self.hedges: set[asyncio.Task[None]] = set()
+
+    @property
+    def is_body_gone(self) -> bool:
+        """Whether the body can't be sent another time."""
+        return self.stream is not None and self.stream.is_begun
+
+    def outgoing(self, extra: dict[str, str]) -> _upstream.Outgoing:
+        """Build the request to send on, with the system's headers."""
+        headers = _headers.copy_end_to_end(self.request.headers)
+        headers[_headers.CALL] = self.call
+        headers.update(extra)
+        return _upstream.Outgoing(
+            method=self.request.method,
+            target=self.target,
+            headers=headers,
+            body=self.body,
+            stream=self.stream,
+        )
+
+
+class CallerPort:
+    """Handler of callers' requests.
+
+    Parameters
+    ----------
+    engine
+        The node's engine.
+    upstream
+        Clients to send with.
+    keys
+        Keys that sign what is sent to peers.
+    call_prefix
+        Start of the ids of this node's calls, unique to this run of it.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: _engine.Engine,
+        upstream: _upstream.Upstream,
+        keys: _auth.KeyRing,
+        call_prefix: str,
+    ) -> None:
+        self._engine = engine
+        self._upstream = upstream
+        self._keys = keys
+        self._call_prefix = call_prefix
+        self._numbers = itertools.count()
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request."""
+        head = _check_head(request)
+        if isinstance(head, result.Failure):
+            return _refusals.refuse(head.failure(), node.RunState.NOT_RUN)
+        deadline_s = head.unwrap()
+        try:
+            body = await _read_held_body(request)
+        except TimeoutError:
+            return _refusals.refuse(
+                node.Reason.BODY_STALLED, node.RunState.NOT_RUN
+            )
+        call = ids.CallId(f"{self._call_prefix}{next(self._numbers):x}")
+        exchange = _Exchange(
+            request=request,
+            call=call,
+            target=request.raw_path,
+            mailbox=self._engine.open_mailbox(call),
+            body=body,
+        )
+        self._engine.submit(
+            node.CallArrived(
+                call=call,
+                host=request.headers["Host"],
+                method=request.method,
+                path=exchange.target.partition("?")[0],
+                deadline_s=deadline_s,
+                is_body_held=body is not None or not request.body_exists,
+            )
+        )
+        try:
+            response = await self._follow(exchange)
+        except asyncio.CancelledError:
+            self._engine.submit(node.CallerLeft(call=call))
+            raise
+        finally:
+            self._end(exchange)
+        if self._engine.state.stop_phase is not node.StopPhase.RUNNING:
+            response.force_close()
+        return response
+
+    async def _follow(self, exchange: _Exchange) -> web.StreamResponse:
+        while True:
+            command = await exchange.mailbox.get()
+            match command:
+                case node.RunOnServer() | node.SendToPeer():
+                    await self._begin_attempt(exchange, command)
+                case node.DeliverAnswer():
+                    response = await self._deliver(exchange, command)
+                    if response is not None:
+                        return response
+                case node.RefuseCall():
+                    return _refuse_call(exchange, command)
+                case _:
+                    raise AssertionError(f"unexpected command {command}")
+
+    async def _begin_attempt(
+        self,
+        exchange: _Exchange,
+        command: node.RunOnServer | node.SendToPeer,
+    ) -> None:
+        attempt = (
+            self._run_on_server(exchange, command)
+            if isinstance(command, node.RunOnServer)
+            else self._send_to_peer(exchange, command)
+        )
+        if not command.is_hedged:
+            await attempt
+            return
+        task = asyncio.create_task(attempt)
+        exchange.hedges.add(task)
+        task.add_done_callback(exchange.hedges.discard)
+
+    async def _run_on_server(
+        self, exchange: _Exchange, command: node.RunOnServer
+    ) -> None:
+        attempt = command.attempt
+        exchange.local_attempts.add(attempt)
+        try:
+            outcome = await _cancellation.run_cancellable(
+                self._engine,
+                attempt,
+                self._upstream.send_to_server(
+                    exchange.outgoing({}),
+                    command.server,
+                    command.deadline_at - self._engine.now(),
+                ),
+            )
+        except asyncio.CancelledError:
+            self._end_work(exchange, attempt, node.ServerOutcome.CANCELLED)
+            raise
+        if outcome is None:
+            self._end_work(exchange, attempt, node.ServerOutcome.CANCELLED)
+        elif isinstance(outcome, result.Failure):
+            fault = outcome.failure()
+            self._end_work(exchange, attempt, fault.outcome)
+            self._fail_attempt(exchange, attempt, fault)
+        else:
+            self._answer_attempt(exchange, attempt, outcome.unwrap())
+
+    async def _send_to_peer(
+        self, exchange: _Exchange, command: node.SendToPeer
+    ) -> None:
+        attempt = command.attempt
+        signed = _auth.request_content(
+            exchange.request.method, exchange.target, attempt, b""
+        )
+        outgoing = exchange.outgoing(
+            {
+                _headers.ATTEMPT: attempt,
+                _headers.AUTH: self._keys.sign_header(signed),
+            }
+        )
+        outcome = await _cancellation.run_cancellable(
+            self._engine,
+            attempt,
+            self._upstream.send_to_peer(
+                outgoing,
+                command.address,
+                command.deadline_at - self._engine.now(),
+            ),
+        )
+        if outcome is None:
+            return
+        if isinstance(outcome, result.Failure):
+            self._fail_attempt(exchange, attempt, outcome.failure())
+        else:
+            self._answer_attempt(exchange, attempt, outcome.unwrap())
+
+    def _answer_attempt(
+        self,
+        exchange: _Exchange,
+        attempt: ids.AttemptId,
+        answer: _upstream.Answer,
+    ) -> None:
+        exchange.answers[attempt] = answer
+        self._engine.on_cancel(
+            attempt, lambda: self._drop_answer(exchange, attempt)
+        )
+        self._engine.submit(
+            node.AttemptAnswered(
+                call=exchange.call,
+                attempt=attempt,
+                is_error=answer.outcome is node.ServerOutcome.ERRORED,
+                load=answer.load,
+            )
+        )
+
+    def _fail_attempt(
+        self,
+        exchange: _Exchange,
+        attempt: ids.AttemptId,
+        fault: _upstream.Fault,
+    ) -> None:
+        self._engine.submit(
+            node.AttemptFailed(
+                call=exchange.call,
+                attempt=attempt,
+                run=fault.run,
+                reason=fault.reason,
+                load=fault.load,
+                is_body_gone=exchange.is_body_gone,
+            )
+        )
+
+    async def _deliver(
+        self, exchange: _Exchange, command: node.DeliverAnswer
+    ) -> web.StreamResponse | None:
+        request = exchange.request
+        answer = exchange.answers.pop(command.attempt)
+        self._engine.forget_cancel(command.attempt)
+        outcome = node.ServerOutcome.CANCELLED
+        extra = {_headers.CALL: exchange.call}
+        try:
+            if not _relay.is_small(answer, request.method):
+                response, end = await _relay.pass_flowing(
+                    request, answer, extra, closes=self._is_stopping()
+                )
+                if end is not _relay.RelayEnd.CUT_BY_CALLER:
+                    outcome = _outcome_of(answer, end)
+                return response
+            body = await _relay.read_whole(answer, request.method)
+            if body is None:
+                outcome = node.ServerOutcome.BROKE_OFF
+            else:
+                outcome = answer.outcome
+        finally:
+            if outcome is node.ServerOutcome.CANCELLED:
+                answer.response.close()
+            self._end_work(exchange, command.attempt, outcome, answer.head_s)
+        if body is not None:
+            return _relay.build_whole(answer, request.method, body, extra)
+        self._engine.submit(
+            node.AnswerLost(call=exchange.call, attempt=command.attempt)
+        )
+        return None
+
+    def _drop_answer(
+        self, exchange: _Exchange, attempt: ids.AttemptId
+    ) -> None:
+        answer = exchange.answers.pop(attempt, None)
+        if answer is not None:
+            answer.response.close()
+            asyncio.get_running_loop().call_soon(
+                self._end_work,
+                exchange,
+                attempt,
+                node.ServerOutcome.CANCELLED,
+            )
+
+    def _end_work(
+        self,
+        exchange: _Exchange,
+        attempt: ids.AttemptId,
+        outcome: node.ServerOutcome,
+        head_s: float = 0.0,
+    ) -> None:
+        if attempt not in exchange.local_attempts:
+            return
+        exchange.local_attempts.discard(attempt)
+        self._engine.submit(
+            node.WorkEnded(attempt=attempt, outcome=outcome, head_s=head_s)
+        )
+
+    def _end(self, exchange: _Exchange) -> None:
+        for task in exchange.hedges:
+            task.cancel()
+        self._engine.submit(node.CallEnded(call=exchange.call))
+        for attempt in list(exchange.answers):
+            self._drop_answer(exchange, attempt)
+        for command in exchange.mailbox.take_all():
+            if isinstance(command, node.RunOnServer):
+                exchange.local_attempts.add(command.attempt)
+                self._end_work(
+                    exchange, command.attempt, node.ServerOutcome.CANCELLED
+                )
+        self._engine.close_mailbox(exchange.call)
+
+    def _is_stopping(self) -> bool:
+        return self._engine.state.stop_phase is not node.StopPhase.RUNNING
+
+
+def _check_head(
+    request: web.BaseRequest,
+) -> result.Result[float | None, node.Reason]:
+    """Check what the parser lets pass; return the caller's deadline."""
+    bad = result.Failure(node.Reason.BAD_REQUEST)
+    if len(request.headers.getall("Host", ())) != 1:
+        return bad
+    if not request.raw_path.startswith("/") or request.method == "CONNECT":
+        return bad
+    text = request.headers.get(_headers.DEADLINE)
+    if text is None:
+        return result.Success(None)
+    if not text.isascii() or not text.isdigit() or len(text) > 9:
+        return bad
+    return result.Success(int(text) / 1000)
+
+
+async def _read_held_body(request: web.BaseRequest) -> bytes | None:
+    """Read a body that is small enough to hold; None when it is not."""
+    if not request.body_exists:
+        return None
+    length = request.content_length
+    if length is None or length > _options.HELD_BODY_BYTES:
+        return None
+    async with asyncio.timeout(BODY_TIMEOUT_S):
+        return await request.content.read(-1)
+
+
+def _refuse_call(
+    exchange: _Exchange, command: node.RefuseCall
+) -> web.Response:
+    response = _refusals.refuse(
+        command.reason, command.run, retry_after_s=command.retry_after_s
+    )
+    response.headers[_headers.CALL] = exchange.call
+    if exchange.stream is not None:
+        # The rest of the body will not be read.
+        response.force_close()
+    return response
+
+
+def _outcome_of(
+    answer: _upstream.Answer, end: _relay.RelayEnd
+) -> node.ServerOutcome:
+    if end is _relay.RelayEnd.WHOLE:
+        return answer.outcome
+    return node.ServerOutcome.BROKE_OFF
+
+
+def make_server(port: CallerPort) -> web.Server:
+    """Make the HTTP server of the callers' port."""
+    return web.Server(
+        port.serve,
+        handler_cancellation=True,
+        access_log=None,
+        auto_decompress=False,
+        max_line_size=_options.MAX_HEAD_LINE_BYTES,
+        max_field_size=_options.MAX_HEAD_LINE_BYTES,
+    )
--- /dev/null
+++ b/packages/node/marjoramledge_node/_cancellation.py
@@ -0,0 +1,43 @@
+"""Lets the core break off what a task is waiting for."""
+
+import asyncio
+import collections.abc
+import typing
+
+from marjoramledge_node import _engine
+
+T = typing.TypeVar("T")
+
+
+async def run_cancellable(
+    engine: _engine.Engine,
+    attempt: str,
+    operation: collections.abc.Awaitable[T],
+) -> T | None:
+    """Await an operation that the core may cancel by its attempt.
+
+    Returns
+    -------
+    T or None
+        The outcome, or None when the core cancelled the attempt.  A
+        cancellation of the task from elsewhere goes through.
+    """
+    task = asyncio.current_task()
+    if task is None:
+        raise AssertionError("not inside a task")
+    is_cancelled = False
+
+    def cancel() -> None:
+        nonlocal is_cancelled
+        is_cancelled = True
+        task.cancel()
+
+    engine.on_cancel(attempt, cancel)
+    try:
+        return await operation
+    except asyncio.CancelledError:
+        if not is_cancelled or task.uncancel() > 0:
+            raise
+        return None
+    finally:
+        engine.forget_cancel(attempt)
--- /dev/null
+++ b/packages/node/marjoramledge_node/_engine.py
@@ -0,0 +1,151 @@
+"""Runs the node's state machine: events in, commands out to their tasks.
+
+The engine owns the state, its clock and its random numbers, and one timer of
+the event loop for the next wake-up that the core wants.  Each command goes to
+the task that it is meant for: by mailbox to the task of a call, by the
+registered consumer otherwise.
+"""
+
+import asyncio
+import collections.abc
+import random
+import typing
+
+from marjoramledge_core import node
+
+from marjoramledge_node import _mailbox
+
+Consumer = collections.abc.Callable[[typing.Any], None]
+
+
+class Engine:
+    """Owner of one node's state.
+
+    Parameters
+    ----------
+    state
+        State of a node that starts.
+    rng
+        Source of the randomness of its decisions.
+    clock
+        Monotonic time in seconds, the one that ``state`` was made with.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: node.NodeState,
+        rng: random.Random,
+        clock: collections.abc.Callable[[], float],
+    ) -> None:
+        self._state = state
+        self._rng = rng
+        self._clock = clock
+        self._loop = asyncio.get_running_loop()
+        self._mailboxes: dict[str, _mailbox.Mailbox] = {}
+        self._cancellers: dict[str, collections.abc.Callable[[], object]] = {}
+        self._consumers: dict[type, Consumer] = {
+            node.CancelAttempt: self._cancel_attempt
+        }
+        for by_call in (
+            node.RunOnServer,
+            node.SendToPeer,
+            node.DeliverAnswer,
+            node.RefuseCall,
+        ):
+            self._consumers[by_call] = self._post_to_call
+        for by_attempt in (node.StartWork, node.RefuseWork):
+            self._consumers[by_attempt] = self._post_to_attempt
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
+
+    @property
+    def state(self) -> node.NodeState:
+        """The node's state, to be read only."""
+        return self._state
+
+    def now(self) -> float:
+        """Read the clock, in seconds."""
+        return self._clock()
+
+    def connect(self, command: type, consumer: Consumer) -> None:
+        """Register the consumer of one kind of command."""
+        self._consumers[command] = consumer
+
+    def open_mailbox(self, owner: str) -> _mailbox.Mailbox:
+        """Make the mailbox of a task that serves a call or an attempt."""
+        mailbox = _mailbox.Mailbox()
+        self._mailboxes[owner] = mailbox
+        return mailbox
+
+    def close_mailbox(self, owner: str) -> None:
+        """Forget a task's mailbox."""
+        self._mailboxes.pop(owner, None)
+
+    def on_cancel(
+        self, attempt: str, cancel: collections.abc.Callable[[], object]
+    ) -> None:
+        """Register what breaks off an attempt."""
+        self._cancellers[attempt] = cancel
+
+    def forget_cancel(self, attempt: str) -> None:
+        """Forget what breaks off an attempt."""
+        self._cancellers.pop(attempt, None)
+
+    def submit(self, event: node.Event) -> None:
+        """Take a step and pass on the commands that follow."""
+        now = self._clock()
+        for command in node.handle(self._state, event, now, self._rng):
+            self._consumers[type(command)](command)
+        self._set_timer(now)
+
+    def start(self) -> None:
+        """Begin to wake the state machine at the times that it wants."""
+        self.submit(node.TimePassed())
+
+    def stop(self) -> None:
+        """End the wake-ups."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _set_timer(self, now: float) -> None:
+        wanted_at = node.next_wakeup(self._state)
+        if wanted_at is None:
+            return
+        if self._timer is not None:
+            if self._timer_at <= wanted_at:
+                return
+            self._timer.cancel()
+        self._timer_at = wanted_at
+        self._timer = self._loop.call_later(
+            max(0.0, wanted_at - now), self._wake
+        )
+
+    def _wake(self) -> None:
+        self._timer = None
+        self.submit(node.TimePassed())
+
+    def _post_to_call(
+        self,
+        command: (
+            node.RunOnServer
+            | node.SendToPeer
+            | node.DeliverAnswer
+            | node.RefuseCall
+        ),
+    ) -> None:
+        mailbox = self._mailboxes.get(command.call)
+        if mailbox is not None:
+            mailbox.put(command)
+
+    def _post_to_attempt(
+        self, command: node.StartWork | node.RefuseWork
+    ) -> None:
+        mailbox = self._mailboxes.get(command.attempt)
+        if mailbox is not None:
+            mailbox.put(command)
+
+    def _cancel_attempt(self, command: node.CancelAttempt) -> None:
+        cancel = self._cancellers.pop(command.attempt, None)
+        if cancel is not None:
+            cancel()
--- /dev/null
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -0,0 +1,273 @@
+"""Documents that nodes exchange: members, configurations and status.
+
+Consumes the core's commands that want a document from a peer or from the
+store, one task each, and serves the same documents to others.
+"""
+
+import asyncio
+import collections.abc
+import json
+import typing
+
+import loguru
+from marjoramledge_core import configuration
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from marjoramledge_store import client
+from returns import result
+
+from marjoramledge_node import _engine
+from marjoramledge_node import _options
+from marjoramledge_node import _peer_port
+from marjoramledge_node import _timeline
+from marjoramledge_node import _upstream
+from marjoramledge_node import _wire
+
+PEER_TIMEOUT_S: typing.Final = 2.0
+PROBE_TIMEOUT_S: typing.Final = 1.0
+MAX_PROBE_BYTES: typing.Final = 65536
+SEED_ROWS: typing.Final = 16
+
+
+class Fleet:
+    """Exchange of documents with peers and the store.
+
+    Parameters
+    ----------
+    engine
+        The node's engine.
+    upstream
+        Client to peers.
+    store
+        Client of the platform's store, if there is one.
+    options
+        The node's settings.
+    timeline
+        Where changes of the store's standing are recorded.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: _engine.Engine,
+        upstream: _upstream.Upstream,
+        store: client.StoreClient | None,
+        options: _options.Options,
+        timeline: _timeline.Timeline,
+    ) -> None:
+        self._engine = engine
+        self._upstream = upstream
+        self._store = store
+        self._options = options
+        self._timeline = timeline
+        self._manifest = b""
+        self._is_store_up = True
+        self._tasks: set[asyncio.Task[None]] = set()
+        consumers: dict[type, typing.Any] = {
+            node.SyncMembers: self._sync_members,
+            node.RegisterMember: self._register,
+            node.ReadVersion: self._read_version,
+            node.FetchManifest: self._fetch_manifest,
+            node.ProbeServer: self._probe_server,
+        }
+        for command, operation in consumers.items():
+            engine.connect(command, self._start_task_with(operation))
+
+    def find_document(
+        self, method: str, target: str, body: bytes
+    ) -> bytes | None:
+        """Find what a peer or an operator asks for."""
+        state = self._engine.state
+        if (method, target) == ("POST", _peer_port.MEMBERS_TARGET):
+            received = _wire.decode_members(body)
+            if isinstance(received, result.Failure):
+                return None
+            self._engine.submit(
+                node.MembersReceived(members=received.unwrap())
+            )
+            return _wire.encode_members(state.membership.members.values())
+        if (method, target) == ("GET", _peer_port.STATUS_TARGET):
+            return json.dumps(self._describe()).encode()
+        current = _peer_port.manifest_target(state.versions.ref.digest)
+        if (method, target) == ("GET", current) and self._manifest:
+            return self._manifest
+        return None
+
+    async def close(self) -> None:
+        """End the tasks that still run."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _start_task_with(
+        self,
+        operation: collections.abc.Callable[
+            [typing.Any], collections.abc.Coroutine[None, None, None]
+        ],
+    ) -> _engine.Consumer:
+        def start(command: node.Command) -> None:
+            task = asyncio.create_task(operation(command))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+        return start
+
+    async def _sync_members(self, command: node.SyncMembers) -> None:
+        members = self._engine.state.membership.members.values()
+        fetched = await self._ask_peer(
+            "POST",
+            command.address,
+            _peer_port.MEMBERS_TARGET,
+            _wire.encode_members(members),
+            _peer_port.MAX_MEMBERS_BYTES,
+        )
+        decoded = fetched.bind(_wire.decode_members)
+        if isinstance(decoded, result.Failure):
+            loguru.logger.debug("no members came: {}", decoded.failure())
+            return
+        self._engine.submit(node.MembersReceived(members=decoded.unwrap()))
+
+    async def _register(self, _command: node.RegisterMember) -> None:
+        if self._store is None:
+            return
+        myself = self._engine.state.membership.myself
+        await self._store.put_member(
+            member=myself.node, address=myself.address, zone=myself.zone
+        )
+        found = await self._store.list_members(SEED_ROWS)
+        self._note_store(isinstance(found, result.Success))
+        if isinstance(found, result.Success):
+            self._engine.submit(node.SeedsFound(addresses=found.unwrap()))
+
+    async def _read_version(self, _command: node.ReadVersion) -> None:
+        if self._store is None:
+            return
+        found = await self._store.read_version()
+        self._note_store(isinstance(found, result.Success))
+        if isinstance(found, result.Failure):
+            return
+        row = found.unwrap()
+        if row is not None:
+            self._engine.submit(node.VersionRead(ref=row.ref))
+
+    async def _fetch_manifest(self, command: node.FetchManifest) -> None:
+        ref = command.ref
+        fetched: result.Result[bytes, str]
+        if command.source is not None:
+            fetched = await self._ask_peer(
+                "GET",
+                command.source,
+                _peer_port.manifest_target(ref.digest),
+                b"",
+                configuration.MAX_MANIFEST_BYTES,
+            )
+        elif self._store is not None:
+            stored = await self._store.get_manifest(ref.digest)
+            self._note_store(isinstance(stored, result.Success))
+            fetched = stored.alt(str)
+        else:
+            fetched = result.Failure("no store is set")
+        parsed = fetched.bind(
+            lambda content: parse_manifest(content, ref.digest)
+        )
+        if isinstance(parsed, result.Failure):
+            self._engine.submit(
+                node.ManifestFailed(ref=ref, detail=parsed.failure())
+            )
+            return
+        adopted = parsed.unwrap()
+        self._manifest = fetched.unwrap()
+        self._engine.submit(
+            node.ManifestFetched(ref=ref, configuration=adopted)
+        )
+
+    async def _probe_server(self, command: node.ProbeServer) -> None:
+        server = command.server
+        probed = await self._upstream.fetch(
+            "GET",
+            node.Address(host=server.host, port=server.port),
+            server.health_path,
+            headers={},
+            timeout_s=PROBE_TIMEOUT_S,
+            max_bytes=MAX_PROBE_BYTES,
+        )
+        is_healthy = isinstance(probed, result.Success)
+        self._engine.submit(node.ProbeEnded(is_healthy=is_healthy))
+
+    async def _ask_peer(
+        self,
+        method: str,
+        address: node.Address,
+        target: str,
+        body: bytes,
+        max_bytes: int,
+    ) -> result.Result[bytes, str]:
+        return await self._upstream.fetch(
+            method,
+            address,
+            target,
+            headers=_peer_port.sign_request(
+                self._options.keys, method, target, body
+            ),
+            body=body,
+            timeout_s=PEER_TIMEOUT_S,
+            max_bytes=max_bytes,
+        )
+
+    def _note_store(self, is_up: bool) -> None:
+        if is_up == self._is_store_up:
+            return
+        self._is_store_up = is_up
+        kind = (
+            node.RecordKind.STORE_RECOVERED
+            if is_up
+            else node.RecordKind.STORE_FAILED
+        )
+        self._timeline.write(node.Record(kind=kind))
+
+    def _describe(self) -> dict[str, object]:
+        state = self._engine.state
+        gate = state.gate
+        return {
+            "node": state.node,
+            "zone": state.zone,
+            "version": state.versions.ref.version,
+            "digest": state.versions.ref.digest,
+            "is_store_up": self._is_store_up,
+            "stop_phase": state.stop_phase.name.lower(),
+            "gate": {
+                "state": gate.state.name.lower(),
+                "running": gate.running,
+                "queued": gate.queued,
+                "limit": gate.report().limit,
+            },
+            "calls": len(state.calls),
+            "members": [
+                _describe_member(member)
+                for member in state.membership.members.values()
+            ],
+        }
+
+
+def parse_manifest(
+    content: bytes, digest: ids.Digest
+) -> result.Result[configuration.Configuration, str]:
+    """Read the configuration out of a manifest, or tell what is wrong."""
+    manifest = configuration.decode_manifest(content, digest)
+    if isinstance(manifest, result.Failure):
+        return manifest
+    parsed = configuration.parse_documents(manifest.unwrap().files)
+    return parsed.alt(lambda problems: "; ".join(map(str, problems)))
+
+
+def _describe_member(member: node.Member) -> dict[str, object]:
+    return {
+        "node": member.node,
+        "host": member.address.host,
+        "port": member.address.port,
+        "zone": member.zone,
+        "status": member.status.name.lower(),
+        "service": member.service,
+        "server": member.server.name.lower(),
+        "slots": member.slots,
+    }
--- /dev/null
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -0,0 +1,96 @@
+"""HTTP headers of the system, and which headers pass through it.
+
+Names that start with ``Marjoramledge-`` belong to the system: whatever a
+caller or a backend server sends under them is dropped, except where the two
+are listed as allowed to speak.
+"""
+
+import collections.abc
+import typing
+
+from marjoramledge_core import node
+import multidict
+
+# Callers may send these.
+DEADLINE: typing.Final = "Marjoramledge-Deadline-Ms"
+IDEMPOTENCY_KEY: typing.Final = "Idempotency-Key"
+# Callers and backend servers are told these.
+RUN: typing.Final = "Marjoramledge-Run"
+REASON: typing.Final = "Marjoramledge-Reason"
+CALL: typing.Final = "Marjoramledge-Call"
+# Nodes tell one another these.
+ATTEMPT: typing.Final = "Marjoramledge-Attempt"
+AUTH: typing.Final = "Marjoramledge-Auth"
+LOAD: typing.Final = "Marjoramledge-Load"
+
+_SYSTEM_PREFIX: typing.Final = "marjoramledge-"
+# RFC 9110, section 7.6.1: these concern one connection only.
+_HOP_BY_HOP: typing.Final = (
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Proxy-Connection",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Expect",
+)
+
+Headers = multidict.CIMultiDict[str]
+
+
+def copy_end_to_end(
+    headers: collections.abc.Mapping[str, str],
+) -> Headers:
+    """Copy the headers that pass through, without the system's own."""
+    copied = multidict.CIMultiDict(headers)
+    for options in copied.popall("Connection", ()):
+        for option in options.split(","):
+            copied.popall(option.strip(), None)
+    for name in _HOP_BY_HOP:
+        copied.popall(name, None)
+    for name in _system_names(copied):
+        copied.popall(name, None)
+    return copied
+
+
+def format_load(report: node.LoadReport) -> str:
+    """Render a load report as the value of a header."""
+    return f"{report.in_flight};{report.limit};{round(report.service_s * 1e6)}"
+
+
+def parse_load(text: str | None) -> node.LoadReport | None:
+    """Read a load report; None when there is none that makes sense."""
+    if text is None:
+        return None
+    try:
+        in_flight, limit, service_us = text.split(";")
+        return node.LoadReport(
+            in_flight=int(in_flight),
+            limit=int(limit),
+            service_s=int(service_us) / 1e6,
+        )
+    except ValueError:
+        return None
+
+
+def parse_run(text: str | None) -> node.RunState | None:
+    """Read the header that tells whether a request was run."""
+    try:
+        return None if text is None else node.RunState(text)
+    except ValueError:
+        return None
+
+
+def parse_reason(text: str | None) -> node.Reason:
+    """Read the reason that a gate gives; an unknown one is a lost answer."""
+    try:
+        return node.Reason(text)
+    except ValueError:
+        return node.Reason.ANSWER_LOST
+
+
+def _system_names(headers: Headers) -> list[str]:
+    return [name for name in headers if name[:14].lower() == _SYSTEM_PREFIX]
--- /dev/null
+++ b/packages/node/marjoramledge_node/_main.py
@@ -0,0 +1,213 @@
+"""Command line of ``marjoramledge-node``."""
+
+import collections.abc
+import sys
+import typing
+
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from returns import result
+import typer
+
+from marjoramledge_node import _auth
+from marjoramledge_node import _logs
+from marjoramledge_node import _options
+from marjoramledge_node import _process
+
+T = typing.TypeVar("T")
+
+app = typer.Typer(
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+)
+
+
+def _parse_with(
+    parse: collections.abc.Callable[[str], result.Result[T, str]],
+    text: str,
+    flag: str,
+) -> T:
+    parsed = parse(text)
+    if isinstance(parsed, result.Failure):
+        raise typer.BadParameter(parsed.failure(), param_hint=f"'{flag}'")
+    return parsed.unwrap()
+
+
+def _parse_name(text: str) -> result.Result[str, str]:
+    if text and text.replace("-", "").replace(".", "").isalnum():
+        return result.Success(text)
+    return result.Failure("must be of letters, digits, '-' and '.' only")
+
+
+def _parse_url(text: str) -> result.Result[str, str]:
+    if text.startswith(("http://", "https://")):
+        return result.Success(text.rstrip("/"))
+    return result.Failure("must start with http:// or https://")
+
+
+@app.command()
+def run(
+    *,
+    node_id: typing.Annotated[
+        str,
+        typer.Option(
+            "--node-id",
+            envvar="MARJORAMLEDGE_NODE_ID",
+            help="Name of this node, unique in the fleet.",
+        ),
+    ],
+    zone: typing.Annotated[
+        str,
+        typer.Option(
+            "--zone",
+            envvar="MARJORAMLEDGE_ZONE",
+            help="Availability zone of this VM, as in the inventory.",
+        ),
+    ],
+    keys: typing.Annotated[
+        str,
+        typer.Option(
+            "--keys",
+            envvar="MARJORAMLEDGE_KEYS",
+            help="Shared keys as ID:SECRET[,ID:SECRET...]; the first one "
+            "signs, all are let in.",
+        ),
+    ],
+    listen: typing.Annotated[
+        str,
+        typer.Option(
+            "--listen",
+            envvar="MARJORAMLEDGE_LISTEN",
+            help="IP:PORT for callers (HTTP/1.1).",
+        ),
+    ] = "127.0.0.1:8080",
+    peer_listen: typing.Annotated[
+        str,
+        typer.Option(
+            "--peer-listen",
+            envvar="MARJORAMLEDGE_PEER_LISTEN",
+            help="IP:PORT for other nodes, TCP and UDP; the IP number is "
+            "the one at which they reach this node.",
+        ),
+    ] = "127.0.0.1:8081",
+    local_listen: typing.Annotated[
+        str,
+        typer.Option(
+            "--local-listen",
+            envvar="MARJORAMLEDGE_LOCAL_LISTEN",
+            help="IP:PORT for the backend server on this VM to announce "
+            "itself.",
+        ),
+    ] = "127.0.0.1:8082",
+    seed: typing.Annotated[
+        str,
+        typer.Option(
+            "--seeds",
+            envvar="MARJORAMLEDGE_SEEDS",
+            help="Peer IP:PORT[,IP:PORT...] of some other nodes; not needed "
+            "where --store-url is set.",
+        ),
+    ] = "",
+    store_url: typing.Annotated[
+        str,
+        typer.Option(
+            "--store-url",
+            envvar="MARJORAMLEDGE_STORE_URL",
+            help="URL of the platform's table service and object store.",
+        ),
+    ] = "",
+    stop_limit_s: typing.Annotated[
+        float,
+        typer.Option(
+            "--stop-limit-s",
+            envvar="MARJORAMLEDGE_STOP_LIMIT_S",
+            min=1.0,
+            max=3600.0,
+            help="Seconds that a planned stop waits for running calls.",
+        ),
+    ] = _options.DEFAULT_STOP_LIMIT_S,
+    log_format: typing.Annotated[
+        _options.LogFormat,
+        typer.Option(
+            "--log-format",
+            envvar="MARJORAMLEDGE_LOG_FORMAT",
+            help="One JSON object a line, or readable text.",
+        ),
+    ] = _options.LogFormat.TEXT,
+    log_level: typing.Annotated[
+        _options.LogLevel,
+        typer.Option(
+            "--log-level",
+            envvar="MARJORAMLEDGE_LOG_LEVEL",
+            help="Least severe level that is written.",
+        ),
+    ] = _options.LogLevel.INFO,
+    statsd: typing.Annotated[
+        str,
+        typer.Option(
+            "--statsd",
+            envvar="MARJORAMLEDGE_STATSD",
+            help="IP:PORT of a statsd server; empty for no metrics.",
+        ),
+    ] = "",
+    statsd_prefix: typing.Annotated[
+        str,
+        typer.Option(
+            "--statsd-prefix",
+            envvar="MARJORAMLEDGE_STATSD_PREFIX",
+            help="Start of the names of all metrics.",
+        ),
+    ] = "marjoramledge",
+) -> None:
+    """Run the node that stands beside a backend server.
+
+    It takes callers' requests on --listen, finds a backend server that can
+    bear each, and guards the backend server on this VM.  SIGTERM stops it
+    without cutting a request.
+    """
+    address = _options.parse_address
+    options = _options.Options(
+        node_id=ids.NodeId(_parse_with(_parse_name, node_id, "--node-id")),
+        zone=ids.ZoneName(_parse_with(_parse_name, zone, "--zone")),
+        caller_address=_parse_with(address, listen, "--listen"),
+        peer_address=_parse_with(address, peer_listen, "--peer-listen"),
+        local_address=_parse_with(address, local_listen, "--local-listen"),
+        seeds=_parse_addresses(seed, "--seeds"),
+        store_url=(
+            _parse_with(_parse_url, store_url, "--store-url")
+            if store_url
+            else None
+        ),
+        keys=_parse_with(_auth.parse_keys, keys, "--keys"),
+        stop_limit_s=stop_limit_s,
+        log_format=log_format,
+        log_level=log_level,
+        statsd_address=(
+            _parse_with(address, statsd, "--statsd") if statsd else None
+        ),
+        statsd_prefix=statsd_prefix,
+    )
+    _logs.configure_logs(options)
+    raise typer.Exit(_process.run_node(options))
+
+
+def _parse_addresses(text: str, flag: str) -> tuple[node.Address, ...]:
+    return tuple(
+        _parse_with(_options.parse_address, part.strip(), flag)
+        for part in text.split(",")
+        if part.strip()
+    )
+
+
+def main() -> None:
+    """Run the command and turn a wrong setting into one clear line."""
+    try:
+        status = app(standalone_mode=False)
+    except typer.TyperException as error:
+        print(f"marjoramledge-node: {error.format_message()}", file=sys.stderr)
+        sys.exit(2)
+    except OSError as error:
+        print(f"marjoramledge-node: {error}", file=sys.stderr)
+        sys.exit(1)
+    sys.exit(status if isinstance(status, int) else 0)
--- /dev/null
+++ b/packages/node/marjoramledge_node/_options.py
@@ -0,0 +1,61 @@
+"""Settings of a node, checked, in one object."""
+
+import dataclasses
+import enum
+import typing
+
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from returns import result
+
+from marjoramledge_node import _auth
+
+DEFAULT_STOP_LIMIT_S: typing.Final = 30.0
+# A request body up to this size is held, so that it can be sent again.
+HELD_BODY_BYTES: typing.Final = 65536
+MAX_HEAD_LINE_BYTES: typing.Final = 8190
+
+
+class LogFormat(enum.StrEnum):
+    """How log lines are written."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class LogLevel(enum.StrEnum):
+    """Least severe level that is written."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Options:
+    """Settings of one node."""
+
+    node_id: ids.NodeId
+    zone: ids.ZoneName
+    caller_address: node.Address
+    peer_address: node.Address
+    local_address: node.Address
+    seeds: tuple[node.Address, ...]
+    store_url: str | None
+    keys: _auth.KeyRing
+    stop_limit_s: float
+    log_format: LogFormat
+    log_level: LogLevel
+    statsd_address: node.Address | None
+    statsd_prefix: str
+
+
+def parse_address(text: str) -> result.Result[node.Address, str]:
+    """Read an address written ``IP:PORT``."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not host or not port.isdigit():
+        return result.Failure("must be IP:PORT, such as 10.0.0.7:8080")
+    if not 0 < int(port) < 65536:
+        return result.Failure("the port must be from 1 to 65535")
+    return result.Success(node.Address(host=host.strip("[]"), port=int(port)))
--- /dev/null
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -0,0 +1,287 @@
+"""The port of the peers: offers of requests, and the fleet's own documents.
+
+Only holders of a shared key are let in.  A request that carries an attempt id
+is an offer to the gate of this node; one without is for a document: the
+members, a configuration, the status that operators ask for.
+"""
+
+import asyncio
+import collections.abc
+import typing
+
+from aiohttp import web
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from returns import result
+
+from marjoramledge_node import _auth
+from marjoramledge_node import _cancellation
+from marjoramledge_node import _engine
+from marjoramledge_node import _headers
+from marjoramledge_node import _options
+from marjoramledge_node import _refusals
+from marjoramledge_node import _relay
+from marjoramledge_node import _upstream
+
+MEMBERS_TARGET: typing.Final = "/members"
+STATUS_TARGET: typing.Final = "/status"
+MANIFEST_TARGET: typing.Final = "/manifests/"
+# Bound of a list of members: some thousands of about 80 bytes each.
+MAX_MEMBERS_BYTES: typing.Final = 1024 * 1024
+
+DocumentSource = collections.abc.Callable[[str, str, bytes], bytes | None]
+
+
+class PeerPort:
+    """Handler of peers' requests.
+
+    Parameters
+    ----------
+    engine
+        The node's engine.
+    upstream
+        Client to send to the backend server with.
+    keys
+        Keys that let peers in.
+    find_document
+        Finds what a method, a target and a body ask for; None when there is
+        no such document.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: _engine.Engine,
+        upstream: _upstream.Upstream,
+        keys: _auth.KeyRing,
+        find_document: DocumentSource,
+    ) -> None:
+        self._engine = engine
+        self._upstream = upstream
+        self._keys = keys
+        self._find_document = find_document
+        self._rejected = 0
+
+    @property
+    def rejected(self) -> int:
+        """Requests that bore no valid key."""
+        return self._rejected
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request."""
+        attempt = request.headers.get(_headers.ATTEMPT)
+        if attempt is None:
+            return await self._serve_document(request)
+        if not self._is_authentic(request, attempt, b""):
+            return self._reject()
+        return await self._serve_offer(request, ids.AttemptId(attempt))
+
+    async def _serve_document(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        body = b""
+        if request.body_exists:
+            if (request.content_length or 0) > MAX_MEMBERS_BYTES:
+                return self._reject()
+            body = await request.content.read(MAX_MEMBERS_BYTES)
+            while not request.content.at_eof():
+                body += await request.content.readany()
+                if len(body) > MAX_MEMBERS_BYTES:
+                    return self._reject()
+        if not self._is_authentic(request, "", body):
+            return self._reject()
+        document = self._find_document(request.method, request.raw_path, body)
+        if document is None:
+            return web.Response(status=404)
+        return web.Response(body=document)
+
+    def _is_authentic(
+        self, request: web.BaseRequest, subject: str, body: bytes
+    ) -> bool:
+        content = _auth.request_content(
+            request.method, request.raw_path, subject, body
+        )
+        return self._keys.verify_header(
+            request.headers.get(_headers.AUTH), content
+        )
+
+    def _reject(self) -> web.Response:
+        self._rejected += 1
+        response = _refusals.refuse(
+            node.Reason.NOT_A_MEMBER, node.RunState.NOT_RUN
+        )
+        response.force_close()
+        return response
+
+    async def _serve_offer(
+        self, request: web.BaseRequest, attempt: ids.AttemptId
+    ) -> web.StreamResponse:
+        mailbox = self._engine.open_mailbox(attempt)
+        try:
+            self._engine.submit(
+                node.WorkOffered(
+                    attempt=attempt,
+                    host=request.headers.get("Host", ""),
+                    method=request.method,
+                    path=request.raw_path.partition("?")[0],
+                    deadline_s=_read_deadline_s(request),
+                )
+            )
+            command = await mailbox.get()
+        except asyncio.CancelledError:
+            self._engine.submit(node.WorkAbandoned(attempt=attempt))
+            for command in mailbox.take_all():
+                if isinstance(command, node.StartWork):
+                    self._end_work(attempt, node.ServerOutcome.CANCELLED)
+            raise
+        finally:
+            self._engine.close_mailbox(attempt)
+        if isinstance(command, node.StartWork):
+            return await self._run(request, command)
+        if not isinstance(command, node.RefuseWork):
+            raise AssertionError(f"unexpected command {command}")
+        return self._refuse(request, command.reason, node.RunState.NOT_RUN)
+
+    async def _run(
+        self, request: web.BaseRequest, command: node.StartWork
+    ) -> web.StreamResponse:
+        outcome = node.ServerOutcome.CANCELLED
+        head_s = 0.0
+        try:
+            exchange = await _cancellation.run_cancellable(
+                self._engine,
+                command.attempt,
+                self._send(request, command),
+            )
+            if exchange is None:
+                return self._refuse(
+                    request,
+                    node.Reason.DEADLINE_PASSED,
+                    node.RunState.MAY_HAVE_RUN,
+                )
+            if isinstance(exchange, result.Failure):
+                fault = exchange.failure()
+                outcome = fault.outcome
+                return self._refuse(request, fault.reason, fault.run)
+            answer = exchange.unwrap()
+            head_s = answer.head_s
+            response, outcome = await self._pass_on(request, answer)
+            return response
+        finally:
+            self._end_work(command.attempt, outcome, head_s)
+
+    async def _send(
+        self, request: web.BaseRequest, command: node.StartWork
+    ) -> _upstream.Exchange:
+        body = None
+        stream = None
+        if request.body_exists:
+            _grant_body(request)
+            length = request.content_length
+            if length is not None and length <= _options.HELD_BODY_BYTES:
+                body = await request.content.read(-1)
+            else:
+                stream = _upstream.BodyStream(reader=request.content)
+        headers = _headers.copy_end_to_end(request.headers)
+        headers[_headers.CALL] = request.headers.get(_headers.CALL, "")
+        outgoing = _upstream.Outgoing(
+            method=request.method,
+            target=request.raw_path,
+            headers=headers,
+            body=body,
+            stream=stream,
+        )
+        return await self._upstream.send_to_server(
+            outgoing,
+            command.server,
+            command.deadline_at - self._engine.now(),
+        )
+
+    async def _pass_on(
+        self, request: web.BaseRequest, answer: _upstream.Answer
+    ) -> tuple[web.StreamResponse, node.ServerOutcome]:
+        extra = {
+            _headers.LOAD: _headers.format_load(
+                self._engine.state.gate.report()
+            )
+        }
+        if _relay.is_small(answer, request.method):
+            body = await _relay.read_whole(answer, request.method)
+            if body is None:
+                refusal = self._refuse(
+                    request,
+                    node.Reason.ANSWER_CUT_SHORT,
+                    node.RunState.MAY_HAVE_RUN,
+                )
+                return refusal, node.ServerOutcome.BROKE_OFF
+            response = _relay.build_whole(answer, request.method, body, extra)
+            return response, answer.outcome
+        flowing, end = await _relay.pass_flowing(
+            request, answer, extra, closes=False
+        )
+        if end is _relay.RelayEnd.CUT_BY_SERVER:
+            return flowing, node.ServerOutcome.BROKE_OFF
+        if end is _relay.RelayEnd.CUT_BY_CALLER:
+            return flowing, node.ServerOutcome.CANCELLED
+        return flowing, answer.outcome
+
+    def _refuse(
+        self,
+        request: web.BaseRequest,
+        reason: node.Reason,
+        run: node.RunState,
+    ) -> web.Response:
+        response = _refusals.refuse(
+            reason, run, load=self._engine.state.gate.report()
+        )
+        if request.body_exists and not request.content.at_eof():
+            response.force_close()
+        return response
+
+    def _end_work(
+        self,
+        attempt: ids.AttemptId,
+        outcome: node.ServerOutcome,
+        head_s: float = 0.0,
+    ) -> None:
+        self._engine.submit(
+            node.WorkEnded(attempt=attempt, outcome=outcome, head_s=head_s)
+        )
+
+
+def manifest_target(digest: ids.Digest) -> str:
+    """Name the target under which peers serve a configuration."""
+    return f"{MANIFEST_TARGET}{digest}"
+
+
+def sign_request(
+    keys: _auth.KeyRing, method: str, target: str, body: bytes
+) -> dict[str, str]:
+    """Make the headers that let a request for a document in."""
+    content = _auth.request_content(method, target, "", body)
+    return {_headers.AUTH: keys.sign_header(content)}
+
+
+def _grant_body(request: web.BaseRequest) -> None:
+    """Ask for a body that the peer holds back until its offer is taken."""
+    is_held_back = request.headers.get("Expect", "").lower() == "100-continue"
+    if is_held_back and request.transport is not None:
+        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+def _read_deadline_s(request: web.BaseRequest) -> float:
+    text = request.headers.get(_headers.DEADLINE, "")
+    return int(text) / 1000 if text.isdigit() else 0.0
+
+
+def make_server(port: PeerPort) -> web.Server:
+    """Make the HTTP server of the peers' port."""
+    return web.Server(
+        port.serve,
+        handler_cancellation=True,
+        access_log=None,
+        auto_decompress=False,
+        # Heads grow by the system's own headers on the way.
+        max_line_size=2 * _options.MAX_HEAD_LINE_BYTES,
+        max_field_size=2 * _options.MAX_HEAD_LINE_BYTES,
+    )
--- /dev/null
+++ b/packages/node/marjoramledge_node/_process.py
@@ -0,0 +1,188 @@
+"""Puts the node together, runs it and stops it."""
+
+import asyncio
+import gc
+import os
+import random
+import signal
+import time
+import typing
+
+from aiohttp import web
+import loguru
+from marjoramledge_core import node
+from marjoramledge_store import client
+import uvloop
+
+from marjoramledge_node import _caller_port
+from marjoramledge_node import _engine
+from marjoramledge_node import _fleet
+from marjoramledge_node import _gossip_port
+from marjoramledge_node import _local_port
+from marjoramledge_node import _metrics
+from marjoramledge_node import _options
+from marjoramledge_node import _peer_port
+from marjoramledge_node import _timeline
+from marjoramledge_node import _upstream
+
+# Young objects of a call die with it; collecting them often only costs tail
+# latency.
+GC_THRESHOLDS: typing.Final = (50_000, 20, 100)
+LISTEN_BACKLOG: typing.Final = 1024
+
+
+class _Process:
+    """The parts of a running node."""
+
+    def __init__(self, *, options: _options.Options) -> None:
+        loop = asyncio.get_running_loop()
+        self._options = options
+        self._timeline = _timeline.Timeline()
+        self._timeline.stream.subscribe(_timeline.make_log_writer(loop.time))
+        self._rng = random.Random()
+        self._engine = _engine.Engine(
+            state=node.create_state(
+                identity=node.Identity(
+                    node=options.node_id,
+                    address=options.peer_address,
+                    zone=options.zone,
+                    incarnation=time.time_ns() // 1_000_000,
+                ),
+                seeds=options.seeds,
+                stop_limit_s=options.stop_limit_s,
+                now=loop.time(),
+            ),
+            rng=self._rng,
+            clock=loop.time,
+        )
+        self._engine.connect(
+            node.WriteRecord,
+            lambda command: self._timeline.write(command.record),
+        )
+        self._engine.connect(node.StopAccepting, self._stop_accepting)
+        self._engine.connect(node.StopNode, self._stop_node)
+        self._upstream = _upstream.Upstream()
+        self._store = (
+            None
+            if options.store_url is None
+            else client.StoreClient(base_url=options.store_url)
+        )
+        self._fleet = _fleet.Fleet(
+            engine=self._engine,
+            upstream=self._upstream,
+            store=self._store,
+            options=options,
+            timeline=self._timeline,
+        )
+        self._gossip = _gossip_port.GossipPort(
+            engine=self._engine, keys=options.keys
+        )
+        self._callers = _caller_port.make_server(
+            _caller_port.CallerPort(
+                engine=self._engine,
+                upstream=self._upstream,
+                keys=options.keys,
+                call_prefix=f"{options.node_id}-{os.urandom(4).hex()}-",
+            )
+        )
+        self._peers = _peer_port.make_server(
+            _peer_port.PeerPort(
+                engine=self._engine,
+                upstream=self._upstream,
+                keys=options.keys,
+                find_document=self._fleet.find_document,
+            )
+        )
+        self._local = _local_port.make_server(
+            _local_port.LocalPort(
+                engine=self._engine,
+                default_host=options.local_address.host,
+            )
+        )
+        self._listeners: list[asyncio.Server] = []
+        self._stopped: asyncio.Future[int] = loop.create_future()
+
+    async def run(self) -> int:
+        """Run until stopped; return the number of calls cut."""
+        loop = asyncio.get_running_loop()
+        options = self._options
+        await self._listen(self._local, options.local_address)
+        await self._listen(self._peers, options.peer_address)
+        await loop.create_datagram_endpoint(
+            lambda: self._gossip,
+            local_addr=(options.peer_address.host, options.peer_address.port),
+        )
+        await self._listen(self._callers, options.caller_address)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(
+                number, self._engine.submit, node.StopRequested()
+            )
+        metrics = self._start_metrics()
+        self._engine.start()
+        loguru.logger.bind(event="node-started").info("node is running")
+        try:
+            return await self._stopped
+        finally:
+            if metrics is not None:
+                metrics.cancel()
+            await self._close()
+
+    async def _listen(self, server: web.Server, address: node.Address) -> None:
+        loop = asyncio.get_running_loop()
+        self._listeners.append(
+            await loop.create_server(
+                server,
+                address.host,
+                address.port,
+                backlog=LISTEN_BACKLOG,
+            )
+        )
+
+    def _start_metrics(self) -> asyncio.Task[None] | None:
+        if self._options.statsd_address is None:
+            return None
+        metrics = _metrics.Metrics(
+            address=self._options.statsd_address,
+            prefix=self._options.statsd_prefix,
+            engine=self._engine,
+        )
+        self._timeline.stream.subscribe(metrics.count_record)
+        return asyncio.create_task(metrics.run())
+
+    def _stop_accepting(self, _command: node.StopAccepting) -> None:
+        for listener in self._listeners:
+            listener.close()
+        # Connections that serve a request stay until it is answered.
+        self._callers.pre_shutdown()
+        self._peers.pre_shutdown()
+
+    def _stop_node(self, command: node.StopNode) -> None:
+        if not self._stopped.done():
+            self._stopped.set_result(command.cut_calls)
+
+    async def _close(self) -> None:
+        self._engine.stop()
+        self._gossip.close()
+        await self._fleet.close()
+        for server in (self._callers, self._peers, self._local):
+            await server.shutdown(timeout=0.5)
+        await self._upstream.close()
+        if self._store is not None:
+            await self._store.close()
+
+
+async def _run(options: _options.Options) -> int:
+    process = _Process(options=options)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    return await process.run()
+
+
+def run_node(options: _options.Options) -> int:
+    """Run a node until it is stopped; return its exit status."""
+    # libuv would otherwise be free to use io_uring.
+    os.environ["UV_USE_IO_URING"] = "0"
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        cut_calls = runner.run(_run(options))
+    return 0 if cut_calls == 0 else 1
