--- /dev/null
+++ b/packages/node/marjoramledge_node/_wire.py
@@ -0,0 +1,185 @@
+"""Membership messages as thrift structures.
+
+The structures are written out by hand in the form that the codec reads, so
+neither the build nor the start of a node needs a generator or a parser of
+interface files.  Field numbers are never used again for another meaning.
+"""
+
+import collections.abc
+import typing
+
+from marjoramledge_core import configuration
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from returns import result
+from thriftpy2 import protocol
+from thriftpy2 import thrift
+from thriftpy2 import utils
+
+MAX_DATAGRAM_BYTES: typing.Final = 8192
+
+_STRING: typing.Final = thrift.TType.STRING
+_BINARY: typing.Final = thrift.TType.BINARY
+_I32: typing.Final = thrift.TType.I32
+_I64: typing.Final = thrift.TType.I64
+_STRUCT: typing.Final = thrift.TType.STRUCT
+_LIST: typing.Final = thrift.TType.LIST
+
+
+class _MemberStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
+    thrift_spec = {
+        1: (_STRING, "node", False),
+        2: (_STRING, "host", False),
+        3: (_I32, "port", False),
+        4: (_STRING, "zone", False),
+        5: (_I64, "incarnation", False),
+        6: (_I32, "status", False),
+        7: (_STRING, "service", False),
+        8: (_I32, "server", False),
+        9: (_I32, "slots", False),
+    }
+    default_spec = [(field[1], None) for field in thrift_spec.values()]
+
+
+class _MessageStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
+    thrift_spec = {
+        1: (_I32, "kind", False),
+        2: (_STRING, "sender", False),
+        3: (_STRING, "host", False),
+        4: (_I32, "port", False),
+        5: (_I64, "sequence", False),
+        6: (_STRING, "target", False),
+        7: (_I64, "version", False),
+        8: (_STRING, "digest", False),
+        9: (_LIST, "news", (_STRUCT, _MemberStruct), False),
+    }
+    default_spec = [(field[1], None) for field in thrift_spec.values()]
+
+
+class _MembersStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
+    thrift_spec = {
+        1: (_LIST, "members", (_STRUCT, _MemberStruct), False),
+    }
+    default_spec = [("members", None)]
+
+
+class _EnvelopeStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
+    thrift_spec = {
+        1: (_STRING, "key_id", False),
+        2: (_BINARY, "mac", False),
+        3: (_BINARY, "payload", False),
+    }
+    default_spec = [(field[1], None) for field in thrift_spec.values()]
+
+
+_PROTOCOL: typing.Final = protocol.TCyBinaryProtocolFactory()
+
+
+def encode_message(message: node.Message) -> bytes:
+    """Encode a membership message."""
+    return _encode(
+        _MessageStruct(
+            kind=message.kind,
+            sender=message.sender,
+            host=message.sender_address.host,
+            port=message.sender_address.port,
+            sequence=message.sequence,
+            target=message.target,
+            version=message.config.version,
+            digest=message.config.digest,
+            news=[_to_struct(member) for member in message.news],
+        )
+    )
+
+
+def decode_message(content: bytes) -> result.Result[node.Message, str]:
+    """Decode a membership message, or tell what is wrong with it."""
+    try:
+        struct = utils.deserialize(_MessageStruct(), content, _PROTOCOL)
+        return result.Success(
+            node.Message(
+                kind=node.MessageKind(struct.kind),
+                sender=ids.NodeId(struct.sender),
+                sender_address=node.Address(
+                    host=struct.host, port=struct.port
+                ),
+                sequence=struct.sequence,
+                target=ids.NodeId(struct.target),
+                config=configuration.VersionRef(
+                    version=ids.ConfigVersion(struct.version),
+                    digest=ids.Digest(struct.digest),
+                ),
+                news=tuple(_from_struct(entry) for entry in struct.news),
+            )
+        )
+    except Exception as error:  # The codec raises many kinds.
+        return result.Failure(repr(error))
+
+
+def encode_members(
+    members: collections.abc.Iterable[node.Member],
+) -> bytes:
+    """Encode a list of members."""
+    return _encode(
+        _MembersStruct(members=[_to_struct(member) for member in members])
+    )
+
+
+def decode_members(
+    content: bytes,
+) -> result.Result[tuple[node.Member, ...], str]:
+    """Decode a list of members, or tell what is wrong with it."""
+    try:
+        struct = utils.deserialize(_MembersStruct(), content, _PROTOCOL)
+        return result.Success(
+            tuple(_from_struct(entry) for entry in struct.members)
+        )
+    except Exception as error:  # The codec raises many kinds.
+        return result.Failure(repr(error))
+
+
+def seal(key_id: str, mac: bytes, payload: bytes) -> bytes:
+    """Put a payload and its authentication code into one datagram."""
+    return _encode(_EnvelopeStruct(key_id=key_id, mac=mac, payload=payload))
+
+
+def unseal(content: bytes) -> result.Result[tuple[str, bytes, bytes], str]:
+    """Take a datagram apart into key id, code and payload."""
+    try:
+        struct = utils.deserialize(_EnvelopeStruct(), content, _PROTOCOL)
+        return result.Success(
+            (str(struct.key_id), bytes(struct.mac), bytes(struct.payload))
+        )
+    except Exception as error:  # The codec raises many kinds.
+        return result.Failure(repr(error))
+
+
+def _encode(struct: thrift.TPayload) -> bytes:
+    return bytes(utils.serialize(struct, _PROTOCOL))
+
+
+def _to_struct(member: node.Member) -> _MemberStruct:
+    return _MemberStruct(
+        node=member.node,
+        host=member.address.host,
+        port=member.address.port,
+        zone=member.zone,
+        incarnation=member.incarnation,
+        status=member.status,
+        service=member.service,
+        server=member.server,
+        slots=member.slots,
+    )
+
+
+def _from_struct(struct: _MemberStruct) -> node.Member:
+    return node.Member(
+        node=ids.NodeId(struct.node),
+        address=node.Address(host=struct.host, port=struct.port),
+        zone=ids.ZoneName(struct.zone),
+        incarnation=struct.incarnation,
+        status=node.MemberStatus(struct.status),
+        service=ids.ServiceName(struct.service),
+        server=node.ServerState(struct.server),
+        slots=struct.slots,
+    )
--- /dev/null
+++ b/packages/node/marjoramledge_node/headers.py
@@ -0,0 +1,9 @@
+"""Names of the headers that callers and backend servers meet."""
+
+from marjoramledge_node import _headers
+
+CALL = _headers.CALL
+DEADLINE = _headers.DEADLINE
+IDEMPOTENCY_KEY = _headers.IDEMPOTENCY_KEY
+REASON = _headers.REASON
+RUN = _headers.RUN
--- /dev/null
+++ b/packages/node/marjoramledge_node/peers.py
@@ -0,0 +1,13 @@
+"""What others need to speak with a node's peer port, as operators do."""
+
+from marjoramledge_node import _auth
+from marjoramledge_node import _options
+from marjoramledge_node import _peer_port
+
+KeyRing = _auth.KeyRing
+MEMBERS_TARGET = _peer_port.MEMBERS_TARGET
+STATUS_TARGET = _peer_port.STATUS_TARGET
+
+parse_address = _options.parse_address
+parse_keys = _auth.parse_keys
+sign_request = _peer_port.sign_request
--- /dev/null
+++ b/packages/standins/marjoramledge_standins/backend_server.py
@@ -0,0 +1,334 @@
+"""Stand-in for a backend server.
+
+It has slots, a service time with bursts of a noisy neighbour, a cold start
+that falls over under more than it bears, drain, shed, cancellation and
+deadlines, pages for health and load that lag, and it crashes on a request
+with the header ``X-Crash``.  Every request that it starts to run is written
+to its records before anything else, with the caller's ``X-Call-Id``.
+``PUT /standin`` changes its behaviour, see ``Behaviour``.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import hashlib
+import json
+import os
+import random
+import signal
+import time
+import typing
+
+import aiohttp
+from aiohttp import web
+import typer
+
+SHED_QUEUE_PER_SLOT: typing.Final = 1.0
+COLD_SLOWDOWN: typing.Final = 4.0
+NOISE_PERIOD_S: typing.Final = 0.05
+ANNOUNCE_RETRY_S: typing.Final = 0.2
+CHUNK: typing.Final = bytes(65536)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Behaviour:
+    """What may be changed while the stand-in runs.
+
+    ``load_lag_s`` is the age of what the load page shows; ``lies`` makes it
+    show an idle server.  ``noise`` multiplies service times in bursts.
+    """
+
+    service_ms: float
+    noise: float = 1.0
+    noise_share: float = 0.0
+    fail_fast: bool = False
+    load_lag_s: float = 1.0
+    lies: bool = False
+
+
+class BackendServer:
+    """One backend server.
+
+    Parameters
+    ----------
+    name, service
+        What it is called and what it serves.
+    slots
+        Requests that run at once.
+    cold_s
+        Seconds for which it is cold after its start and after each fall.
+    cold_bears
+        Requests that it bears at once while cold.
+    behaviour
+        What may change while it runs.
+    records
+        File that its records go to.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        slots: int,
+        cold_s: float,
+        cold_bears: int,
+        behaviour: Behaviour,
+        records: typing.TextIO,
+    ) -> None:
+        self._name = name
+        self._service = service
+        self._slots = slots
+        self._cold_s = cold_s
+        self._cold_bears = cold_bears
+        self._behaviour = behaviour
+        self._records = records
+        self._rng = random.Random(name)
+        self._semaphore = asyncio.Semaphore(slots)
+        self._running = 0
+        self._waiting = 0
+        self._cold_until = time.monotonic() + cold_s
+        self._falls = 0
+        self._history: collections.deque[tuple[float, int]] = (
+            collections.deque(maxlen=4096)
+        )
+        self._noise_at = 0.0
+        self._is_noisy = False
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether it is cold at present."""
+        return time.monotonic() < self._cold_until
+
+    @property
+    def running(self) -> int:
+        """Requests that it holds."""
+        return self._running + self._waiting
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request."""
+        if request.path == "/health":
+            return web.Response(text="ok")
+        if request.path == "/load":
+            return _json(200, {"running": self._shown_load()})
+        if request.path == "/standin":
+            return await self._change(request)
+        if "X-Crash" in request.headers:
+            self._record(request, "crash")
+            os._exit(1)
+        if self._waiting >= SHED_QUEUE_PER_SLOT * self._slots:
+            return web.Response(
+                status=503, headers={"Marjoramledge-Run": "not-run"}
+            )
+        self._waiting += 1
+        try:
+            await self._semaphore.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        self._history.append((time.monotonic(), self._running))
+        try:
+            return await self._run(request)
+        except asyncio.CancelledError:
+            self._record(request, "cancelled")
+            raise
+        finally:
+            self._running -= 1
+            self._semaphore.release()
+
+    async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._record(request, "run")
+        if self._behaviour.fail_fast:
+            return web.Response(status=500)
+        if self.is_cold and self._running > self._cold_bears:
+            self._fall(request)
+            return web.Response(status=500)
+        body = await _digest_body(request)
+        service_s = self._service_time_s()
+        deadline_ms = request.headers.get("Marjoramledge-Deadline-Ms")
+        if deadline_ms is not None and service_s > int(deadline_ms) / 1000:
+            await asyncio.sleep(int(deadline_ms) / 1000)
+            return web.Response(status=504)
+        if service_s > 0.0:
+            await asyncio.sleep(service_s)
+        size = int(request.query.get("bytes", "0"))
+        if size:
+            return await _send_large(request, size)
+        return _json(
+            200,
+            {
+                "call": request.headers.get("X-Call-Id", ""),
+                "server": self._name,
+                "body": body,
+            },
+        )
+
+    def _service_time_s(self) -> float:
+        behaviour = self._behaviour
+        seconds = behaviour.service_ms / 1000
+        seconds *= self._rng.lognormvariate(-0.08, 0.4)
+        now = time.monotonic()
+        if now - self._noise_at > NOISE_PERIOD_S:
+            self._noise_at = now
+            self._is_noisy = self._rng.random() < behaviour.noise_share
+        if self._is_noisy:
+            seconds *= behaviour.noise
+        if self.is_cold:
+            seconds *= COLD_SLOWDOWN
+        return seconds
+
+    def _fall(self, request: web.BaseRequest) -> None:
+        self._falls += 1
+        self._cold_until = time.monotonic() + self._cold_s
+        self._record(request, "fell")
+
+    async def _change(self, request: web.BaseRequest) -> web.Response:
+        if request.method == "PUT":
+            for key, value in json.loads(await request.read()).items():
+                if key == "fall_cold":
+                    self._cold_until = time.monotonic() + self._cold_s
+                else:
+                    setattr(self._behaviour, key, value)
+        return _json(
+            200,
+            {
+                "is_cold": self.is_cold,
+                "falls": self._falls,
+                "running": self.running,
+            },
+        )
+
+    def _shown_load(self) -> int:
+        if self._behaviour.lies:
+            return 0
+        seen_at = time.monotonic() - self._behaviour.load_lag_s
+        shown = 0
+        for at, running in self._history:
+            if at > seen_at:
+                break
+            shown = running
+        return shown
+
+    def _record(self, request: web.BaseRequest, event: str) -> None:
+        record = {
+            "t": time.monotonic(),
+            "event": event,
+            "call": request.headers.get("X-Call-Id", ""),
+            "method": request.method,
+            "path": request.path,
+            "is_cold": self.is_cold,
+            "running": self._running,
+        }
+        self._records.write(json.dumps(record) + "\n")
+        self._records.flush()
+
+
+async def _digest_body(request: web.BaseRequest) -> str:
+    digest = hashlib.sha256()
+    async for chunk in request.content.iter_any():
+        digest.update(chunk)
+    return digest.hexdigest()
+
+
+async def _send_large(
+    request: web.BaseRequest, size: int
+) -> web.StreamResponse:
+    response = web.StreamResponse(headers={"Content-Length": str(size)})
+    await response.prepare(request)
+    while size > 0:
+        await response.write(CHUNK[:size])
+        size -= len(CHUNK)
+    await response.write_eof()
+    return response
+
+
+def _json(status: int, document: object) -> web.Response:
+    return web.Response(
+        status=status,
+        body=json.dumps(document).encode(),
+        content_type="application/json",
+    )
+
+
+async def announce(node_url: str, announcement: dict[str, object]) -> None:
+    """Announce a backend server, for as long as it takes."""
+    async with aiohttp.ClientSession() as session:
+        while True:
+            try:
+                async with session.put(
+                    f"{node_url}/server", json=announcement
+                ) as response:
+                    if response.status == 204:
+                        return
+                    raise AssertionError(await response.text())
+            except aiohttp.ClientConnectorError:
+                await asyncio.sleep(ANNOUNCE_RETRY_S)
+
+
+def main(
+    *,
+    name: typing.Annotated[str, typer.Option()],
+    service: typing.Annotated[str, typer.Option()],
+    host: typing.Annotated[str, typer.Option()],
+    port: typing.Annotated[int, typer.Option()],
+    records: typing.Annotated[str, typer.Option()],
+    node_url: str = "",
+    slots: int = 12,
+    connections: int = 220,
+    cold_s: float = 1.0,
+    cold_bears: int = 2,
+    service_ms: float = 10.0,
+    noise: float = 1.0,
+    noise_share: float = 0.0,
+) -> None:
+    """Run one backend server until SIGTERM drains it."""
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        with open(records, "a", encoding="utf-8") as file:  # noqa: ASYNC230
+            server = BackendServer(
+                name=name,
+                service=service,
+                slots=slots,
+                cold_s=cold_s,
+                cold_bears=cold_bears,
+                behaviour=Behaviour(
+                    service_ms=service_ms,
+                    noise=noise,
+                    noise_share=noise_share,
+                ),
+                records=file,
+            )
+            await loop.create_server(
+                web.Server(
+                    server.serve, handler_cancellation=True, access_log=None
+                ),
+                host,
+                port,
+            )
+            announcement: dict[str, object] = {
+                "service": service,
+                "host": host,
+                "port": port,
+                "slots": slots,
+                "connections": connections,
+                "cold_concurrency": cold_bears,
+                "health_path": "/health",
+            }
+            stopping = asyncio.Event()
+            loop.add_signal_handler(signal.SIGTERM, stopping.set)
+            if node_url:
+                await announce(node_url, {**announcement, "state": "cold"})
+                await asyncio.sleep(cold_s)
+                await announce(node_url, {**announcement, "state": "warm"})
+            await stopping.wait()
+            if node_url:
+                await announce(node_url, {"state": "draining"})
+            while server.running:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/store/marjoramledge_store/_client.py
@@ -0,0 +1,260 @@
+"""Operations on the platform's store.
+
+The table service speaks the REST protocol of Azure Table storage (OData JSON,
+conditional writes by ETag) and the object store that of block blobs, of which
+only whole reads and conditional whole writes are used.  Every operation has a
+time limit and returns its outcome as a value; whether to try again is for the
+caller to say.
+"""
+
+import asyncio
+import dataclasses
+import json
+import typing
+import urllib.parse
+
+import aiohttp
+from marjoramledge_core import configuration
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from returns import result
+
+from marjoramledge_store import _errors
+
+DEFAULT_TIMEOUT_S: typing.Final = 2.0
+CONFIG_TABLE: typing.Final = "configuration"
+MEMBERS_TABLE: typing.Final = "members"
+MANIFESTS_CONTAINER: typing.Final = "manifests"
+_CURRENT_KEY: typing.Final = "current"
+
+T = typing.TypeVar("T")
+Outcome = result.Result[T, _errors.StoreError]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class VersionRow:
+    """The row that names the configuration in force.
+
+    ``change_id`` tells a writer whose answer was lost whether the row is its
+    own; ``etag`` is the condition of the next write.
+    """
+
+    ref: configuration.VersionRef
+    change_id: str
+    etag: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Reply:
+    status: int
+    body: bytes
+    etag: str
+
+
+class StoreClient:
+    """Client of one store.
+
+    Parameters
+    ----------
+    base_url
+        URL below which both services are found.
+    timeout_s
+        Time limit of each operation, in seconds.
+    """
+
+    def __init__(
+        self, *, base_url: str, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> None:
+        self._base_url = base_url
+        self._timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def read_version(self) -> Outcome[VersionRow | None]:
+        """Read which configuration is in force; None before the first."""
+        replied = await self._request(
+            "GET", _entity_path(CONFIG_TABLE, "configuration", _CURRENT_KEY)
+        )
+        if isinstance(replied, result.Failure):
+            return replied
+        reply = replied.unwrap()
+        if reply.status == 404:
+            return result.Success(None)
+        if reply.status != 200:
+            return result.Failure(_errors.StoreError.REJECTED)
+        try:
+            entity = json.loads(reply.body)
+            return result.Success(
+                VersionRow(
+                    ref=configuration.VersionRef(
+                        version=ids.ConfigVersion(int(entity["Version"])),
+                        digest=ids.Digest(str(entity["Digest"])),
+                    ),
+                    change_id=str(entity["ChangeId"]),
+                    etag=reply.etag,
+                )
+            )
+        except (ValueError, KeyError, TypeError):
+            return result.Failure(_errors.StoreError.REJECTED)
+
+    async def write_version(
+        self,
+        *,
+        ref: configuration.VersionRef,
+        change_id: str,
+        expected_etag: str | None,
+    ) -> Outcome[None]:
+        """Put a version in force if the row is still as it was read.
+
+        Parameters
+        ----------
+        ref
+            The version.
+        change_id
+            Identifies this change when the answer is lost.
+        expected_etag
+            The row's ETag as read; None when there was no row.
+        """
+        entity = {
+            "PartitionKey": "configuration",
+            "RowKey": _CURRENT_KEY,
+            "Version": ref.version,
+            "Digest": ref.digest,
+            "ChangeId": change_id,
+        }
+        if expected_etag is None:
+            replied = await self._request(
+                "POST", f"/tables/{CONFIG_TABLE}", entity=entity
+            )
+        else:
+            replied = await self._request(
+                "PUT",
+                _entity_path(CONFIG_TABLE, "configuration", _CURRENT_KEY),
+                entity=entity,
+                headers={"If-Match": expected_etag},
+            )
+        return replied.bind(_check_written)
+
+    async def put_manifest(
+        self, digest: ids.Digest, content: bytes
+    ) -> Outcome[None]:
+        """Write a manifest under its digest; writing it again is harmless."""
+        replied = await self._request(
+            "PUT",
+            f"/objects/{MANIFESTS_CONTAINER}/{digest}",
+            body=content,
+            headers={"x-ms-blob-type": "BlockBlob"},
+        )
+        return replied.bind(_check_written)
+
+    async def get_manifest(self, digest: ids.Digest) -> Outcome[bytes]:
+        """Read a manifest by its digest."""
+        replied = await self._request(
+            "GET", f"/objects/{MANIFESTS_CONTAINER}/{digest}"
+        )
+        if isinstance(replied, result.Failure):
+            return replied
+        reply = replied.unwrap()
+        if reply.status == 404:
+            return result.Failure(_errors.StoreError.NOT_FOUND)
+        if reply.status != 200:
+            return result.Failure(_errors.StoreError.REJECTED)
+        return result.Success(reply.body)
+
+    async def put_member(
+        self,
+        *,
+        member: ids.NodeId,
+        address: node.Address,
+        zone: ids.ZoneName,
+    ) -> Outcome[None]:
+        """Write where a node can be reached."""
+        replied = await self._request(
+            "PUT",
+            _entity_path(MEMBERS_TABLE, "members", member),
+            entity={
+                "PartitionKey": "members",
+                "RowKey": member,
+                "Host": address.host,
+                "Port": address.port,
+                "Zone": zone,
+            },
+        )
+        return replied.bind(_check_written)
+
+    async def list_members(
+        self, count: int
+    ) -> Outcome[tuple[node.Address, ...]]:
+        """Read where some nodes can be reached."""
+        replied = await self._request(
+            "GET", f"/tables/{MEMBERS_TABLE}()?$top={count}"
+        )
+        if isinstance(replied, result.Failure):
+            return replied
+        reply = replied.unwrap()
+        try:
+            rows = json.loads(reply.body)["value"]
+            return result.Success(
+                tuple(
+                    node.Address(host=str(row["Host"]), port=int(row["Port"]))
+                    for row in rows
+                )
+            )
+        except (ValueError, KeyError, TypeError):
+            return result.Failure(_errors.StoreError.REJECTED)
+
+    async def _request(
+        self,
+        method: str,
+        path: str,
+        *,
+        entity: dict[str, object] | None = None,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Outcome[_Reply]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        content = body if entity is None else json.dumps(entity).encode()
+        sent = {"Accept": "application/json", **(headers or {})}
+        if entity is not None:
+            sent["Content-Type"] = "application/json"
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                async with self._session.request(
+                    method,
+                    self._base_url + path,
+                    data=content,
+                    headers=sent,
+                ) as response:
+                    reply = _Reply(
+                        status=response.status,
+                        body=await response.read(),
+                        etag=response.headers.get("ETag", ""),
+                    )
+        except aiohttp.ClientConnectorError:
+            return result.Failure(_errors.StoreError.UNREACHABLE)
+        except (aiohttp.ClientError, OSError):
+            return result.Failure(_errors.StoreError.NO_ANSWER)
+        if reply.status >= 500:
+            # A server's fault may come after the write as well as before.
+            return result.Failure(_errors.StoreError.NO_ANSWER)
+        return result.Success(reply)
+
+
+def _check_written(reply: _Reply) -> Outcome[None]:
+    if reply.status in (200, 201, 204):
+        return result.Success(None)
+    if reply.status in (409, 412):
+        return result.Failure(_errors.StoreError.CONFLICT)
+    if reply.status == 404:
+        return result.Failure(_errors.StoreError.NOT_FOUND)
+    return result.Failure(_errors.StoreError.REJECTED)
+
+
+def _entity_path(table: str, partition: str, row: str) -> str:
+    quoted = urllib.parse.quote(row.replace("'", "''"), safe="")
+    return f"/tables/{table}(PartitionKey='{partition}',RowKey='{quoted}')"
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,163 @@
+"""Small values that several tests start from."""
+
+import random
+
+from marjoramledge_core import configuration
+from marjoramledge_core import ids
+from marjoramledge_core import node
+
+INVENTORY = """
+organisation = "garden"
+[zones.north]
+region = "isle"
+takes_work = true
+[zones.south]
+region = "isle"
+takes_work = true
+[services.shop]
+hosts = ["shop.example"]
+servers = 2
+slots = 4
+connections = 40
+cold_concurrency = 1
+"""
+RULES = """
+[[kinds]]
+name = "order"
+service = "shop"
+methods = ["POST"]
+path = "/orders"
+priority = "critical"
+idempotent = false
+[[kinds]]
+name = "page"
+service = "shop"
+methods = ["GET"]
+path = "/pages/*"
+priority = "normal"
+idempotent = true
+[[kinds]]
+name = "export"
+service = "shop"
+methods = ["GET"]
+path = "/exports/*"
+priority = "background"
+idempotent = true
+max_slot_share = 0.25
+"""
+
+
+def build_configuration(
+    *, closed_zone: str = ""
+) -> configuration.Configuration:
+    """Build a configuration of two zones, one of which may be closed."""
+    inventory = INVENTORY
+    if closed_zone:
+        before, mark, after = inventory.partition(f"[zones.{closed_zone}]")
+        inventory = before + mark + after.replace("true", "false", 1)
+    return configuration.parse_documents(
+        {"inventory.toml": inventory, "rules.toml": RULES}
+    ).unwrap()
+
+
+def build_server(*, is_cold: bool = False, slots: int = 4) -> node.Server:
+    """Build the announcement of a backend server."""
+    return node.Server(
+        service=ids.ServiceName("shop"),
+        host="127.0.0.1",
+        port=9000,
+        slots=slots,
+        connections=40,
+        cold_concurrency=1,
+        is_cold=is_cold,
+        health_path="/health",
+    )
+
+
+def build_ref(version: int) -> configuration.VersionRef:
+    """Name a version."""
+    return configuration.VersionRef(
+        version=ids.ConfigVersion(version), digest=ids.Digest(f"d{version}")
+    )
+
+
+class CoreDriver:
+    """Drives one node's state machine under virtual time."""
+
+    def __init__(self, *, name: str = "n0", zone: str = "north") -> None:
+        self.now = 100.0
+        self.rng = random.Random(1)
+        self.out: list[node.Command] = []
+        self.state = node.create_state(
+            identity=node.Identity(
+                node=ids.NodeId(name),
+                address=node.Address(host="127.0.0.1", port=7000),
+                zone=ids.ZoneName(zone),
+                incarnation=1,
+            ),
+            seeds=(),
+            stop_limit_s=30.0,
+            now=self.now,
+        )
+
+    def submit(self, event: node.Event) -> list[node.Command]:
+        """Take a step; return the commands but for records."""
+        commands = node.handle(self.state, event, self.now, self.rng)
+        self.out.extend(commands)
+        return [c for c in commands if not isinstance(c, node.WriteRecord)]
+
+    def pass_time(self, seconds: float) -> list[node.Command]:
+        """Let time pass, waking the state machine when it wants to."""
+        until = self.now + seconds
+        commands: list[node.Command] = []
+        while True:
+            wakeup = node.next_wakeup(self.state)
+            if wakeup is None or wakeup > until:
+                break
+            self.now = max(self.now, wakeup)
+            commands.extend(self.submit(node.TimePassed()))
+        self.now = until
+        return commands
+
+    def configure(
+        self, version: int = 1, *, closed_zone: str = ""
+    ) -> list[node.Command]:
+        """Put a configuration in force."""
+        return self.submit(
+            node.ManifestFetched(
+                ref=build_ref(version),
+                configuration=build_configuration(closed_zone=closed_zone),
+            )
+        )
+
+    def arrive(
+        self, call: str, method: str = "GET", path: str = "/pages/1"
+    ) -> list[node.Command]:
+        """Let a caller's request come in."""
+        return self.submit(
+            node.CallArrived(
+                call=ids.CallId(call),
+                host="shop.example",
+                method=method,
+                path=path,
+                deadline_s=None,
+                is_body_held=True,
+            )
+        )
+
+    def learn_peer(
+        self, name: str, zone: str = "south", incarnation: int = 1
+    ) -> list[node.Command]:
+        """Let the node hear of a peer with a warm backend server."""
+        port = 7000 + int(name.removeprefix("n"))
+        member = node.Member(
+            node=ids.NodeId(name),
+            address=node.Address(host="127.0.0.1", port=port),
+            zone=ids.ZoneName(zone),
+            incarnation=incarnation,
+            status=node.MemberStatus.ALIVE,
+            service=ids.ServiceName("shop"),
+            server=node.ServerState.WARM,
+            slots=4,
+        )
+        return self.submit(node.MembersReceived(members=(member,)))
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,12 @@
+"""Settings of all tests: hypothesis gives the same verdict on every run."""
+
+import hypothesis
+
+hypothesis.settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    print_blob=True,
+)
+hypothesis.settings.load_profile("ci")
