--- a/Makefile
+++ b/Makefile
@@ -36,8 +36,8 @@
 	$(BIN)/python -m marjoramledge_standins.measure
 
 format: $(VENV)/.ready
-	$(BIN)/ruff check --fix $(SOURCES)
 	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
 
 clean:
 	rm -rf $(VENV) build .mypy_cache .ruff_cache .hypothesis
--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -38,8 +38,11 @@
 TRANSMISSIONS_PER_LOG: typing.Final = 3
 MIN_SYNC_PERIOD_S: typing.Final = 30.0
 SYNC_PERIOD_PER_MEMBER_S: typing.Final = 0.2
-JOIN_PERIOD_S: typing.Final = 0.5
+# A node that starts exchanges views often, then ever less often, so that
+# nodes that start together do not remain apart in groups.
+FIRST_SYNC_PERIOD_S: typing.Final = 0.5
 REGISTER_PERIOD_S: typing.Final = 300.0
+FIRST_REGISTER_PERIOD_S: typing.Final = 5.0
 # How long a departed member is remembered, so that old news of it is known
 # to be old and a partition can be healed through it.
 REMEMBER_DEPARTED_S: typing.Final = 600.0
@@ -106,6 +109,8 @@
         self._news: dict[_ids.NodeId, int] = {}
         self._push_is_set = False
         self._probed_at: float | None = None
+        self._sync_period_s = FIRST_SYNC_PERIOD_S
+        self._register_period_s = FIRST_REGISTER_PERIOD_S
         self._revision = 0
 
     @property
@@ -321,27 +326,19 @@
         rng: random.Random,
         out: list[_commands.Command],
     ) -> None:
-        """Exchange all members with one peer, a seed while alone."""
-        known = {
-            member.address
-            for member in self._members.values()
-            if member.node != self._myself.node
-            and member.status is not _members.MemberStatus.LEFT
-        }
-        is_alone = self.present_count <= 1
-        choices = list(known | set(self._seeds)) if is_alone else list(known)
-        if choices:
-            choices.sort(key=lambda address: (address.host, address.port))
-            address = choices[int(rng.random() * len(choices))]
+        """Exchange all members with one peer."""
+        address = self._pick_sync_peer(rng)
+        if address is not None:
             out.append(_commands.SyncMembers(address=address))
-        period = max(
-            MIN_SYNC_PERIOD_S, SYNC_PERIOD_PER_MEMBER_S * self.present_count
-        )
         self._timers.set(
-            now
-            + (JOIN_PERIOD_S if is_alone else period) * rng.uniform(0.8, 1.2),
+            now + self._sync_period_s * rng.uniform(0.8, 1.2),
             _timers.TimerKind.MEMBER_SYNC,
         )
+        if self.present_count > 1:
+            steady_s = SYNC_PERIOD_PER_MEMBER_S * self.present_count
+            self._sync_period_s = min(
+                max(MIN_SYNC_PERIOD_S, steady_s), 2 * self._sync_period_s
+            )
 
     def register_next(
         self,
@@ -352,9 +349,12 @@
         """Keep this node's row in the table fresh."""
         out.append(_commands.RegisterMember())
         self._timers.set(
-            now + REGISTER_PERIOD_S * rng.uniform(0.8, 1.2),
+            now + self._register_period_s * rng.uniform(0.8, 1.2),
             _timers.TimerKind.MEMBER_REGISTER,
         )
+        self._register_period_s = min(
+            REGISTER_PERIOD_S, 2 * self._register_period_s
+        )
 
     def leave(
         self, now: float, rng: random.Random, out: list[_commands.Command]
@@ -510,6 +510,25 @@
                     break
         return picked
 
+    def _pick_sync_peer(self, rng: random.Random) -> _members.Address | None:
+        known = {
+            member.address
+            for member in self._members.values()
+            if member.status is not _members.MemberStatus.LEFT
+        }
+        # A seed that is no member yet may belong to a group apart from this
+        # one, but it may also be long gone.
+        strangers = [seed for seed in self._seeds if seed not in known]
+        known.discard(self._myself.address)
+        choices = strangers
+        if known and (not strangers or rng.random() < 0.5):
+            choices = sorted(
+                known, key=lambda address: (address.host, address.port)
+            )
+        if not choices:
+            return None
+        return choices[int(rng.random() * len(choices))]
+
     def _take_ack(
         self, message: _members.Message, out: list[_commands.Command]
     ) -> None:
--- /dev/null
+++ b/packages/standins/marjoramledge_standins/traffic.py
@@ -0,0 +1,197 @@
+"""Callers: an open loop of requests, and what became of each.
+
+Arrivals don't wait for answers, so that a slow system can't hide behind slow
+callers.  A caller whose connection is refused tries another node, as one
+with several addresses does; nothing else is sent twice.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import enum
+import hashlib
+import json
+import random
+import time
+import typing
+
+import aiohttp
+
+CALLER_TIMEOUT_S: typing.Final = 20.0
+MAX_ENTRY_TRIES: typing.Final = 4
+
+
+class Ending(enum.Enum):
+    """What a caller was left with."""
+
+    ANSWERED = "answered"
+    REFUSED_NOT_RUN = "refused-not-run"
+    MAY_HAVE_RUN = "may-have-run"
+    SERVER_ERROR = "server-error"
+    WRONG_ANSWER = "wrong-answer"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallKind:
+    """One kind of request that callers make."""
+
+    name: str
+    host: str
+    method: str
+    path: str
+    weight: float
+    body: bytes = b""
+    runs_once: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallResult:
+    """One finished call; times are monotonic seconds of this machine."""
+
+    call: str
+    kind: CallKind
+    started_at: float
+    elapsed_s: float
+    ending: Ending
+    reason: str
+
+
+class Callers:
+    """Callers of a deployment.
+
+    Parameters
+    ----------
+    urls
+        The callers' ports of the nodes; may be changed while callers run.
+    kinds
+        What they ask for.
+    calls_per_s
+        Mean rate of arrivals, which are a Poisson process.
+    seed
+        Seed of arrivals and choices.
+    """
+
+    def __init__(
+        self,
+        *,
+        urls: collections.abc.Sequence[str],
+        kinds: collections.abc.Sequence[CallKind],
+        calls_per_s: float,
+        seed: int,
+    ) -> None:
+        self.urls = list(urls)
+        self._kinds = kinds
+        self._weights = [kind.weight for kind in kinds]
+        self._calls_per_s = calls_per_s
+        self._rng = random.Random(seed)
+        self._seed = seed
+        self._results: list[CallResult] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(total=CALLER_TIMEOUT_S),
+        )
+        self._arrivals: asyncio.Task[None] | None = None
+
+    @property
+    def results(self) -> collections.abc.Sequence[CallResult]:
+        """Calls that have ended so far."""
+        return self._results
+
+    def start(self) -> None:
+        """Begin to call."""
+        self._arrivals = asyncio.create_task(self._arrive())
+
+    async def stop(self) -> None:
+        """Make no more calls and wait for those that run."""
+        if self._arrivals is not None:
+            self._arrivals.cancel()
+        await asyncio.gather(*self._tasks)
+        await self._session.close()
+
+    async def _arrive(self) -> None:
+        number = 0
+        next_at = time.monotonic()
+        while True:
+            next_at += self._rng.expovariate(self._calls_per_s)
+            await asyncio.sleep(max(0.0, next_at - time.monotonic()))
+            (kind,) = self._rng.choices(self._kinds, self._weights)
+            task = asyncio.create_task(
+                self._call(f"{self._seed}-{number}", kind)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            number += 1
+
+    async def _call(self, call: str, kind: CallKind) -> None:
+        started_at = time.monotonic()
+        ending, reason = Ending.LOST, "no node took the connection"
+        for _ in range(MAX_ENTRY_TRIES):
+            try:
+                ending, reason = await self._send(call, kind)
+                break
+            except aiohttp.ClientConnectorError:
+                continue
+            except (aiohttp.ClientError, OSError) as error:
+                ending, reason = Ending.LOST, repr(error)
+                break
+        self._results.append(
+            CallResult(
+                call=call,
+                kind=kind,
+                started_at=started_at,
+                elapsed_s=time.monotonic() - started_at,
+                ending=ending,
+                reason=reason,
+            )
+        )
+
+    async def _send(self, call: str, kind: CallKind) -> tuple[Ending, str]:
+        url = self._rng.choice(self.urls) + kind.path
+        async with self._session.request(
+            kind.method,
+            url,
+            data=kind.body or None,
+            headers={"Host": kind.host, "X-Call-Id": call},
+        ) as response:
+            content = await response.read()
+            return _judge_answer(
+                call, kind, response.status, response.headers, content
+            )
+
+
+def _judge_answer(
+    call: str,
+    kind: CallKind,
+    status: int,
+    headers: collections.abc.Mapping[str, str],
+    content: bytes,
+) -> tuple[Ending, str]:
+    reason = headers.get("Marjoramledge-Reason", "")
+    run = headers.get("Marjoramledge-Run")
+    if run == "not-run":
+        return Ending.REFUSED_NOT_RUN, reason
+    if run == "may-have-run":
+        return Ending.MAY_HAVE_RUN, reason
+    if status != 200:
+        return Ending.SERVER_ERROR, f"status {status}"
+    answer = json.loads(content)
+    expected = hashlib.sha256(kind.body).hexdigest()
+    if (answer["call"], answer["body"]) != (call, expected):
+        return Ending.WRONG_ANSWER, content.decode()
+    return Ending.ANSWERED, ""
+
+
+def percentile_ms(
+    results: collections.abc.Iterable[CallResult], share: float
+) -> float:
+    """Compute a percentile of answered calls' times, in milliseconds."""
+    times = sorted(
+        result.elapsed_s
+        for result in results
+        if result.ending is Ending.ANSWERED
+    )
+    if not times:
+        return float("nan")
+    return 1000 * times[min(len(times) - 1, int(share * len(times)))]
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,130 @@
+"""Membership and configuration of several cores under virtual time."""
+
+import itertools
+
+import fake_network
+from marjoramledge_core import node
+import pytest
+
+
+def _run_until_agreed(network: fake_network.Network, limit_s: float) -> float:
+    began_at = network.now
+    while not network.is_agreed():
+        assert network.now - began_at < limit_s, "no agreement"
+        network.run(0.25)
+    return network.now - began_at
+
+
+def _has_event(network: fake_network.Network, kind: node.RecordKind) -> bool:
+    return any(record.kind is kind for _, _, record in network.records)
+
+
+@pytest.mark.parametrize("uses_store", [True, False])
+@pytest.mark.parametrize("seed", range(5))
+def test_nodes_that_start_together_do_not_remain_in_groups(
+    seed: int, uses_store: bool
+) -> None:
+    network = fake_network.Network(count=9, seed=seed, uses_store=uses_store)
+    _run_until_agreed(network, 15.0)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_killed_node_is_found_and_a_restarted_one_welcomed(
+    seed: int,
+) -> None:
+    network = fake_network.Network(count=16, seed=seed)
+    _run_until_agreed(network, 15.0)
+    network.link.loss = 0.01
+    network.kill(3)
+    _run_until_agreed(network, 20.0)
+    # Its clock went back: only the protocol can lift its incarnation.
+    network.start(3, incarnation=0)
+    _run_until_agreed(network, 20.0)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_node_that_leaves_is_not_called_failed(seed: int) -> None:
+    network = fake_network.Network(count=8, seed=seed)
+    _run_until_agreed(network, 15.0)
+    network.submit(network.address(2), node.StopRequested())
+    network.run(2.0)
+    network.kill(2)
+    network.run(12.0)
+    assert not _has_event(network, node.RecordKind.MEMBER_FAILED)
+    assert network.view(5)["n2"] is node.MemberStatus.LEFT
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_paused_node_neither_harms_nor_is_lost(seed: int) -> None:
+    network = fake_network.Network(count=12, seed=seed)
+    _run_until_agreed(network, 15.0)
+    network.pause(4, 20.0)
+    network.run(20.0)
+    blamed_before = [
+        record.peer
+        for _, by, record in network.records
+        if record.kind is node.RecordKind.MEMBER_FAILED
+    ]
+    assert set(blamed_before) == {"n4"}
+    network.run(5.0)
+    _run_until_agreed(network, 10.0)
+    blamed_by_paused = [
+        record.peer
+        for _, by, record in network.records
+        if record.kind is node.RecordKind.MEMBER_FAILED and by == "n4"
+    ]
+    assert not blamed_by_paused
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_halves_that_were_apart_for_minutes_come_together(seed: int) -> None:
+    network = fake_network.Network(count=10, seed=seed)
+    _run_until_agreed(network, 15.0)
+    addresses = list(network.nodes)
+    network.cut = {
+        frozenset(pair)
+        for pair in itertools.product(addresses[:4], addresses[4:])
+    }
+    network.run(240.0)
+    assert not network.is_agreed()
+    network.cut = set()
+    _run_until_agreed(network, 90.0)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_version_is_in_force_everywhere_within_seconds(seed: int) -> None:
+    network = fake_network.Network(count=16, seed=seed)
+    network.link = fake_network.Link(loss=0.01, doubling=0.1)
+    network.store.accept(1)
+    network.run(15.0)
+    assert network.versions() == {1}
+    network.store.accept(2, closed_zone="south")
+    network.run(4.0)
+    assert network.versions() == {2}
+
+
+def test_a_node_that_starts_in_an_outage_learns_from_its_peers() -> None:
+    network = fake_network.Network(count=5, seed=1, uses_store=False)
+    network.store.accept(1)
+    network.run(10.0)
+    network.store.is_up = False
+    network.start(5)
+    network.run(5.0)
+    assert network.versions() == {1}
+
+
+def test_an_old_version_row_reverts_nothing() -> None:
+    network = fake_network.Network(count=5, seed=1)
+    network.store.accept(4)
+    network.run(10.0)
+    network.store.accept(3, closed_zone="south")
+    network.run(30.0)
+    assert network.versions() == {4}
+
+
+def test_nothing_is_left_behind_by_departed_members() -> None:
+    network = fake_network.Network(count=6, seed=1)
+    network.run(10.0)
+    network.kill(5)
+    network.run(700.0)
+    assert "n5" not in network.view(0)
