Cancel timers of ended calls; start a task only for a real hedge

Cause: every call left two timers behind that later woke the node for nothing (9 % of samples under load), and each call of a kind with hedging ran in a second task although few are ever hedged.

Change: timers of a call are cancelled when it ends; the first attempt runs in the caller's task and only a hedge gets one of its own.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -83,18 +83,14 @@
         is_body_held=event.is_body_held,
         attempts={},
         tried=set(),
+        timers=[],
     )
     step.state.calls[call.call] = call
     _budget_of(step, kind.service).earn()
-    step.state.timers.set(
-        call.deadline_at, _timers.TimerKind.CALL_DEADLINE, subject=call.call
-    )
+    _set_timer(step, call, call.deadline_at, _timers.TimerKind.CALL_DEADLINE)
     if kind.hedge_after_s is not None:
-        step.state.timers.set(
-            step.now + kind.hedge_after_s,
-            _timers.TimerKind.CALL_HEDGE,
-            subject=call.call,
-        )
+        hedge_at = step.now + kind.hedge_after_s
+        _set_timer(step, call, hedge_at, _timers.TimerKind.CALL_HEDGE)
     _place(step, call)
 
 
@@ -165,14 +161,14 @@
 
 def end(step: _state.Step, call_id: _ids.CallId) -> None:
     """Forget a call whose answer has been passed on, or cut."""
-    call = step.state.calls.pop(call_id, None)
+    call = _forget(step, call_id)
     if call is not None:
         _close_attempts(step, call)
 
 
 def caller_left(step: _state.Step, call_id: _ids.CallId) -> None:
     """Cancel whatever runs for a caller that hung up."""
-    call = step.state.calls.pop(call_id, None)
+    call = _forget(step, call_id)
     if call is not None:
         call.phase = _state.CallPhase.ABANDONED
         for attempt in call.attempts.values():
@@ -208,7 +204,7 @@
         call=call.call,
         peer=server.node,
     )
-    _send(step, call, server)
+    _send(step, call, server, is_hedge=True)
 
 
 def _may_send_again(step: _state.Step, call: _state.Call) -> bool:
@@ -292,7 +288,11 @@
 
 
 def _send(
-    step: _state.Step, call: _state.Call, server: _load.ServerLoad
+    step: _state.Step,
+    call: _state.Call,
+    server: _load.ServerLoad,
+    *,
+    is_hedge: bool = False,
 ) -> bool:
     attempt_id = _ids.AttemptId(f"{call.call}.{len(call.attempts)}")
     attempt = _state.Attempt(attempt=attempt_id, server=server)
@@ -308,7 +308,7 @@
                 node=server.node,
                 address=server.address,
                 deadline_at=call.deadline_at,
-                is_hedged=call.kind.hedge_after_s is not None,
+                is_hedge=is_hedge,
             )
         )
         return True
@@ -321,6 +321,23 @@
     return True
 
 
+def _set_timer(
+    step: _state.Step,
+    call: _state.Call,
+    at: float,
+    kind: _timers.TimerKind,
+) -> None:
+    call.timers.append(step.state.timers.set(at, kind, subject=call.call))
+
+
+def _forget(step: _state.Step, call_id: _ids.CallId) -> _state.Call | None:
+    call = step.state.calls.pop(call_id, None)
+    if call is not None:
+        for timer in call.timers:
+            timer.is_cancelled = True
+    return call
+
+
 def _cancel(step: _state.Step, attempt: _state.Attempt) -> bool:
     """Break off an open attempt; tell whether it surely has not run."""
     if not attempt.is_open:
@@ -349,7 +366,7 @@
 def _refuse(
     step: _state.Step, call: _state.Call, reason: _outcomes.Reason
 ) -> None:
-    del step.state.calls[call.call]
+    _forget(step, call.call)
     run = _outcomes.RunState.NOT_RUN
     call.phase = _state.CallPhase.REFUSED
     kind = _records.RecordKind.CALL_REFUSED
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -23,19 +23,21 @@
     attempt: _ids.AttemptId
     server: _gate.Server
     deadline_at: float
-    is_hedged: bool
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class SendToPeer:
-    """Send a caller's request to the gate of another node."""
+    """Send a caller's request to the gate of another node.
+
+    ``is_hedge`` marks a second sending beside one that is still open.
+    """
 
     call: _ids.CallId
     attempt: _ids.AttemptId
     node: _ids.NodeId
     address: _members.Address
     deadline_at: float
-    is_hedged: bool
+    is_hedge: bool
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -65,6 +65,7 @@
     phase: CallPhase = CallPhase.ACCEPTED
     attempts: dict[_ids.AttemptId, Attempt]
     tried: set[_ids.NodeId]
+    timers: list[_timers.Timer]
     delivered: Attempt | None = None
     may_have_run: bool = False
     last_reason: _outcomes.Reason = _outcomes.Reason.NO_SERVER
--- a/packages/core/marjoramledge_core/_timers.py
+++ b/packages/core/marjoramledge_core/_timers.py
@@ -27,17 +27,22 @@
     STOP_STEP = enum.auto()
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class Timer:
     """One wake-up; ``subject`` names the call, attempt or member meant."""
 
     kind: TimerKind
-    subject: str = ""
-    number: int = 0
+    subject: str
+    number: int
+    is_cancelled: bool = False
 
 
 class TimerQueue:
-    """Heap of timers.  Timers that no longer apply are ignored when due."""
+    """Heap of timers, some of which may have been cancelled.
+
+    Nearly every call ends long before its deadline; a cancelled timer stays
+    in the heap but never wakes the node.
+    """
 
     def __init__(self) -> None:
         self._heap: list[tuple[float, int, Timer]] = []
@@ -49,18 +54,26 @@
     @property
     def next_at(self) -> float | None:
         """Time of the earliest timer, or None."""
-        return self._heap[0][0] if self._heap else None
+        heap = self._heap
+        while heap:
+            at, _, timer = heap[0]
+            if not timer.is_cancelled:
+                return at
+            heapq.heappop(heap)
+        return None
 
     def set(
         self, at: float, kind: TimerKind, subject: str = "", number: int = 0
-    ) -> None:
-        """Add a timer."""
+    ) -> Timer:
+        """Add a timer; return it, so that it can be cancelled."""
         self._pushed += 1
         timer = Timer(kind=kind, subject=subject, number=number)
         heapq.heappush(self._heap, (at, self._pushed, timer))
+        return timer
 
     def pop_due(self, now: float) -> Timer | None:
         """Remove and return the earliest timer that is due."""
-        if self._heap and self._heap[0][0] <= now:
+        next_at = self.next_at
+        if next_at is not None and next_at <= now:
             return heapq.heappop(self._heap)[2]
         return None
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -124,7 +124,6 @@
             attempt=work.attempt,
             server=server,
             deadline_at=work.deadline_at,
-            is_hedged=work.kind.hedge_after_s is not None,
         )
     )
 
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import itertools
 import typing
 
@@ -51,7 +52,7 @@
         )
         self.answers: dict[ids.AttemptId, _upstream.Answer] = {}
         self.local_attempts: set[ids.AttemptId] = set()
-        self.hedges: set[asyncio.Task[None]] = set()
+        self.hedge: asyncio.Task[None] | None = None
 
     @property
     def is_body_gone(self) -> bool:
@@ -121,6 +122,9 @@
             mailbox=self._engine.open_mailbox(call),
             body=body,
         )
+        exchange.mailbox.on_hedge = functools.partial(
+            self._start_hedge, exchange
+        )
         self._engine.submit(
             node.CallArrived(
                 call=call,
@@ -142,12 +146,22 @@
             response.force_close()
         return response
 
+    def _start_hedge(
+        self, exchange: _Exchange, command: node.SendToPeer
+    ) -> None:
+        """Send a call a second time beside the attempt that is awaited."""
+        exchange.hedge = asyncio.create_task(
+            self._send_to_peer(exchange, command)
+        )
+
     async def _follow(self, exchange: _Exchange) -> web.StreamResponse:
         while True:
             command = await exchange.mailbox.get()
             match command:
-                case node.RunOnServer() | node.SendToPeer():
-                    await self._begin_attempt(exchange, command)
+                case node.RunOnServer():
+                    await self._run_on_server(exchange, command)
+                case node.SendToPeer():
+                    await self._send_to_peer(exchange, command)
                 case node.DeliverAnswer():
                     response = await self._deliver(exchange, command)
                     if response is not None:
@@ -157,23 +171,6 @@
                 case _:
                     raise AssertionError(f"unexpected command {command}")
 
-    async def _begin_attempt(
-        self,
-        exchange: _Exchange,
-        command: node.RunOnServer | node.SendToPeer,
-    ) -> None:
-        attempt = (
-            self._run_on_server(exchange, command)
-            if isinstance(command, node.RunOnServer)
-            else self._send_to_peer(exchange, command)
-        )
-        if not command.is_hedged:
-            await attempt
-            return
-        task = asyncio.create_task(attempt)
-        exchange.hedges.add(task)
-        task.add_done_callback(exchange.hedges.discard)
-
     async def _run_on_server(
         self, exchange: _Exchange, command: node.RunOnServer
     ) -> None:
@@ -326,8 +323,8 @@
         )
 
     def _end(self, exchange: _Exchange) -> None:
-        for task in exchange.hedges:
-            task.cancel()
+        if exchange.hedge is not None:
+            exchange.hedge.cancel()
         self._engine.submit(node.CallEnded(call=exchange.call))
         for attempt in list(exchange.answers):
             self._drop_answer(exchange, attempt)
--- a/packages/node/marjoramledge_node/_mailbox.py
+++ b/packages/node/marjoramledge_node/_mailbox.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import collections.abc
 
 from marjoramledge_core import node
 
@@ -17,9 +18,20 @@
     def __init__(self) -> None:
         self._commands: collections.deque[node.Command] = collections.deque()
         self._waiter: asyncio.Future[None] | None = None
+        self.on_hedge: (
+            collections.abc.Callable[[node.SendToPeer], None] | None
+        ) = None
 
     def put(self, command: node.Command) -> None:
-        """Add a command and wake the task."""
+        """Add a command and wake the task.
+
+        A hedge can't wait for the task, which awaits the first attempt; it
+        goes to ``on_hedge``, which starts a task of its own for it.
+        """
+        if isinstance(command, node.SendToPeer) and command.is_hedge:
+            if self.on_hedge is not None:
+                self.on_hedge(command)
+            return
         self._commands.append(command)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- /dev/null
+++ b/packages/standins/marjoramledge_standins/bare_pass.py
@@ -0,0 +1,37 @@
+"""An HTTP pass with the same library and no decision at all.
+
+The baseline of the added latency: what remains below it is the library's and
+the machine's, what is above it is ours.
+"""
+
+import asyncio
+import sys
+
+import aiohttp
+from aiohttp import web
+import uvloop
+
+
+async def _main(host: str, port: int, target_url: str) -> None:
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+    )
+
+    async def pass_on(request: web.BaseRequest) -> web.Response:
+        async with session.request(
+            request.method,
+            target_url + request.raw_path,
+            headers=request.headers,
+        ) as answer:
+            body = await answer.read()
+            return web.Response(status=answer.status, body=body)
+
+    server = web.Server(pass_on, access_log=None)
+    await asyncio.get_running_loop().create_server(server, host, port)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    uvloop.run(_main(sys.argv[1], int(sys.argv[2]), sys.argv[3]))
--- a/packages/standins/marjoramledge_standins/deployment.py
+++ b/packages/standins/marjoramledge_standins/deployment.py
@@ -103,6 +103,7 @@
         self._folder = pathlib.Path(self._folder_holder.name)
         self._log_level = log_level
         self._platform: asyncio.subprocess.Process | None = None
+        self._extra: asyncio.subprocess.Process | None = None
         self._platform_port = find_free_port("127.0.0.1")
         self._vms = [
             self._lay_out(number, plan) for number, plan in enumerate(plans)
@@ -193,6 +194,21 @@
         )
         await self._wait_for_port(vm.host, vm.server_port)
 
+    async def start_bare_pass(self, target_url: str) -> str:
+        """Start a pass without decisions; return its URL."""
+        port = find_free_port("127.0.0.1")
+        self._extra = await self._spawn(
+            "bare-pass",
+            sys.executable,
+            "-m",
+            "marjoramledge_standins.bare_pass",
+            "127.0.0.1",
+            str(port),
+            target_url,
+        )
+        await self._wait_for_port("127.0.0.1", port)
+        return f"http://127.0.0.1:{port}"
+
     async def run_command(self, *arguments: str) -> tuple[int, str]:
         """Run the operator command; return its status and its output."""
         process = await asyncio.create_subprocess_exec(
@@ -229,7 +245,7 @@
 
     async def stop(self) -> None:
         """End every process that was started and remove the folder."""
-        processes = [self._platform]
+        processes = [self._platform, self._extra]
         for vm in self._vms:
             processes.extend((vm.node, vm.server))
         await asyncio.gather(
--- /dev/null
+++ b/packages/standins/marjoramledge_standins/measure.py
@@ -0,0 +1,43 @@
+"""Prints what is measured, one JSON object a line.
+
+``value`` beside ``bound`` tells whether a target is met; ``baseline`` is the
+same quantity without the system, or of a naive one.  Name measures as
+arguments to run only those.
+"""
+
+import asyncio
+import collections.abc
+import sys
+import typing
+
+from marjoramledge_standins import measure_latency
+from marjoramledge_standins import measurement
+
+Run = collections.abc.Callable[
+    [], collections.abc.Awaitable[list[measurement.Measure]]
+]
+
+RUNS: typing.Final[dict[str, Run]] = {
+    "latency": measure_latency.run,
+}
+
+
+def main(names: collections.abc.Sequence[str]) -> int:
+    """Run the named groups of measures, or all; return the exit status."""
+    unknown = set(names) - RUNS.keys()
+    if unknown:
+        allowed = ", ".join(RUNS)
+        print(f"measure: allowed are: {allowed}", file=sys.stderr)
+        return 2
+    for name in names or RUNS:
+        for measure in asyncio.run(_await(RUNS[name])):
+            print(measurement.format_measure(measure), flush=True)
+    return 0
+
+
+async def _await(run: Run) -> list[measurement.Measure]:
+    return await run()
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
