Prove the whole path over real processes; keep io_uring out

Cause: nothing yet proved streaming, refusals, cut answers, cancellation, planned stops or racing operators on real processes. Two faults came out: the event loop's library holds an io_uring whatever UV_USE_IO_URING says (uvloop 0.23.0; seen in /proc/PID/fd), and an apply during lost answers gave up because the object's write was never read back.

--- a/packages/cli/marjoramledge_cli/_apply.py
+++ b/packages/cli/marjoramledge_cli/_apply.py
@@ -93,10 +93,10 @@
     store: client.StoreClient, digest: ids.Digest, timeout_s: float
 ) -> result.Result[configuration.Manifest, Failure]:
     """Read one accepted version from the store."""
-    content = await _persist(lambda: store.get_manifest(digest), timeout_s)
-    if isinstance(content, result.Failure):
-        return _store_failure(content.failure())
-    decoded = configuration.decode_manifest(content.unwrap(), digest)
+    read = await _persist(lambda: store.get_manifest(digest), timeout_s)
+    if isinstance(read, result.Failure):
+        return _store_failure(read.failure())
+    decoded = configuration.decode_manifest(read.unwrap() or b"", digest)
     return decoded.alt(
         lambda detail: Failure(error=ApplyError.STORE, details=(detail,))
     )
@@ -140,7 +140,9 @@
         version=manifest.version, digest=configuration.digest_of(content)
     )
     stored = await _persist(
-        lambda: store.put_manifest(ref.digest, content), timeout_s
+        lambda: store.put_manifest(ref.digest, content),
+        timeout_s,
+        is_done=lambda: _has_manifest(store, ref.digest),
     )
     if isinstance(stored, result.Failure):
         return _store_failure(stored.failure())
@@ -161,6 +163,7 @@
             expected_etag=None if current.row is None else current.row.etag,
         ),
         timeout_s,
+        is_done=lambda: _has_change(store, change_id),
     )
     if isinstance(written, result.Success):
         return result.Success(ref)
@@ -218,6 +221,21 @@
     return result.Success(False)
 
 
+async def _has_manifest(store: client.StoreClient, digest: ids.Digest) -> bool:
+    stored = await store.get_manifest(digest)
+    return isinstance(stored, result.Success)
+
+
+async def _has_change(store: client.StoreClient, change_id: str) -> bool:
+    read = await store.read_version()
+    row = read.value_or(None)
+    return row is not None and row.change_id == change_id
+
+
+async def _never() -> bool:
+    return False
+
+
 async def _persist(
     operation: collections.abc.Callable[
         [],
@@ -226,11 +244,17 @@
         ],
     ],
     timeout_s: float,
-) -> result.Result[T, client.StoreError]:
+    *,
+    is_done: collections.abc.Callable[
+        [], collections.abc.Coroutine[None, None, bool]
+    ] = _never,
+) -> result.Result[T | None, client.StoreError]:
     """Repeat an operation that the store does not answer.
 
-    Must only be given operations that may be repeated.  When one try went
-    unanswered, the outcome is never reported as unreachable.
+    Must only be given operations that may be repeated.  ``is_done`` reads
+    back whether a try that went unanswered has taken effect; the outcome is
+    then a Success of None.  When one try went unanswered, the outcome is
+    never reported as unreachable.
     """
     loop = asyncio.get_running_loop()
     deadline = loop.time() + timeout_s
@@ -243,6 +267,8 @@
         error = outcome.failure()
         if error is client.StoreError.NO_ANSWER:
             was_unanswered = True
+            if await is_done():
+                return result.Success(None)
         elif error is not client.StoreError.UNREACHABLE:
             return outcome
         if loop.time() + pause_s > deadline:
--- a/packages/standins/marjoramledge_standins/backend_server.py
+++ b/packages/standins/marjoramledge_standins/backend_server.py
@@ -2,10 +2,14 @@
 
 It has slots, a service time with bursts of a noisy neighbour, a cold start
 that falls over under more than it bears, drain, shed, cancellation and
-deadlines, pages for health and load that lag, and it crashes on a request
-with the header ``X-Crash``.  Every request that it starts to run is written
-to its records before anything else, with the caller's ``X-Call-Id``.
-``PUT /standin`` changes its behaviour, see ``Behaviour``.
+deadlines, pages for health and load that lag.  Headers of a request ask for
+trouble: ``X-Crash`` ends the process, ``X-Drop-At`` closes the connection
+without an answer at the named server or at ``any``, ``X-Cut-At`` breaks an
+answer off after so many bytes, ``X-Sleep-Ms`` makes it slow.
+
+Every request that it starts to run is written to its records before anything
+else, with the caller's ``X-Call-Id``.  ``PUT /standin`` changes its behaviour,
+see ``Behaviour``.
 """
 
 import asyncio
@@ -140,11 +144,15 @@
         self._record(request, "run")
         if self._behaviour.fail_fast:
             return web.Response(status=500)
+        if request.headers.get("X-Drop-At") in (self._name, "any"):
+            _break_off(request)
+            return web.Response(status=500)
         if self.is_cold and self._running > self._cold_bears:
             self._fall(request)
             return web.Response(status=500)
         body = await _digest_body(request)
         service_s = self._service_time_s()
+        service_s += int(request.headers.get("X-Sleep-Ms", "0")) / 1000
         deadline_ms = request.headers.get("Marjoramledge-Deadline-Ms")
         if deadline_ms is not None and service_s > int(deadline_ms) / 1000:
             await asyncio.sleep(int(deadline_ms) / 1000)
@@ -153,13 +161,15 @@
             await asyncio.sleep(service_s)
         size = int(request.query.get("bytes", "0"))
         if size:
-            return await _send_large(request, size)
+            cut_at = int(request.headers.get("X-Cut-At", size))
+            return await _send_large(request, size, cut_at)
         return _json(
             200,
             {
                 "call": request.headers.get("X-Call-Id", ""),
                 "server": self._name,
                 "body": body,
+                "system_headers": _find_system_headers(request),
             },
         )
 
@@ -231,17 +241,36 @@
 
 
 async def _send_large(
-    request: web.BaseRequest, size: int
+    request: web.BaseRequest, size: int, cut_at: int
 ) -> web.StreamResponse:
+    """Send an answer of a size, broken off before its end if asked to."""
     response = web.StreamResponse(headers={"Content-Length": str(size)})
     await response.prepare(request)
-    while size > 0:
-        await response.write(CHUNK[:size])
-        size -= len(CHUNK)
-    await response.write_eof()
+    left = min(size, cut_at)
+    while left > 0:
+        await response.write(CHUNK[:left])
+        left -= len(CHUNK)
+    if cut_at < size:
+        await asyncio.sleep(0.05)
+        _break_off(request)
+    else:
+        await response.write_eof()
     return response
 
 
+def _break_off(request: web.BaseRequest) -> None:
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def _find_system_headers(request: web.BaseRequest) -> list[str]:
+    return sorted(
+        name
+        for name in request.headers
+        if name.lower().startswith("marjoramledge-")
+    )
+
+
 def _json(status: int, document: object) -> web.Response:
     return web.Response(
         status=status,
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,399 @@
+"""The whole path over real processes on loopback."""
+
+import asyncio
+import collections.abc
+import contextlib
+import hashlib
+import json
+import pathlib
+import signal
+import socket
+import typing
+
+import aiohttp
+from marjoramledge_standins import deployment
+from marjoramledge_standins import measurement
+import pytest
+
+EXAMPLE = pathlib.Path(__file__).parent.parent / "examples" / "kitabalcony"
+SHOP = "shopfront.kitabalcony.example"
+LARGE_BYTES = 100 * 1024 * 1024
+ZONES = ("sapporo-a", "sapporo-b", "obihiro")
+
+Answer = tuple[int, collections.abc.Mapping[str, str], bytes]
+Run = collections.abc.Callable[
+    [collections.abc.Coroutine[None, None, typing.Any]], typing.Any
+]
+
+
+class _Fleet:
+    """A running deployment and a caller's session."""
+
+    def __init__(
+        self,
+        *,
+        running: deployment.Deployment,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.running = running
+        self.session = session
+
+    async def call(
+        self,
+        path: str,
+        *,
+        method: str = "GET",
+        vm: int = 0,
+        host: str = SHOP,
+        body: bytes | None = None,
+        **headers: str,
+    ) -> Answer:
+        """Make a call; underscores in header names stand for dashes."""
+        sent = {name.replace("_", "-"): v for name, v in headers.items()}
+        async with self.session.request(
+            method,
+            self.running.vms[vm].caller_url + path,
+            data=body,
+            headers={"Host": host, **sent},
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    def runs_of(self, call: str, event: str = "run") -> list[str]:
+        """List the servers that recorded an event of a call."""
+        return [
+            record.server
+            for record in self.running.read_records()
+            if (record.call, record.event) == (call, event)
+        ]
+
+
+@contextlib.asynccontextmanager
+async def _running_fleet() -> collections.abc.AsyncIterator[_Fleet]:
+    fleet = deployment.Deployment(
+        plans=[
+            deployment.VmPlan(
+                name=f"shop-{number}",
+                service="shopfront",
+                zone=zone,
+                server_flags=("--service-ms", "2", "--cold-s", "0.2"),
+            )
+            for number, zone in enumerate(ZONES)
+        ]
+    )
+    try:
+        await fleet.start()
+        status, output = await fleet.run_command(
+            "apply", str(EXAMPLE), "--wait"
+        )
+        assert status == 0, output
+        await _wait_until_warm(fleet)
+        async with aiohttp.ClientSession() as session:
+            yield _Fleet(running=fleet, session=session)
+    finally:
+        await fleet.stop()
+
+
+async def _wait_until_warm(fleet: deployment.Deployment) -> None:
+    while True:
+        _, output = await fleet.run_command("status", "--json")
+        members = json.loads(output)["members"]
+        states = [member["server"] for member in members]
+        if states == ["warm"] * len(fleet.vms):
+            return
+        await asyncio.sleep(0.1)
+
+
+@pytest.fixture(scope="module")
+def shared() -> collections.abc.Iterator[tuple[Run, _Fleet]]:
+    """Share a deployment among the tests that leave it as it was."""
+    with asyncio.Runner() as runner:
+        manager = _running_fleet()
+        fleet = runner.run(manager.__aenter__())
+        try:
+            yield runner.run, fleet
+        finally:
+            runner.run(manager.__aexit__(None, None, None))
+
+
+def test_a_caller_gets_its_own_answer(
+    shared: tuple[Run, _Fleet],
+) -> None:
+    run, fleet = shared
+    for vm in range(len(ZONES)):
+        status, headers, body = run(
+            fleet.call("/kits/1", vm=vm, X_Call_Id=f"own-{vm}")
+        )
+        assert status == 200
+        assert json.loads(body)["call"] == f"own-{vm}"
+        assert headers["Marjoramledge-Call"].startswith(f"shop-{vm}-")
+
+
+def test_large_bodies_pass_both_ways_without_being_held(
+    shared: tuple[Run, _Fleet],
+) -> None:
+    run, fleet = shared
+    node = fleet.running.vms[0].node
+    assert node is not None
+    before_mb = measurement.read_rss_mb(node.pid)
+    content = bytes(1024 * 1024) * 100
+    status, _, body = run(fleet.call("/orders", method="POST", body=content))
+    assert status == 200
+    assert json.loads(body)["body"] == hashlib.sha256(content).hexdigest()
+    status, _, body = run(fleet.call(f"/kits/1?bytes={LARGE_BYTES}"))
+    assert (status, len(body)) == (200, LARGE_BYTES)
+    assert measurement.read_rss_mb(node.pid) - before_mb < 30
+
+
+@pytest.mark.parametrize(
+    ("host", "deadline_ms", "expected_status", "reason"),
+    [
+        ("nobody.example", "1000", 404, "unknown-service"),
+        (SHOP, "0", 504, "deadline-passed"),
+        (SHOP, "soon", 400, "bad-request"),
+        (SHOP, "-5", 400, "bad-request"),
+    ],
+)
+def test_what_cannot_run_is_refused_as_not_run(
+    shared: tuple[Run, _Fleet],
+    host: str,
+    deadline_ms: str,
+    expected_status: int,
+    reason: str,
+) -> None:
+    run, fleet = shared
+    status, headers, body = run(
+        fleet.call("/kits/1", host=host, Marjoramledge_Deadline_Ms=deadline_ms)
+    )
+    assert status == expected_status
+    assert headers["Marjoramledge-Reason"] == reason
+    assert headers["Marjoramledge-Run"] == "not-run"
+    assert json.loads(body)["run"] == "not-run"
+
+
+def test_a_deadline_reaches_the_server_and_ends_the_call(
+    shared: tuple[Run, _Fleet],
+) -> None:
+    run, fleet = shared
+    status, headers, _ = run(
+        fleet.call(
+            "/orders",
+            method="POST",
+            Marjoramledge_Deadline_Ms="150",
+            X_Sleep_Ms="3000",
+            X_Call_Id="late",
+        )
+    )
+    assert status == 504
+    assert headers.get("Marjoramledge-Run") in (None, "may-have-run")
+    assert len(fleet.runs_of("late")) == 1
+
+
+def test_system_headers_of_callers_go_nowhere(
+    shared: tuple[Run, _Fleet],
+) -> None:
+    run, fleet = shared
+    _, _, body = run(
+        fleet.call(
+            "/kits/1",
+            Marjoramledge_Attempt="x.0",
+            Marjoramledge_Auth="k1:00",
+            Marjoramledge_Load="0;1;1",
+            marjoramledge_run="not-run",
+        )
+    )
+    assert json.loads(body)["system_headers"] == [
+        "Marjoramledge-Call",
+        "Marjoramledge-Deadline-Ms",
+    ]
+
+
+@pytest.mark.parametrize("attempt", [None, "c.0"])
+def test_the_peer_port_lets_nobody_in_without_a_key(
+    shared: tuple[Run, _Fleet], attempt: str | None
+) -> None:
+    run, fleet = shared
+    headers = {"Host": SHOP, "X-Call-Id": "intruder"}
+    if attempt is not None:
+        headers["Marjoramledge-Attempt"] = attempt
+        headers["Marjoramledge-Auth"] = "k1:" + "00" * 16
+
+    async def intrude() -> int:
+        url = f"http://{fleet.running.vms[0].peer_address}/status"
+        async with fleet.session.get(url, headers=headers) as response:
+            return response.status
+
+    assert run(intrude()) == 403
+    assert fleet.runs_of("intruder") == []
+
+
+def test_a_lost_answer_of_an_order_is_not_run_again(
+    shared: tuple[Run, _Fleet],
+) -> None:
+    run, fleet = shared
+    # The path is unnamed by any rule, and the method one that an HTTP client
+    # would send again by itself on a connection that it has used before.
+    run(fleet.call("/unnamed", X_Call_Id="before"))
+    status, headers, _ = run(
+        fleet.call("/unnamed", X_Drop_At="any", X_Call_Id="once")
+    )
+    assert status == 502
+    assert headers["Marjoramledge-Run"] == "may-have-run"
+    assert len(fleet.runs_of("once")) == 1
+
+
+def test_a_lost_answer_of_a_page_is_fetched_elsewhere(
+    shared: tuple[Run, _Fleet],
+) -> None:
+    run, fleet = shared
+    status, _, body = run(
+        fleet.call("/kits/1", X_Drop_At="shop-0", X_Call_Id="again")
+    )
+    assert status == 200
+    assert json.loads(body)["server"] != "shop-0"
+    assert len(fleet.runs_of("again")) == 2
+
+
+def test_an_answer_cut_short_is_never_passed_on_as_whole(
+    shared: tuple[Run, _Fleet],
+) -> None:
+    run, fleet = shared
+    status, headers, _ = run(
+        fleet.call(
+            "/unnamed?bytes=5000", X_Cut_At="2000", X_Call_Id="cut-small"
+        )
+    )
+    assert status == 502
+    assert headers["Marjoramledge-Reason"] == "answer-cut-short"
+    assert headers["Marjoramledge-Run"] == "may-have-run"
+    for vm in (0, 1):
+        with pytest.raises(aiohttp.ClientPayloadError):
+            run(fleet.call("/unnamed?bytes=500000", vm=vm, X_Cut_At="200000"))
+
+
+def test_a_caller_that_hangs_up_cancels_its_request_at_the_server(
+    shared: tuple[Run, _Fleet],
+) -> None:
+    run, fleet = shared
+
+    async def hang_up() -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await fleet.call(
+                    "/kits/1", X_Sleep_Ms="1500", X_Call_Id="hung-up"
+                )
+        async with asyncio.timeout(5):
+            while not fleet.runs_of("hung-up", "cancelled"):  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+
+    run(hang_up())
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        "POST /orders HTTP/1.1\r\nHost: {host}\r\nContent-Length: 4\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST /orders HTTP/1.1\r\nHost: {host}\r\nContent-Length: 4\r\n"
+        "Content-Length: 5\r\n\r\nabcde",
+        "POST /orders HTTP/1.1\r\nHost: {host}\r\n"
+        "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
+        "GET /kits/1 HTTP/1.1\r\nHost: {host}\r\nHost: other\r\n\r\n",
+        "GET /kits/1 HTTP/1.1\r\n\r\n",
+        "GET /kits/1 HTTP/1.1\r\nHost: {host}\r\nX: a\x00b\r\n\r\n",
+        "GET http://elsewhere/kits/1 HTTP/1.1\r\nHost: {host}\r\n\r\n",
+        "CONNECT elsewhere:443 HTTP/1.1\r\nHost: {host}\r\n\r\n",
+        "GET /" + "a" * 20000 + " HTTP/1.1\r\nHost: {host}\r\n\r\n",
+        "nonsense\r\n\r\n",
+    ],
+)
+def test_malformed_requests_reach_no_server(
+    shared: tuple[Run, _Fleet], head: str
+) -> None:
+    _, fleet = shared
+    vm = fleet.running.vms[0]
+    before = len(fleet.running.read_records())
+    with socket.create_connection((vm.host, vm.caller_port), 5) as raw:
+        raw.sendall(head.replace("{host}", SHOP).encode("latin-1"))
+        raw.settimeout(5)
+        answer = raw.recv(4096)
+    assert answer == b"" or answer.split()[1].startswith(b"4"), answer
+    runs = fleet.running.read_records()[before:]
+    assert runs == []
+
+
+def test_a_node_holds_no_io_uring(shared: tuple[Run, _Fleet]) -> None:
+    _, fleet = shared
+    node = fleet.running.vms[0].node
+    assert node is not None
+    folder = pathlib.Path(f"/proc/{node.pid}/fd")
+    held = [str(entry.readlink()) for entry in folder.iterdir()]
+    assert any("eventpoll" in name for name in held)
+    assert not any("io_uring" in name for name in held)
+
+
+def test_operators_who_race_get_one_winner_and_one_conflict() -> None:
+    async def race() -> None:
+        async with _running_fleet() as fleet:
+            running = fleet.running
+            changed = _copy_example(running.folder / "a", "12", "10")
+            other = _copy_example(running.folder / "b", "220", "210")
+            outcomes = await asyncio.gather(
+                running.run_command(
+                    "apply", str(changed), "--expect-version", "1"
+                ),
+                running.run_command(
+                    "apply", str(other), "--expect-version", "1"
+                ),
+            )
+            assert sorted(status for status, _ in outcomes) == [0, 3]
+            (lost,) = [text for status, text in outcomes if status == 3]
+            assert "another change was accepted first" in lost
+            await running.set_faults("lose-answers")
+            status, output = await running.run_command(
+                "apply", str(EXAMPLE), "--note", "settled", "--wait"
+            )
+            assert status == 0, output
+            await running.set_faults("down")
+            status, output = await running.run_command(
+                "apply", str(changed), "--timeout-s", "0.5"
+            )
+            assert status in (1, 4), output
+            status, _, _ = await fleet.call("/kits/1")
+            assert status == 200
+            await running.set_faults("up")
+            _, output = await running.run_command("history")
+            versions = [line.split()[0] for line in output.splitlines()]
+            assert versions == ["3", "2", "1"]
+            assert "settled" in output
+
+    asyncio.run(race())
+
+
+def test_a_planned_stop_finishes_what_runs_and_refuses_the_rest() -> None:
+    async def stop_under_calls() -> None:
+        async with _running_fleet() as fleet:
+            node = fleet.running.vms[0].node
+            assert node is not None
+            slow = asyncio.create_task(
+                fleet.call("/orders", method="POST", X_Sleep_Ms="2500")
+            )
+            await asyncio.sleep(0.3)
+            node.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            status, headers, body = await fleet.call("/kits/1")
+            assert status == 200
+            assert headers["Connection"] == "close"
+            assert json.loads(body)["server"] != "shop-0"
+            status, _, _ = await slow
+            assert status == 200
+            assert await node.wait() == 0
+
+    asyncio.run(stop_under_calls())
+
+
+def _copy_example(folder: pathlib.Path, old: str, new: str) -> pathlib.Path:
+    folder.mkdir()
+    for name in ("inventory.toml", "rules.toml"):
+        text = (EXAMPLE / name).read_text()
+        (folder / name).write_text(text.replace(old, new))
+    return folder
