Drive the decisions under virtual time; let the ramp reach the slots

The ramp compared whole calls in flight with a fractional limit, which they never reach; and the latency rule took a noisy neighbour for saturation and halved what was left. The demo hid both, since its load fits the floor.

--- a/packages/core/marjoramledge_core/_limit.py
+++ b/packages/core/marjoramledge_core/_limit.py
@@ -1,25 +1,20 @@
 """Concurrency limit of one backend server.
 
-The gate holds it.  The announced slots are the ceiling.  Below it the limit
-moves by additive increase and multiplicative decrease on the latency that the
-gate itself observes, never on the server's load page.  A server announced as
-cold is held at what it bears until it announces itself warm.  One that falls
-back without a word is known by what it sheds: the limit drops to the cold
-concurrency and is held there for a time that doubles with each relapse.
+The gate holds it.  The announced slots are the ceiling, and what a cold
+server bears is the floor.  A server announced as cold is held at the floor
+until it announces itself warm; a warm one starts there too and is ramped up
+by its own successes, doubling each round.  One that falls back without a word
+is known by what it sheds or breaks off: the limit drops to the floor and is
+held there for a time that doubles with each relapse.  Latency does not move
+the limit: a noisy neighbour slows a server without making its slots fewer,
+and the entries already avoid a slow one.
 """
 
 import typing
 
 LATENCY_WEIGHT: typing.Final = 0.1
-BASELINE_WEIGHT: typing.Final = 0.01
-# Latency this many times the baseline means that the server is saturated.
-SATURATION_RATIO: typing.Final = 3.0
-# Differences below this are noise of the event loop, not saturation.
-SATURATION_FLOOR_S: typing.Final = 0.002
-DECREASE_FACTOR: typing.Final = 0.9
-MIN_DECREASE_INTERVAL_S: typing.Final = 0.05
 # Part of a slot by which each success raises the limit while it ramps.
-RAMP_STEP: typing.Final = 0.25
+RAMP_STEP: typing.Final = 0.5
 SHEDS_TO_FALL: typing.Final = 2
 FIRST_HOLD_S: typing.Final = 1.0
 MAX_HOLD_S: typing.Final = 30.0
@@ -48,8 +43,6 @@
         self._is_cold = is_cold
         self._limit = float(self._floor)
         self._latency_s = 0.0
-        self._baseline_s = 0.0
-        self._decreased_at = -1.0
         self._held_until = 0.0
         self._hold_s = FIRST_HOLD_S
         self._fell_at = -RELAPSE_WINDOW_S
@@ -76,14 +69,11 @@
         """Take in the time of a call that the server answered."""
         self._sheds_in_row = 0
         if not self._latency_s:
-            self._latency_s = self._baseline_s = elapsed_s
+            self._latency_s = elapsed_s
         self._latency_s += LATENCY_WEIGHT * (elapsed_s - self._latency_s)
-        self._baseline_s += BASELINE_WEIGHT * (elapsed_s - self._baseline_s)
         if self._is_cold or now < self._held_until:
             return
-        if self._is_saturated():
-            self._decrease(now)
-        elif in_flight + 1 >= self._limit:
+        if in_flight + 1 >= self.current:
             self._limit = min(self._slots, self._limit + RAMP_STEP)
 
     def note_shed(self, now: float) -> bool:
@@ -98,16 +88,6 @@
         """Begin again from what a cold server bears."""
         self._limit = float(self._floor)
 
-    def _is_saturated(self) -> bool:
-        excess = self._latency_s - SATURATION_RATIO * self._baseline_s
-        return excess > SATURATION_FLOOR_S
-
-    def _decrease(self, now: float) -> None:
-        if now - self._decreased_at < MIN_DECREASE_INTERVAL_S:
-            return
-        self._decreased_at = now
-        self._limit = max(self._floor, self._limit * DECREASE_FACTOR)
-
     def _fall(self, now: float) -> None:
         relapsed = now - self._fell_at < RELAPSE_WINDOW_S
         self._hold_s = (
--- /dev/null
+++ b/packages/standins/marjoramledge_standins/virtual_servers.py
@@ -0,0 +1,223 @@
+"""Fake backend servers under virtual time.
+
+Each has slots, a queue in front of them, and a speed that a noisy neighbour
+changes within milliseconds.  A request is a demand, in seconds of an
+undisturbed slot; how long it takes follows from the speed while it runs.  All
+randomness comes from seeds, so that every policy meets the same disturbance.
+"""
+
+import bisect
+import collections
+import collections.abc
+import dataclasses
+import random
+import typing
+
+HORIZON_S: typing.Final = 600.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Noise:
+    """A neighbour that slows the server in bursts; times are means."""
+
+    quiet_s: float = 0.04
+    burst_s: float = 0.01
+    slowdown: float = 4.0
+
+    @property
+    def mean_speed(self) -> float:
+        """Share of the undisturbed speed over a long time."""
+        total_s = self.quiet_s + self.burst_s
+        return (self.quiet_s + self.burst_s / self.slowdown) / total_s
+
+
+class SpeedProfile:
+    """Speed of one server over time, piecewise constant.
+
+    Parameters
+    ----------
+    noise
+        The neighbour.
+    seed
+        Seed of its bursts.
+    slow_from_s, slow_until_s, slowdown
+        A time in which the server is a straggler besides.
+    """
+
+    def __init__(
+        self,
+        *,
+        noise: Noise,
+        seed: int,
+        until_s: float,
+        slow_from_s: float = 0.0,
+        slow_until_s: float = 0.0,
+        slowdown: float = 1.0,
+    ) -> None:
+        rng = random.Random(seed)
+        self._times: list[float] = [0.0]
+        self._speeds: list[float] = [1.0]
+        self._straggles = (slow_from_s, slow_until_s, slowdown)
+        now = 0.0
+        while now < until_s:
+            now += rng.expovariate(1 / noise.quiet_s)
+            self._add(now, 1 / noise.slowdown)
+            now += rng.expovariate(1 / noise.burst_s)
+            self._add(now, 1.0)
+
+    def speed_at(self, now: float) -> float:
+        """Speed at a moment, 1.0 being undisturbed."""
+        return self._speeds[bisect.bisect_right(self._times, now) - 1]
+
+    def finish_at(self, now: float, demand_s: float) -> float:
+        """Time at which a demand that starts now is met."""
+        position = bisect.bisect_right(self._times, now) - 1
+        while True:
+            speed = self._speeds[position]
+            is_last = position + 1 == len(self._times)
+            end = HORIZON_S if is_last else self._times[position + 1]
+            served = (end - now) * speed
+            if served >= demand_s:
+                return now + demand_s / speed
+            demand_s -= served
+            now = end
+            position += 1
+
+    def _add(self, at: float, speed: float) -> None:
+        slow_from, slow_until, slowdown = self._straggles
+        for edge in (slow_from, slow_until):
+            if self._times[-1] < edge < at:
+                self._times.append(edge)
+                self._speeds.append(self._slow(edge, self._speeds[-1]))
+        self._times.append(at)
+        self._speeds.append(self._slow(at, speed))
+
+    def _slow(self, at: float, speed: float) -> float:
+        slow_from, slow_until, slowdown = self._straggles
+        return speed / slowdown if slow_from <= at < slow_until else speed
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Job:
+    """A request at a server."""
+
+    demand_s: float
+    on_done: collections.abc.Callable[[bool], None]
+    is_cancelled: bool = False
+
+
+Schedule = collections.abc.Callable[
+    [float, collections.abc.Callable[[], None]], None
+]
+
+
+class VirtualServer:
+    """One backend server.
+
+    While cold it fails whatever would make it run more than it bears, and
+    begins its cold start anew.
+
+    Parameters
+    ----------
+    slots
+        Requests that run at once.
+    profile
+        Its speed.
+    schedule
+        Calls a function at a time.
+    cold_bears
+        Requests that it bears while cold.
+    """
+
+    def __init__(
+        self,
+        *,
+        slots: int,
+        profile: SpeedProfile,
+        schedule: Schedule,
+        cold_bears: int,
+    ) -> None:
+        self._slots = slots
+        self._profile = profile
+        self._schedule = schedule
+        self._cold_bears = cold_bears
+        self._cold_until = -1.0
+        self._cold_s = 0.0
+        self._running = 0
+        self._queue: collections.deque[Job] = collections.deque()
+        self._jobs: list[Job] = []
+        self._overruns = 0
+        self._served_s = 0.0
+
+    @property
+    def overruns(self) -> int:
+        """Requests above what the server bore while cold."""
+        return self._overruns
+
+    @property
+    def in_system(self) -> int:
+        """Requests that run or wait."""
+        return self._running + len(self._queue)
+
+    @property
+    def served_s(self) -> float:
+        """Demand met so far, in slot seconds."""
+        return self._served_s
+
+    def go_cold(self, now: float, seconds: float) -> None:
+        """Begin a cold start without a word; what runs goes on."""
+        self._cold_s = seconds
+        self._cold_until = now + seconds
+
+    def restart(self, now: float, seconds: float) -> None:
+        """Begin a cold start without a word, as a restarted process does.
+
+        What ran or waited is broken off.
+        """
+        self.go_cold(now, seconds)
+        jobs = [*self._jobs, *self._queue]
+        self._queue.clear()
+        for job in jobs:
+            if not job.is_cancelled:
+                job.is_cancelled = True
+                job.on_done(False)
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the server is cold."""
+        return now < self._cold_until
+
+    def expected_finish_s(self, now: float, demand_s: float) -> float:
+        """Seconds a request would take if the speed stayed as it is."""
+        speed = self._profile.speed_at(now)
+        ahead = max(0, self.in_system + 1 - self._slots)
+        return (ahead / self._slots * demand_s + demand_s) / speed
+
+    def submit(self, job: Job, now: float) -> None:
+        """Take a request in."""
+        if self.is_cold(now) and self._running >= self._cold_bears:
+            self._overruns += 1
+            self.go_cold(now, self._cold_s)
+            job.on_done(False)
+            return
+        if self._running < self._slots:
+            self._start(job, now)
+        else:
+            self._queue.append(job)
+
+    def _start(self, job: Job, now: float) -> None:
+        self._running += 1
+        self._jobs.append(job)
+        finish_at = self._profile.finish_at(now, job.demand_s)
+        self._schedule(finish_at, lambda: self._finish(job, finish_at))
+
+    def _finish(self, job: Job, now: float) -> None:
+        self._running -= 1
+        self._jobs.remove(job)
+        if not job.is_cancelled:
+            self._served_s += job.demand_s
+        while self._queue and self._running < self._slots:
+            waiting = self._queue.popleft()
+            if not waiting.is_cancelled:
+                self._start(waiting, now)
+        if not job.is_cancelled:
+            job.on_done(True)
