Move calls away from busy gates; estimate speed early; hedge by quantile

Of the slowest 1 % four in five had started on a server in a burst, many after waiting behind it, and the own server was taken unseen.

Tried and dropped: a linear queue cost (refusals trebled), half-lives of reports of 10 and 250 ms and samples of 2, 3 and 5 (no difference beyond noise).

A server that falls cold without a word is now let back on evidence that calls take as long as before, not after a fixed time.

--- a/packages/core/marjoramledge_core/_budget.py
+++ b/packages/core/marjoramledge_core/_budget.py
@@ -1,9 +1,11 @@
-"""Token bucket for retries and hedges.
+"""Token buckets for further attempts of a call.
 
-Each first attempt earns a fraction of a token and each extra one spends a
-whole token, so extra attempts stay a bounded share of the traffic however
-many calls fail, which is what keeps a failing service from being multiplied
-by the levels of calls above it.
+Each first attempt earns a fraction of a token and each further one spends a
+whole token, so that further attempts stay a bounded share of the traffic
+however many calls fail.  An attempt that may have run costs the servers work,
+and levels of calls would multiply it, so its share is small.  One that a gate
+refused costs only a message; its share is larger, but bounded too, since an
+overloaded service should not spend its time on refusals.
 """
 
 import dataclasses
@@ -11,19 +13,40 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RetryBudget:
-    """Tokens of one service at one entry."""
+    """Tokens of one service at one entry.
+
+    ``tokens`` pay for attempts after one that may have run, and for hedges.
+    ``moves`` pay for attempts after one that a gate refused; a move is paid
+    before the attempt that may be refused, and refunded when it is not, so
+    that a call is never left without a place to go.
+    """
 
     earned_per_call: float = 0.1
     capacity: float = 10.0
     tokens: float = 10.0
+    moves_per_call: float = 0.5
+    move_capacity: float = 50.0
+    moves: float = 50.0
 
     def earn(self) -> None:
         """Credit one first attempt."""
         self.tokens = min(self.capacity, self.tokens + self.earned_per_call)
+        self.moves = min(self.move_capacity, self.moves + self.moves_per_call)
 
     def spend(self) -> bool:
-        """Take a token for an extra attempt; false when there is none."""
+        """Take a token for an attempt that adds work to the servers."""
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
         return True
+
+    def spend_move(self) -> bool:
+        """Take a token for the move that a refusal would ask for."""
+        if self.moves < 1.0:
+            return False
+        self.moves -= 1.0
+        return True
+
+    def refund_move(self) -> None:
+        """Give back a token whose move was not needed."""
+        self.moves = min(self.move_capacity, self.moves + 1.0)
--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -16,16 +16,23 @@
 from marjoramledge_core import _events
 from marjoramledge_core import _gate
 from marjoramledge_core import _ids
+from marjoramledge_core import _latency
 from marjoramledge_core import _load
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _queue
 from marjoramledge_core import _records
 from marjoramledge_core import _routing
+from marjoramledge_core import _settings
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
 from marjoramledge_core import _work
 
 MAX_ATTEMPTS: typing.Final = 4
+# The attempt, counted from one, that waits at a busy gate.
+PATIENT_ATTEMPT: typing.Final = 3
+# The own server is no longer taken unseen when calls take this many times
+# as long as usual.
+SLOW_RATIO: typing.Final = 2.0
 RETRY_AFTER_S: typing.Final = 1
 
 _WAITING: typing.Final = frozenset(
@@ -48,6 +55,7 @@
         _outcomes.Reason.PEER_UNREACHABLE,
     }
 )
+_BUSY: typing.Final = frozenset({_outcomes.Reason.OVERLOADED})
 # These say that a server or its network is at fault, not merely busy.
 _FAULTS: typing.Final = frozenset(
     {
@@ -83,13 +91,14 @@
         is_body_held=event.is_body_held,
         attempts={},
         tried=set(),
+        faulty=set(),
         timers=[],
     )
     step.state.calls[call.call] = call
     _budget_of(step, kind.service).earn()
     _set_timer(step, call, call.deadline_at, _timers.TimerKind.CALL_DEADLINE)
-    if kind.hedge_after_s is not None:
-        hedge_at = step.now + kind.hedge_after_s
+    if kind.hedging:
+        hedge_at = step.now + _hedge_delay_s(step, kind)
         _set_timer(step, call, hedge_at, _timers.TimerKind.CALL_HEDGE)
     _place(step, call)
 
@@ -104,6 +113,7 @@
         step.out.append(_commands.CancelAttempt(attempt=event.attempt))
         return
     _learn(step, attempt.server, event.load, event.is_error)
+    _latency_of(step, call.kind).note(step.now - attempt.sent_at)
     call.phase = _state.CallPhase.ANSWERED
     call.delivered = attempt
     for other in call.attempts.values():
@@ -207,7 +217,15 @@
     _send(step, call, server, is_hedge=True)
 
 
-def _may_send_again(step: _state.Step, call: _state.Call) -> bool:
+def _may_send_again(
+    step: _state.Step,
+    call: _state.Call,
+    settled: _state.Attempt | None = None,
+) -> bool:
+    """Decide whether a call may be sent another time.
+
+    ``settled`` is the attempt whose outcome has just become known.
+    """
     if len(call.attempts) >= MAX_ATTEMPTS or step.now >= call.deadline_at:
         return False
     if call.is_body_gone:
@@ -215,7 +233,10 @@
     if call.kind.idempotent:
         return True
     # An attempt that is still open may run at any moment.
-    is_any_open = any(a.is_open for a in call.attempts.values())
+    is_any_open = any(
+        attempt.is_open and attempt is not settled
+        for attempt in call.attempts.values()
+    )
     return not call.may_have_run and not is_any_open
 
 
@@ -226,16 +247,24 @@
     run: _outcomes.RunState,
     reason: _outcomes.Reason,
 ) -> None:
-    _close(attempt)
     call.last_reason = reason
+    if reason not in _BUSY:
+        call.faulty.add(attempt.server.node)
     if run is _outcomes.RunState.MAY_HAVE_RUN:
         call.may_have_run = True
-    if any(other.is_open for other in call.attempts.values()):
-        return
-    if not _may_send_again(step, call):
-        _refuse(step, call, reason)
+    is_other_open = any(
+        other.is_open
+        for other in call.attempts.values()
+        if other is not attempt
+    )
+    if is_other_open:
+        _close(step, attempt)
         return
-    if not _budget_of(step, call.kind.service).spend():
+    is_sent_again = _may_send_again(step, call, attempt) and _pay_for_another(
+        step, call, attempt, run
+    )
+    _close(step, attempt)
+    if not is_sent_again:
         _refuse(step, call, reason)
         return
     step.record(
@@ -249,6 +278,19 @@
     _place(step, call)
 
 
+def _pay_for_another(
+    step: _state.Step,
+    call: _state.Call,
+    attempt: _state.Attempt,
+    run: _outcomes.RunState,
+) -> bool:
+    """Pay for an attempt after one that failed; false when that can't be."""
+    if run is _outcomes.RunState.NOT_RUN and attempt.has_move:
+        attempt.has_move = False
+        return True
+    return _budget_of(step, call.kind.service).spend()
+
+
 def _place(step: _state.Step, call: _state.Call) -> None:
     while True:
         server = _pick(step, call)
@@ -275,13 +317,18 @@
         and local.node not in call.tried
         and _work.reason_to_refuse(step) is None
     ):
-        report = gate.report()
+        report = gate.report(step.now)
         local.note_report(report, step.now)
-        if gate.has_room and not local.is_ejected(step.now):
+        is_slow = report.service_s > SLOW_RATIO * gate.usual_s
+        if gate.has_room and not is_slow and not local.is_ejected(step.now):
             return local
+    excluded = call.tried
+    if len(call.attempts) + 1 >= PATIENT_ATTEMPT:
+        # A gate that was busy a moment ago may have the shortest wait now.
+        excluded = call.faulty
     return _routing.choose_server(
         directory.candidates(call.kind.service),
-        call.tried,
+        excluded,
         step.now,
         step.rng,
     )
@@ -295,7 +342,14 @@
     is_hedge: bool = False,
 ) -> bool:
     attempt_id = _ids.AttemptId(f"{call.call}.{len(call.attempts)}")
-    attempt = _state.Attempt(attempt=attempt_id, server=server)
+    is_patient = _is_last_chance(step, call, server)
+    attempt = _state.Attempt(
+        attempt=attempt_id,
+        server=server,
+        sent_at=step.now,
+        service=call.kind.service,
+        has_move=not is_patient,
+    )
     call.attempts[attempt_id] = attempt
     call.tried.add(server.node)
     server.start_call()
@@ -309,12 +363,15 @@
                 address=server.address,
                 deadline_at=call.deadline_at,
                 is_hedge=is_hedge,
+                is_patient=is_patient,
             )
         )
         return True
-    admission = _work.offer_local(step, call, attempt_id)
+    admission = _work.offer_local(
+        step, call, attempt_id, is_patient=is_patient
+    )
     if admission is _gate.Admission.REFUSED:
-        _close(attempt)
+        _close(step, attempt)
         return False
     if admission is _gate.Admission.QUEUED:
         call.phase = _state.CallPhase.QUEUED
@@ -338,27 +395,47 @@
     return call
 
 
+def _is_last_chance(
+    step: _state.Step, call: _state.Call, server: _load.ServerLoad
+) -> bool:
+    """Tell whether the next attempt should wait rather than come back.
+
+    Otherwise the move that a refusal would ask for is paid for.
+    """
+    if len(call.attempts) + 1 >= PATIENT_ATTEMPT:
+        return True
+    candidates = step.state.directory.candidates(call.kind.service)
+    if all(
+        other is server or other.node in call.tried for other in candidates
+    ):
+        return True
+    return not _budget_of(step, call.kind.service).spend_move()
+
+
 def _cancel(step: _state.Step, attempt: _state.Attempt) -> bool:
     """Break off an open attempt; tell whether it surely has not run."""
     if not attempt.is_open:
         return False
-    _close(attempt)
+    _close(step, attempt)
     if attempt.server.is_local and step.state.gate.abandon(attempt.attempt):
         return True
     step.out.append(_commands.CancelAttempt(attempt=attempt.attempt))
     return False
 
 
-def _close(attempt: _state.Attempt) -> None:
+def _close(step: _state.Step, attempt: _state.Attempt) -> None:
     attempt.is_open = False
     attempt.server.end_call()
+    if attempt.has_move:
+        attempt.has_move = False
+        _budget_of(step, attempt.service).refund_move()
 
 
 def _close_attempts(step: _state.Step, call: _state.Call) -> None:
     for attempt in call.attempts.values():
         if attempt.is_open:
             if attempt is call.delivered:
-                _close(attempt)
+                _close(step, attempt)
             else:
                 _cancel(step, attempt)
 
@@ -428,6 +505,22 @@
         )
 
 
+def _hedge_delay_s(step: _state.Step, kind: _settings.RequestKind) -> float:
+    usual_s = _latency_of(step, kind).value_s or kind.deadline_s
+    return max(kind.hedge_after_s, usual_s)
+
+
+def _latency_of(
+    step: _state.Step, kind: _settings.RequestKind
+) -> _latency.QuantileEstimate:
+    key = (kind.service, kind.name)
+    estimate = step.state.latencies.get(key)
+    if estimate is None:
+        estimate = _latency.QuantileEstimate()
+        step.state.latencies[key] = estimate
+    return estimate
+
+
 def _budget_of(
     step: _state.Step, service: _ids.ServiceName
 ) -> _budget.RetryBudget:
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -29,7 +29,8 @@
 class SendToPeer:
     """Send a caller's request to the gate of another node.
 
-    ``is_hedge`` marks a second sending beside one that is still open.
+    ``is_hedge`` marks a second sending beside one that is still open;
+    ``is_patient`` that the gate should rather let it wait than refuse it.
     """
 
     call: _ids.CallId
@@ -38,6 +39,7 @@
     address: _members.Address
     deadline_at: float
     is_hedge: bool
+    is_patient: bool
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_document.py
+++ b/packages/core/marjoramledge_core/_document.py
@@ -372,8 +372,9 @@
         "deadline_ms", 1, _MAX_DEADLINE_MS, default_deadline_ms
     )
     hedge_after_ms = reader.integer("hedge_after_ms", 0, _MAX_DEADLINE_MS, 0)
-    if hedge_after_ms and not idempotent:
-        reader.report("hedge_after_ms", "allowed only with idempotent = true")
+    hedging = reader.flag("hedging", False)
+    if hedging and not idempotent:
+        reader.report("hedging", "allowed only with idempotent = true")
     return _settings.RequestKind(
         name=_ids.KindName(name),
         service=_ids.ServiceName(service),
@@ -382,6 +383,7 @@
         priority=_settings.Priority[priority.upper()],
         idempotent=idempotent,
         deadline_s=deadline_ms / 1000,
-        hedge_after_s=hedge_after_ms / 1000 if hedge_after_ms else None,
+        hedging=hedging,
+        hedge_after_s=hedge_after_ms / 1000,
         max_slot_share=reader.number("max_slot_share", 0.01, 1, 1.0),
     )
--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -80,13 +80,17 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class WorkOffered:
-    """A peer offers a request for the backend server on this VM."""
+    """A peer offers a request for the backend server on this VM.
+
+    ``is_patient`` tells that it rather waits here than comes back.
+    """
 
     attempt: _ids.AttemptId
     host: str
     method: str
     path: str
     deadline_s: float
+    is_patient: bool
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -127,9 +131,10 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ProbeEnded:
-    """A probe of the backend server on this VM ended."""
+    """A probe of the backend server on this VM ended, after some seconds."""
 
     is_healthy: bool
+    elapsed_s: float
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -16,8 +16,16 @@
 from marjoramledge_core import _members
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _queue
+from marjoramledge_core import _settings
+from marjoramledge_core import _speed
 
+# A call with another server to go to waits only as long as about one call
+# takes here, and only behind few others: a burst of a noisy neighbour ends
+# later than that.
 MAX_QUEUE_WAIT_S: typing.Final = 0.25
+MIN_QUEUE_WAIT_S: typing.Final = 0.002
+IMPATIENT_WAIT_CALLS: typing.Final = 1.0
+IMPATIENT_QUEUE_PER_SLOT: typing.Final = 0.25
 QUEUE_PER_SLOT: typing.Final = 2
 MIN_QUEUE: typing.Final = 4
 
@@ -80,6 +88,8 @@
         self._waiting: dict[_ids.AttemptId, _queue.Work] = {}
         self._running_by_kind: dict[_ids.KindName, int] = {}
         self._heard_at = 0.0
+        self._speed = _speed.SpeedEstimate()
+        self._probe_s = 0.0
 
     @property
     def server(self) -> Server | None:
@@ -101,6 +111,16 @@
         """Calls that wait."""
         return len(self._waiting)
 
+    @property
+    def limit(self) -> int:
+        """Calls that may run at once."""
+        return self._limit.current
+
+    @property
+    def usual_s(self) -> float:
+        """Mean time of a call over a long time, in seconds."""
+        return self._speed.mean_s or _load.INITIAL_LATENCY_S
+
     @property
     def heard_at(self) -> float:
         """Time of the last sign of life from the backend server."""
@@ -120,12 +140,13 @@
             and len(self._running) < self._limit.current
         )
 
-    def report(self) -> _load.LoadReport:
+    def report(self, now: float) -> _load.LoadReport:
         """Describe the load at this moment."""
+        service_s = self._speed.service_s(len(self._running), now)
         return _load.LoadReport(
             in_flight=len(self._running) + len(self._waiting),
             limit=self._limit.current,
-            service_s=self._limit.latency_s or _load.INITIAL_LATENCY_S,
+            service_s=service_s or _load.INITIAL_LATENCY_S,
         )
 
     def announce(self, server: Server, now: float) -> None:
@@ -178,6 +199,8 @@
         if not self._waiting and len(self._running) < self._limit.current:
             self._start(work, now)
             return Offer(admission=Admission.STARTED)
+        if not work.is_patient and self._is_queue_long():
+            return Offer(admission=Admission.REFUSED)
         displaced = self._queue.push(work)
         if displaced is work:
             return Offer(admission=Admission.REFUSED)
@@ -186,6 +209,13 @@
             del self._waiting[displaced.attempt]
         return Offer(admission=Admission.QUEUED, displaced=displaced)
 
+    def max_wait_s(self, work: _queue.Work) -> float:
+        """Seconds for which a call may wait here."""
+        if work.is_patient:
+            return MAX_QUEUE_WAIT_S
+        usual_s = IMPATIENT_WAIT_CALLS * self._speed.mean_s
+        return min(MAX_QUEUE_WAIT_S, max(MIN_QUEUE_WAIT_S, usual_s))
+
     def end(
         self,
         attempt: _ids.AttemptId,
@@ -206,6 +236,7 @@
         now
             Monotonic time in seconds.
         """
+        self._speed.note_change(len(self._running), now)
         work = self._running.pop(attempt, None)
         if work is None:
             raise AssertionError(f"attempt {attempt} is not running")
@@ -228,8 +259,17 @@
         """Find a call that runs or waits."""
         return self._running.get(attempt) or self._waiting.get(attempt)
 
-    def note_probe(self, is_healthy: bool, now: float) -> bool:
+    def probe_interval_s(self, measuring: _settings.Measuring) -> float:
+        """Seconds between probes that the budget allows."""
+        slots = 1 if self._server is None else self._server.slots
+        by_share_s = self._probe_s / (slots * measuring.slot_share)
+        return max(1.0 / measuring.calls_per_s, by_share_s)
+
+    def note_probe(
+        self, is_healthy: bool, elapsed_s: float, now: float
+    ) -> bool:
         """Take in a probe; tell whether the server came back or went."""
+        self._probe_s = elapsed_s
         if is_healthy:
             self._heard_at = now
             if self._state is not _members.ServerState.UNREACHABLE:
@@ -256,6 +296,7 @@
     ) -> None:
         if outcome is _outcomes.ServerOutcome.ANSWERED:
             self._heard_at = now
+            self._speed.note_finished(head_s, now)
             self._limit.note_success(head_s, len(self._running), now)
         elif outcome is _outcomes.ServerOutcome.UNREACHABLE:
             if self.accepts_work:
@@ -263,14 +304,21 @@
                 ending.became_unreachable = True
                 ending.refused = self.drop_waiting()
         elif outcome in _FAILURES:
-            ending.fell_cold = self._limit.note_shed(now)
+            ending.fell_cold = self._limit.note_shed(
+                self._speed.mean_s, len(self._running), now
+            )
 
     def _start(self, work: _queue.Work, now: float) -> None:
         work.started_at = now
+        self._speed.note_change(len(self._running), now)
         self._running[work.attempt] = work
         name = work.kind.name
         self._running_by_kind[name] = self._running_by_kind.get(name, 0) + 1
 
+    def _is_queue_long(self) -> bool:
+        most = max(1.0, IMPATIENT_QUEUE_PER_SLOT * self._limit.current)
+        return len(self._waiting) >= most
+
     def _start_waiting(self, now: float) -> list[_queue.Work]:
         started = []
         while self._waiting and len(self._running) < self._limit.current:
--- a/packages/core/marjoramledge_core/_limit.py
+++ b/packages/core/marjoramledge_core/_limit.py
@@ -3,23 +3,28 @@
 The gate holds it.  The announced slots are the ceiling, and what a cold
 server bears is the floor.  A server announced as cold is held at the floor
 until it announces itself warm; a warm one starts there too and is ramped up
-by its own successes, doubling each round.  One that falls back without a word
-is known by what it sheds or breaks off: the limit drops to the floor and is
-held there for a time that doubles with each relapse.  Latency does not move
-the limit: a noisy neighbour slows a server without making its slots fewer,
-and the entries already avoid a slow one.
+by its own successes, doubling each round. One that falls back
+without a word is known by what it sheds or breaks off: the limit drops to the
+floor and stays there until calls take about as long as before the fall, since
+a cold server is a slow one.  Should it stay slow for good, the limit is tried
+again after a hold that doubles with each relapse.  Latency alone does not
+lower the limit: a noisy neighbour slows a server without making its slots
+fewer, and the entries already avoid a slow one.
 """
 
 import typing
 
-LATENCY_WEIGHT: typing.Final = 0.1
 # Part of a slot by which each success raises the limit while it ramps.
 RAMP_STEP: typing.Final = 0.5
 SHEDS_TO_FALL: typing.Final = 2
-FIRST_HOLD_S: typing.Final = 1.0
-MAX_HOLD_S: typing.Final = 30.0
+FIRST_HOLD_S: typing.Final = 8.0
+MAX_HOLD_S: typing.Final = 60.0
 # A relapse within this time of the last one doubles the hold.
-RELAPSE_WINDOW_S: typing.Final = 60.0
+RELAPSE_WINDOW_S: typing.Final = 120.0
+# A fallen server counts as recovered when so many calls in a row, on average,
+# took at most this many times as long as before the fall.
+RECOVERED_CALLS: typing.Final = 8
+RECOVERED_RATIO: typing.Final = 1.5
 
 
 class ConcurrencyLimit:
@@ -42,8 +47,9 @@
         self._floor = min(slots, cold_concurrency)
         self._is_cold = is_cold
         self._limit = float(self._floor)
-        self._latency_s = 0.0
         self._held_until = 0.0
+        self._usual_s = 0.0
+        self._recent_s: list[float] = []
         self._hold_s = FIRST_HOLD_S
         self._fell_at = -RELAPSE_WINDOW_S
         self._sheds_in_row = 0
@@ -53,11 +59,6 @@
         """Calls that may run at once."""
         return int(self._limit)
 
-    @property
-    def latency_s(self) -> float:
-        """Recent mean time of a call at the server, in seconds."""
-        return self._latency_s
-
     @property
     def is_cold(self) -> bool:
         """Whether the server is held as announced cold."""
@@ -66,34 +67,53 @@
     def note_success(
         self, elapsed_s: float, in_flight: int, now: float
     ) -> None:
-        """Take in the time of a call that the server answered."""
+        """Take in an answer, its time, and how many calls still run."""
         self._sheds_in_row = 0
-        if not self._latency_s:
-            self._latency_s = elapsed_s
-        self._latency_s += LATENCY_WEIGHT * (elapsed_s - self._latency_s)
-        if self._is_cold or now < self._held_until:
+        if self._is_cold or not self._has_recovered(elapsed_s, now):
             return
         if in_flight + 1 >= self.current:
             self._limit = min(self._slots, self._limit + RAMP_STEP)
 
-    def note_shed(self, now: float) -> bool:
-        """Take in a refusal or a failure; tell whether the server fell."""
+    def note_shed(self, usual_s: float, in_flight: int, now: float) -> bool:
+        """Take in a refusal or a failure; tell whether the server fell.
+
+        ``usual_s`` is the mean time of a call so far, in seconds, and
+        ``in_flight`` how many calls still run.  A failure of all that ran is
+        enough of a sign.
+        """
         self._sheds_in_row += 1
-        if self._sheds_in_row < SHEDS_TO_FALL or now < self._held_until:
+        if self._sheds_in_row < SHEDS_TO_FALL and in_flight:
             return False
-        self._fall(now)
+        self._sheds_in_row = 0
+        self._fall(usual_s, now)
         return True
 
     def restart_ramp(self) -> None:
         """Begin again from what a cold server bears."""
         self._limit = float(self._floor)
 
-    def _fall(self, now: float) -> None:
+    def _has_recovered(self, elapsed_s: float, now: float) -> bool:
+        if not self._usual_s:
+            return True
+        self._recent_s.append(elapsed_s)
+        del self._recent_s[:-RECOVERED_CALLS]
+        mean_s = sum(self._recent_s) / len(self._recent_s)
+        is_fast = mean_s <= RECOVERED_RATIO * self._usual_s
+        if now >= self._held_until or (
+            is_fast and len(self._recent_s) == RECOVERED_CALLS
+        ):
+            self._usual_s = 0.0
+            return True
+        return False
+
+    def _fall(self, usual_s: float, now: float) -> None:
+        self._limit = float(self._floor)
+        self._recent_s.clear()
+        if not self._usual_s:
+            self._usual_s = usual_s
         relapsed = now - self._fell_at < RELAPSE_WINDOW_S
         self._hold_s = (
             min(MAX_HOLD_S, 2 * self._hold_s) if relapsed else FIRST_HOLD_S
         )
         self._fell_at = now
         self._held_until = now + self._hold_s
-        self._sheds_in_row = 0
-        self._limit = float(self._floor)
--- a/packages/core/marjoramledge_core/_load.py
+++ b/packages/core/marjoramledge_core/_load.py
@@ -13,7 +13,7 @@
 from marjoramledge_core import _members
 
 # A report says little about a queue that turns over within milliseconds.
-REPORT_HALF_LIFE_S: typing.Final = 0.25
+REPORT_HALF_LIFE_S: typing.Final = 0.05
 LATENCY_WEIGHT: typing.Final = 0.2
 INITIAL_LATENCY_S: typing.Final = 0.005
 
@@ -73,7 +73,7 @@
         """Take in a gate's report of its own load."""
         self.others = max(0.0, report.in_flight - self.own_in_flight)
         self.limit = max(1.0, report.limit)
-        self.latency_s += LATENCY_WEIGHT * (report.service_s - self.latency_s)
+        self.latency_s = report.service_s
         self.reported_at = now
 
     def note_success(self, now: float) -> bool:
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -93,6 +93,7 @@
         versions=_versions.Versions(timers=timers),
         directory=_directory.Directory(node=identity.node, zone=identity.zone),
         calls={},
+        latencies={},
         budgets={},
     )
     state.membership.start(now)
--- a/packages/core/marjoramledge_core/_queue.py
+++ b/packages/core/marjoramledge_core/_queue.py
@@ -20,12 +20,15 @@
 class Work:
     """A call at a gate, from its offer to its end.
 
-    ``call`` is set when the call entered at this same node.
+    ``call`` is set when the call entered at this same node.  ``is_patient``
+    tells that the call has nowhere else to go and rather waits than comes
+    back.
     """
 
     attempt: _ids.AttemptId
     call: _ids.CallId | None
     kind: _settings.RequestKind
+    is_patient: bool
     deadline_at: float
     offered_at: float
     started_at: float = 0.0
--- a/packages/core/marjoramledge_core/_routing.py
+++ b/packages/core/marjoramledge_core/_routing.py
@@ -16,7 +16,7 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _load
 
-SAMPLE_SIZE: typing.Final = 3
+SAMPLE_SIZE: typing.Final = 4
 
 
 def expected_time(server: _load.ServerLoad, now: float) -> float:
--- a/packages/core/marjoramledge_core/_settings.py
+++ b/packages/core/marjoramledge_core/_settings.py
@@ -31,6 +31,8 @@
 class RequestKind:
     """What the rules say of one kind of request.
 
+    ``hedging`` lets a call that is slow for its kind, and slower than
+    ``hedge_after_s`` seconds, be sent to a second server as well.
     ``max_slot_share`` is the share (0 to 1) of a backend server's slots that
     calls of this kind may hold at once.
     """
@@ -42,7 +44,8 @@
     priority: Priority
     idempotent: bool
     deadline_s: float
-    hedge_after_s: float | None
+    hedging: bool
+    hedge_after_s: float
     max_slot_share: float
 
     def matches_path(self, path: str) -> bool:
@@ -195,6 +198,7 @@
         priority=Priority.NORMAL,
         idempotent=False,
         deadline_s=deadline_s,
-        hedge_after_s=None,
+        hedging=False,
+        hedge_after_s=0.0,
         max_slot_share=1.0,
     )
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -9,6 +9,7 @@
 from marjoramledge_core import _directory
 from marjoramledge_core import _gate
 from marjoramledge_core import _ids
+from marjoramledge_core import _latency
 from marjoramledge_core import _load
 from marjoramledge_core import _membership
 from marjoramledge_core import _outcomes
@@ -45,11 +46,15 @@
 class Attempt:
     """One sending of a call to one backend server.
 
-    ``is_open`` holds until its outcome is known or no longer wanted.
+    ``is_open`` holds until its outcome is known or no longer wanted;
+    ``has_move`` tells that a move to another server is paid for.
     """
 
     attempt: _ids.AttemptId
     server: _load.ServerLoad
+    service: _ids.ServiceName
+    sent_at: float
+    has_move: bool
     is_open: bool = True
 
 
@@ -65,6 +70,7 @@
     phase: CallPhase = CallPhase.ACCEPTED
     attempts: dict[_ids.AttemptId, Attempt]
     tried: set[_ids.NodeId]
+    faulty: set[_ids.NodeId]
     timers: list[_timers.Timer]
     delivered: Attempt | None = None
     may_have_run: bool = False
@@ -92,6 +98,9 @@
     directory: _directory.Directory
     directory_revision: tuple[int, int] = (-1, -1)
     calls: dict[_ids.CallId, Call]
+    latencies: dict[
+        tuple[_ids.ServiceName, _ids.KindName], _latency.QuantileEstimate
+    ]
     budgets: dict[_ids.ServiceName, _budget.RetryBudget]
     stop_phase: StopPhase = StopPhase.RUNNING
     stop_begun_at: float = 0.0
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -32,6 +32,8 @@
     step: _state.Step,
     call: _state.Call,
     attempt: _ids.AttemptId,
+    *,
+    is_patient: bool,
 ) -> _gate.Admission:
     """Offer a call that entered at this node."""
     if reason_to_refuse(step) is not None:
@@ -42,6 +44,7 @@
             attempt=attempt,
             call=call.call,
             kind=call.kind,
+            is_patient=is_patient,
             deadline_at=call.deadline_at,
             offered_at=step.now,
         ),
@@ -63,6 +66,7 @@
         attempt=event.attempt,
         call=None,
         kind=kind,
+        is_patient=event.is_patient,
         deadline_at=step.now + event.deadline_s,
         offered_at=step.now,
     )
@@ -183,11 +187,11 @@
         if configuration is None
         else configuration.measuring
     )
-    interval_s = 1.0 / measuring.calls_per_s
+    gate = step.state.gate
+    interval_s = gate.probe_interval_s(measuring)
     step.state.timers.set(
         step.now + interval_s, _timers.TimerKind.SERVER_PROBE
     )
-    gate = step.state.gate
     is_quiet = step.now - gate.heard_at >= interval_s
     if gate.server is not None and is_quiet:
         step.out.append(_commands.ProbeServer(server=gate.server))
@@ -195,7 +199,10 @@
 
 def end_probe(step: _state.Step, event: _events.ProbeEnded) -> None:
     """Take in the outcome of a probe."""
-    if not step.state.gate.note_probe(event.is_healthy, step.now):
+    changed = step.state.gate.note_probe(
+        event.is_healthy, event.elapsed_s, step.now
+    )
+    if not changed:
         return
     if event.is_healthy:
         step.record(
@@ -215,7 +222,10 @@
         start_work(step, work)
     elif offer.admission is _gate.Admission.QUEUED:
         step.state.timers.set(
-            min(work.deadline_at, step.now + _gate.MAX_QUEUE_WAIT_S),
+            min(
+                work.deadline_at,
+                step.now + step.state.gate.max_wait_s(work),
+            ),
             _timers.TimerKind.QUEUE_WAIT,
             subject=work.attempt,
         )
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -211,6 +211,8 @@
                 _headers.AUTH: self._keys.sign_header(signed),
             }
         )
+        if command.is_patient:
+            outgoing.headers[_headers.PATIENT] = "1"
         outcome = await _cancellation.run_cancellable(
             self._engine,
             attempt,
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -183,6 +183,7 @@
 
     async def _probe_server(self, command: node.ProbeServer) -> None:
         server = command.server
+        began_at = self._engine.now()
         probed = await self._upstream.fetch(
             "GET",
             node.Address(host=server.host, port=server.port),
@@ -192,7 +193,10 @@
             max_bytes=MAX_PROBE_BYTES,
         )
         is_healthy = isinstance(probed, result.Success)
-        self._engine.submit(node.ProbeEnded(is_healthy=is_healthy))
+        elapsed_s = self._engine.now() - began_at
+        self._engine.submit(
+            node.ProbeEnded(is_healthy=is_healthy, elapsed_s=elapsed_s)
+        )
 
     async def _ask_peer(
         self,
@@ -239,7 +243,7 @@
                 "state": gate.state.name.lower(),
                 "running": gate.running,
                 "queued": gate.queued,
-                "limit": gate.report().limit,
+                "limit": gate.limit,
             },
             "calls": len(state.calls),
             "members": [
--- a/packages/node/marjoramledge_node/_headers.py
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -22,6 +22,7 @@
 ATTEMPT: typing.Final = "Marjoramledge-Attempt"
 AUTH: typing.Final = "Marjoramledge-Auth"
 LOAD: typing.Final = "Marjoramledge-Load"
+PATIENT: typing.Final = "Marjoramledge-Patient"
 
 _SYSTEM_PREFIX: typing.Final = "marjoramledge-"
 # RFC 9110, section 7.6.1: these concern one connection only.
--- a/packages/node/marjoramledge_node/_local_port.py
+++ b/packages/node/marjoramledge_node/_local_port.py
@@ -69,7 +69,7 @@
                 "state": gate.state.name.lower(),
                 "running": gate.running,
                 "queued": gate.queued,
-                "limit": gate.report().limit,
+                "limit": gate.limit,
             },
         )
 
--- a/packages/node/marjoramledge_node/_metrics.py
+++ b/packages/node/marjoramledge_node/_metrics.py
@@ -52,7 +52,7 @@
 
     def _flush(self) -> None:
         gate = self._engine.state.gate
-        report = gate.report()
+        report = gate.report(self._engine.now())
         try:
             with self._client.pipeline() as batch:
                 for name, count in self._counts.items():
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -125,6 +125,7 @@
                     method=request.method,
                     path=request.raw_path.partition("?")[0],
                     deadline_s=_read_deadline_s(request),
+                    is_patient=_headers.PATIENT in request.headers,
                 )
             )
             command = await mailbox.get()
@@ -202,7 +203,7 @@
     ) -> tuple[web.StreamResponse, node.ServerOutcome]:
         extra = {
             _headers.LOAD: _headers.format_load(
-                self._engine.state.gate.report()
+                self._engine.state.gate.report(self._engine.now())
             )
         }
         if _relay.is_small(answer, request.method):
@@ -232,7 +233,9 @@
         run: node.RunState,
     ) -> web.Response:
         response = _refusals.refuse(
-            reason, run, load=self._engine.state.gate.report()
+            reason,
+            run,
+            load=self._engine.state.gate.report(self._engine.now()),
         )
         if request.body_exists and not request.content.at_eof():
             response.force_close()
--- a/packages/standins/marjoramledge_standins/measure.py
+++ b/packages/standins/marjoramledge_standins/measure.py
@@ -10,6 +10,7 @@
 import sys
 import typing
 
+from marjoramledge_standins import measure_decisions
 from marjoramledge_standins import measure_latency
 from marjoramledge_standins import measurement
 
@@ -19,6 +20,7 @@
 
 RUNS: typing.Final[dict[str, Run]] = {
     "latency": measure_latency.run,
+    "decisions": measure_decisions.run,
 }
 
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -36,6 +36,7 @@
 path = "/pages/*"
 priority = "normal"
 idempotent = true
+hedging = true
 [[kinds]]
 name = "export"
 service = "shop"
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,311 @@
+"""Decision functions against naive versions that are obviously right."""
+
+import dataclasses
+import random
+import typing
+
+import builders
+import hypothesis
+from hypothesis import strategies
+from marjoramledge_core import _budget
+from marjoramledge_core import _latency
+from marjoramledge_core import _limit
+from marjoramledge_core import _load
+from marjoramledge_core import _queue
+from marjoramledge_core import _routing
+from marjoramledge_core import _speed
+from marjoramledge_core import _timers
+from marjoramledge_core import configuration
+from marjoramledge_core import ids
+from marjoramledge_core import node
+import pytest
+
+NOW = 100.0
+
+
+def _build_load(number: int, **fields: float) -> _load.ServerLoad:
+    load = _load.ServerLoad(
+        node=ids.NodeId(f"n{number}"),
+        address=node.Address(host="127.0.0.1", port=7000 + number),
+        zone=ids.ZoneName("north"),
+        zone_cost_s=0.0,
+        slots=4,
+    )
+    return dataclasses.replace(load, **typing.cast(typing.Any, fields))
+
+
+LOADS: strategies.SearchStrategy[list[dict[str, float]]] = strategies.lists(
+    strategies.builds(
+        dict,
+        own_in_flight=strategies.integers(0, 20),
+        others=strategies.floats(0, 20),
+        limit=strategies.floats(1, 20),
+        latency_s=strategies.floats(0.001, 1.0),
+        ejected_until=strategies.sampled_from([0.0, NOW + 1, NOW + 9]),
+        reported_at=strategies.floats(NOW - 5, NOW),
+    ),
+    max_size=_routing.SAMPLE_SIZE,
+)
+
+
+@hypothesis.given(LOADS, strategies.sets(strategies.integers(0, 5)))
+def test_choice_among_few_is_the_naive_one(
+    fields: list[dict[str, float]], excluded: set[int]
+) -> None:
+    servers = [_build_load(i, **entry) for i, entry in enumerate(fields)]
+    names = {ids.NodeId(f"n{number}") for number in excluded}
+    usable = [server for server in servers if server.node not in names]
+    ready = [server for server in usable if server.ejected_until <= NOW]
+    expected = None
+    if ready:
+        expected = min(ready, key=lambda s: _routing.expected_time(s, NOW))
+    elif usable:
+        expected = min(usable, key=lambda server: server.ejected_until)
+    chosen = _routing.choose_server(servers, names, NOW, random.Random(1))
+    assert chosen is expected
+
+
+@hypothesis.given(strategies.integers(5, 60), strategies.integers(0, 9))
+def test_choice_among_many_never_takes_what_it_must_not(
+    count: int, seed: int
+) -> None:
+    servers = [
+        _build_load(i, ejected_until=NOW + 5 if i % 3 == 0 else 0.0)
+        for i in range(count)
+    ]
+    excluded = {server.node for server in servers if server.node[-1] == "1"}
+    chosen = _routing.choose_server(
+        servers, excluded, NOW, random.Random(seed)
+    )
+    assert chosen is not None
+    assert chosen.node not in excluded
+    assert not chosen.is_ejected(NOW)
+
+
+def test_a_server_that_fails_fast_attracts_no_work() -> None:
+    servers = [_build_load(i, latency_s=0.02) for i in range(4)]
+    servers[0].latency_s = 0.0001
+    rng = random.Random(1)
+    chosen_failing = 0
+    for step in range(1000):
+        now = NOW + step * 0.002
+        chosen = _routing.choose_server(servers, (), now, rng)
+        assert chosen is not None
+        if chosen is servers[0]:
+            chosen_failing += 1
+            chosen.note_failure(now)
+        else:
+            chosen.note_success(now)
+    assert chosen_failing <= 8
+
+
+PRIORITIES = strategies.sampled_from(list(configuration.Priority))
+
+
+def _build_work(number: int, priority: configuration.Priority) -> _queue.Work:
+    kind = configuration.RequestKind(
+        name=ids.KindName("k"),
+        service=ids.ServiceName("s"),
+        methods=frozenset({"GET"}),
+        path="/*",
+        priority=priority,
+        idempotent=True,
+        deadline_s=1.0,
+        hedging=False,
+        hedge_after_s=0.0,
+        max_slot_share=1.0,
+    )
+    return _queue.Work(
+        attempt=ids.AttemptId(f"a{number}"),
+        call=None,
+        kind=kind,
+        is_patient=True,
+        deadline_at=NOW,
+        offered_at=float(number),
+    )
+
+
+@hypothesis.given(
+    strategies.lists(strategies.one_of(strategies.none(), PRIORITIES)),
+    strategies.integers(1, 6),
+)
+def test_queue_serves_as_a_sorted_list_would(
+    steps: list[configuration.Priority | None], capacity: int
+) -> None:
+    queue = _queue.WorkQueue(capacity=capacity)
+    naive: list[_queue.Work] = []
+    taken = 0
+    for number, priority in enumerate(steps):
+        if priority is not None:
+            work = _build_work(number, priority)
+            naive.append(work)
+            expected = None
+            if len(naive) > capacity:
+                expected = max(
+                    naive, key=lambda w: (w.kind.priority, w.offered_at)
+                )
+                naive.remove(expected)
+            assert queue.push(work) is expected
+            continue
+        expected = None
+        if naive:
+            taken += 1
+            expected = min(
+                naive,
+                key=lambda w: (
+                    w.offered_at
+                    if taken % _queue.FAIR_TURN == 0
+                    else (w.kind.priority, w.offered_at)
+                ),
+            )
+            naive.remove(expected)
+        assert queue.take() is expected
+    assert len(queue) == len(naive)
+
+
+def test_no_class_starves_for_ever() -> None:
+    queue = _queue.WorkQueue(capacity=1000)
+    queue.push(_build_work(0, configuration.Priority.BACKGROUND))
+    for number in range(1, 200):
+        queue.push(_build_work(number, configuration.Priority.CRITICAL))
+    taken = [queue.take() for _ in range(_queue.FAIR_TURN)]
+    assert any(w is not None and w.attempt == "a0" for w in taken)
+
+
+def test_the_limit_ramps_up_to_the_slots_and_no_further() -> None:
+    limit = _limit.ConcurrencyLimit(
+        slots=12, cold_concurrency=2, is_cold=False
+    )
+    assert limit.current == 2
+    for _ in range(60):
+        limit.note_success(0.01, limit.current - 1, NOW)
+    assert limit.current == 12
+
+
+def test_a_server_announced_as_cold_is_held_at_what_it_bears() -> None:
+    limit = _limit.ConcurrencyLimit(slots=12, cold_concurrency=2, is_cold=True)
+    for step in range(1000):
+        limit.note_success(0.01, 1, NOW + step)
+    assert limit.current == 2
+
+
+@pytest.mark.parametrize("is_still_cold", [True, False])
+def test_a_fallen_server_is_held_while_it_is_slow(
+    is_still_cold: bool,
+) -> None:
+    limit = _limit.ConcurrencyLimit(
+        slots=12, cold_concurrency=2, is_cold=False
+    )
+    for _ in range(60):
+        limit.note_success(0.01, limit.current - 1, NOW)
+    assert not limit.note_shed(0.01, 11, NOW)
+    assert limit.note_shed(0.01, 10, NOW)
+    assert limit.current == 2
+    elapsed_s = 0.04 if is_still_cold else 0.01
+    for step in range(60):
+        now = NOW + step * 0.1
+        limit.note_success(elapsed_s, limit.current - 1, now)
+    assert limit.current == (2 if is_still_cold else 12)
+    # A server that stays slow for good is tried again all the same.
+    limit.note_success(elapsed_s, 1, NOW + _limit.MAX_HOLD_S)
+    for _ in range(60):
+        limit.note_success(elapsed_s, limit.current - 1, NOW + 70)
+    assert limit.current == 12
+
+
+def test_speed_tells_of_a_slowdown_before_slow_calls_finish() -> None:
+    speed = _speed.SpeedEstimate()
+    now = 0.0
+    for _ in range(400):
+        now += 0.001
+        speed.note_change(10, now)
+        speed.note_finished(0.01, now)
+    calm_s = speed.service_s(10, now)
+    assert calm_s == pytest.approx(0.01, rel=0.2)
+    # From here on nothing finishes for 30 ms.
+    assert speed.service_s(10, now + 0.03) > 3 * calm_s
+
+
+@hypothesis.given(strategies.integers(0, 5))
+def test_quantile_estimate_lies_near_the_sorted_one(seed: int) -> None:
+    rng = random.Random(seed)
+    values = [rng.lognormvariate(0, 0.5) for _ in range(4000)]
+    estimate = _latency.QuantileEstimate()
+    for value in values:
+        estimate.note(value)
+    below = sum(value <= estimate.value_s for value in values) / len(values)
+    assert 0.90 <= below <= 0.99
+
+
+@hypothesis.given(strategies.lists(strategies.booleans()))
+def test_budget_bounds_further_attempts(failures: list[bool]) -> None:
+    budget = _budget.RetryBudget()
+    retries = 0
+    for number, is_failed in enumerate(failures, start=1):
+        budget.earn()
+        if is_failed and budget.spend():
+            retries += 1
+        assert retries <= budget.capacity + 0.1 * number
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.floats(0, 100), strategies.booleans())
+    )
+)
+def test_timers_come_as_from_a_sorted_list(
+    wanted: list[tuple[float, bool]],
+) -> None:
+    queue = _timers.TimerQueue()
+    naive = []
+    for number, (at, is_cancelled) in enumerate(wanted):
+        timer = queue.set(at, _timers.TimerKind.NEWS, number=number)
+        timer.is_cancelled = is_cancelled
+        if not is_cancelled:
+            naive.append((at, number))
+    naive.sort()
+    assert queue.next_at == (naive[0][0] if naive else None)
+    popped = []
+    while (due := queue.pop_due(100.0)) is not None:
+        popped.append(due.number)
+    assert popped == [number for _, number in naive]
+
+
+def test_a_hedge_goes_out_only_for_a_slow_idempotent_call() -> None:
+    driver = builders.CoreDriver()
+    driver.configure()
+    for peer in ("n1", "n2", "n3"):
+        driver.learn_peer(peer)
+    for number in range(50):
+        call = ids.CallId(f"warm{number}")
+        (sent,) = driver.arrive(call)
+        assert isinstance(sent, node.SendToPeer)
+        driver.now += 0.01
+        driver.submit(
+            node.AttemptAnswered(
+                call=call, attempt=sent.attempt, is_error=False, load=None
+            )
+        )
+        driver.submit(node.CallEnded(call=call))
+    driver.arrive("order", "POST", "/orders")
+    driver.arrive("page")
+    hedges = [
+        command
+        for command in driver.pass_time(0.5)
+        if isinstance(command, node.SendToPeer)
+    ]
+    assert [(hedge.call, hedge.is_hedge) for hedge in hedges] == [
+        ("page", True)
+    ]
+    (first, second) = driver.state.calls[ids.CallId("page")].attempts.values()
+    assert first.server is not second.server
+    commands = driver.submit(
+        node.AttemptAnswered(
+            call=ids.CallId("page"),
+            attempt=second.attempt,
+            is_error=False,
+            load=None,
+        )
+    )
+    cancelled = [c for c in commands if isinstance(c, node.CancelAttempt)]
+    assert [command.attempt for command in cancelled] == [first.attempt]
