Measure the cost of control at the two-year size; don't spread old news

Cause: a core told of 1400 members at once spent 0.0197 cores on control (bound 0.016): a node that joins passed on all 1400 records that everybody else had, and each message sorted them all.

Change: strangers that come by the dozen are not spread; the least told news is selected, not sorted. `make measure` gains control (bytes, processor time, memory) at four sizes, and the tail over real processes.

--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -16,6 +16,7 @@
 
 import collections.abc
 import dataclasses
+import heapq
 import math
 import random
 import typing
@@ -188,17 +189,22 @@
 
     def take_members(
         self,
-        members: collections.abc.Iterable[_members.Member],
+        members: collections.abc.Collection[_members.Member],
         now: float,
         out: list[_commands.Command],
     ) -> None:
         """Take in records of members, from news or from a peer's whole view.
 
         Records that are older than what is known change nothing, so they may
-        come late, twice or in any order.
+        come late, twice or in any order.  Strangers that come by the dozen
+        are old news to everyone but a node that starts; they are not spread.
         """
+        strangers = {m.node for m in members if m.node not in self._members}
         for member in members:
             self._take_member(member, now, out)
+        if len(strangers) > NEWS_PER_MESSAGE:
+            for node in strangers:
+                self._news.pop(node, None)
 
     def take_message(
         self,
@@ -589,7 +595,9 @@
         if about is not None and about in self._members:
             chosen.append(about)
         # The least often told news goes first.
-        fresh = sorted(self._news, key=lambda n: -self._news[n])
+        fresh = heapq.nlargest(
+            NEWS_PER_MESSAGE, self._news, key=self._news.__getitem__
+        )
         chosen.extend(node for node in fresh if node not in chosen)
         del chosen[NEWS_PER_MESSAGE:]
         for node in chosen:
--- a/packages/standins/marjoramledge_standins/backend_server.py
+++ b/packages/standins/marjoramledge_standins/backend_server.py
@@ -22,14 +22,15 @@
 import signal
 import time
 import typing
+import zlib
 
 import aiohttp
 from aiohttp import web
 import typer
 
-SHED_QUEUE_PER_SLOT: typing.Final = 1.0
+from marjoramledge_standins import virtual_servers
+
 COLD_SLOWDOWN: typing.Final = 4.0
-NOISE_PERIOD_S: typing.Final = 0.05
 ANNOUNCE_RETRY_S: typing.Final = 0.2
 CHUNK: typing.Final = bytes(65536)
 
@@ -39,12 +40,10 @@
     """What may be changed while the stand-in runs.
 
     ``load_lag_s`` is the age of what the load page shows; ``lies`` makes it
-    show an idle server.  ``noise`` multiplies service times in bursts.
+    show an idle server.
     """
 
     service_ms: float
-    noise: float = 1.0
-    noise_share: float = 0.0
     fail_fast: bool = False
     load_lag_s: float = 1.0
     lies: bool = False
@@ -63,8 +62,12 @@
         Seconds for which it is cold after its start and after each fall.
     cold_bears
         Requests that it bears at once while cold.
+    shed_above
+        Requests that may wait for a slot; more are shed.
     behaviour
         What may change while it runs.
+    noise
+        A neighbour that slows it in bursts.
     records
         File that its records go to.
     """
@@ -77,7 +80,9 @@
         slots: int,
         cold_s: float,
         cold_bears: int,
+        shed_above: int,
         behaviour: Behaviour,
+        noise: virtual_servers.Noise,
         records: typing.TextIO,
     ) -> None:
         self._name = name
@@ -85,6 +90,7 @@
         self._slots = slots
         self._cold_s = cold_s
         self._cold_bears = cold_bears
+        self._shed_above = shed_above
         self._behaviour = behaviour
         self._records = records
         self._rng = random.Random(name)
@@ -96,8 +102,12 @@
         self._history: collections.deque[tuple[float, int]] = (
             collections.deque(maxlen=4096)
         )
-        self._noise_at = 0.0
-        self._is_noisy = False
+        self._began_at = time.monotonic()
+        self._profile = virtual_servers.SpeedProfile(
+            noise=noise,
+            seed=zlib.crc32(name.encode()),
+            until_s=virtual_servers.HORIZON_S,
+        )
 
     @property
     def is_cold(self) -> bool:
@@ -120,7 +130,7 @@
         if "X-Crash" in request.headers:
             self._record(request, "crash")
             os._exit(1)
-        if self._waiting >= SHED_QUEUE_PER_SLOT * self._slots:
+        if self._waiting >= self._shed_above:
             return web.Response(
                 status=503, headers={"Marjoramledge-Run": "not-run"}
             )
@@ -177,15 +187,10 @@
         behaviour = self._behaviour
         seconds = behaviour.service_ms / 1000
         seconds *= self._rng.lognormvariate(-0.08, 0.4)
-        now = time.monotonic()
-        if now - self._noise_at > NOISE_PERIOD_S:
-            self._noise_at = now
-            self._is_noisy = self._rng.random() < behaviour.noise_share
-        if self._is_noisy:
-            seconds *= behaviour.noise
         if self.is_cold:
             seconds *= COLD_SLOWDOWN
-        return seconds
+        now = time.monotonic() - self._began_at
+        return self._profile.finish_at(now, seconds) - now
 
     def _fall(self, request: web.BaseRequest) -> None:
         self._falls += 1
@@ -307,8 +312,10 @@
     cold_s: float = 1.0,
     cold_bears: int = 2,
     service_ms: float = 10.0,
+    shed_above: int = 12,
     noise: float = 1.0,
-    noise_share: float = 0.0,
+    quiet_s: float = 0.2,
+    burst_s: float = 0.05,
 ) -> None:
     """Run one backend server until SIGTERM drains it."""
 
@@ -321,10 +328,10 @@
                 slots=slots,
                 cold_s=cold_s,
                 cold_bears=cold_bears,
-                behaviour=Behaviour(
-                    service_ms=service_ms,
-                    noise=noise,
-                    noise_share=noise_share,
+                shed_above=shed_above,
+                behaviour=Behaviour(service_ms=service_ms),
+                noise=virtual_servers.Noise(
+                    quiet_s=quiet_s, burst_s=burst_s, slowdown=noise
                 ),
                 records=file,
             )
--- a/packages/standins/marjoramledge_standins/demo.py
+++ b/packages/standins/marjoramledge_standins/demo.py
@@ -67,7 +67,7 @@
 
 def plan_vms() -> list[deployment.VmPlan]:
     """Plan Kitabalcony's VMs at the size of today."""
-    flags = ("--service-ms", "12", "--noise", "4", "--noise-share", "0.05")
+    flags = ("--service-ms", "12", "--noise", "4")
     placed = [
         *(("shopfront", zone) for zone in _SHOP_ZONES),
         *(("advisor", zone) for zone in _ADVISOR_ZONES),
--- a/packages/standins/marjoramledge_standins/measure.py
+++ b/packages/standins/marjoramledge_standins/measure.py
@@ -10,8 +10,10 @@
 import sys
 import typing
 
+from marjoramledge_standins import measure_control
 from marjoramledge_standins import measure_decisions
 from marjoramledge_standins import measure_latency
+from marjoramledge_standins import measure_processes
 from marjoramledge_standins import measurement
 
 Run = collections.abc.Callable[
@@ -21,6 +23,8 @@
 RUNS: typing.Final[dict[str, Run]] = {
     "latency": measure_latency.run,
     "decisions": measure_decisions.run,
+    "control": measure_control.run,
+    "processes": measure_processes.run,
 }
 
 
--- /dev/null
+++ b/packages/standins/marjoramledge_standins/measure_control.py
@@ -0,0 +1,318 @@
+"""What control costs one node at the two-year size, and its slopes.
+
+One real core holds the members, fed with made messages at the rate that
+1,400 nodes with 548 restarts and failures and 2,600 changes a day cause; what
+it sends is encoded and signed as the node does.  Memory is that of a real
+node process that was told of as many members.
+"""
+
+import asyncio
+import dataclasses
+import random
+import time
+import tracemalloc
+import typing
+
+import aiohttp
+from marjoramledge_core import configuration
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from marjoramledge_node import _auth
+from marjoramledge_node import _wire
+from marjoramledge_node import peers
+
+from marjoramledge_standins import deployment
+from marjoramledge_standins import measure_choice
+from marjoramledge_standins import measurement
+
+SIZES: typing.Final = (175, 350, 700, 1400)
+WATCHED_S: typing.Final = 600.0
+UPDATES_PER_RESTART: typing.Final = 5
+RESTARTS_PER_DAY: typing.Final = 548
+CHANGES_PER_DAY: typing.Final = 2600
+DAY_S: typing.Final = 86400.0
+# Copies of a piece of news that reach a node through pushes.
+COPIES: typing.Final = 3
+UDP_HEADER_BYTES: typing.Final = 28
+
+BYTES_BOUND: typing.Final = 6000.0
+CPU_BOUND: typing.Final = 0.016
+RSS_BOUND_MB: typing.Final = 64.0
+
+
+class _Member:
+    """One core among made peers that answer it."""
+
+    def __init__(self, *, count: int) -> None:
+        self._rng = random.Random(1)
+        self._keys = _auth.parse_keys(deployment.KEYS).unwrap()
+        self._members = list(measure_choice.build_members(count))
+        documents = measure_choice.build_documents()
+        self._documents = documents
+        declared = configuration.parse_documents(documents).unwrap()
+        self._state = measure_choice.build_state(
+            tuple(self._members), declared, self._rng
+        )
+        self._version = 1
+        self._inbox: list[tuple[float, bytes]] = []
+        self.now = 0.0
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.cpu_s = 0.0
+
+    def live(self, seconds: float) -> None:
+        """Let time pass while peers answer and things happen."""
+        count = len(self._members)
+        updates_per_s = UPDATES_PER_RESTART * RESTARTS_PER_DAY / DAY_S
+        rates = {
+            self._hear_ping: 1.0,
+            self._hear_news: COPIES * updates_per_s * count / 1400,
+            self._hear_change: CHANGES_PER_DAY / DAY_S,
+        }
+        end = self.now + seconds
+        calendar = [
+            (self.now + self._rng.expovariate(rate), happen)
+            for happen, rate in rates.items()
+        ]
+        while True:
+            wakeup = node.next_wakeup(self._state)
+            times = [at for at, _ in calendar]
+            times.extend(at for at, _ in self._inbox)
+            times.append(end if wakeup is None else wakeup)
+            self.now = max(self.now, min(times))
+            if self.now >= end:
+                return
+            self._submit(node.TimePassed())
+            self._take_inbox()
+            for position, (at, happen) in enumerate(calendar):
+                if at <= self.now:
+                    happen()
+                    again = self.now + self._rng.expovariate(rates[happen])
+                    calendar[position] = (again, happen)
+
+    def _take_inbox(self) -> None:
+        due = [content for at, content in self._inbox if at <= self.now]
+        self._inbox = [entry for entry in self._inbox if entry[0] > self.now]
+        for content in due:
+            self._receive(content)
+
+    def _hear_ping(self) -> None:
+        sender = self._rng.choice(self._members)
+        self._receive(self._seal(self._message(sender, (sender,))))
+
+    def _hear_news(self) -> None:
+        sender = self._rng.choice(self._members)
+        number = self._rng.randrange(len(self._members))
+        known = self._members[number]
+        changed = dataclasses.replace(known, incarnation=known.incarnation + 1)
+        self._members[number] = changed
+        news = (sender, changed)
+        self._receive(self._seal(self._message(sender, news)))
+
+    def _hear_change(self) -> None:
+        self._version += 1
+        began_at = time.process_time()
+        declared = configuration.parse_documents(self._documents).unwrap()
+        self.cpu_s += time.process_time() - began_at
+        ref = configuration.VersionRef(
+            version=ids.ConfigVersion(self._version), digest=ids.Digest("d")
+        )
+        self._submit(node.ManifestFetched(ref=ref, configuration=declared))
+
+    def _message(
+        self, sender: node.Member, news: tuple[node.Member, ...]
+    ) -> node.Message:
+        return node.Message(
+            kind=node.MessageKind.PING,
+            sender=sender.node,
+            sender_address=sender.address,
+            sequence=1,
+            target=ids.NodeId("self"),
+            config=configuration.VersionRef(
+                version=ids.ConfigVersion(1), digest=ids.Digest("0" * 64)
+            ),
+            news=news,
+        )
+
+    def _seal(self, message: node.Message) -> bytes:
+        payload = _wire.encode_message(message)
+        return _wire.seal(
+            self._keys.signing_key_id, self._keys.sign(payload), payload
+        )
+
+    def _receive(self, content: bytes) -> None:
+        self.received_bytes += len(content) + UDP_HEADER_BYTES
+        began_at = time.process_time()
+        key_id, mac, payload = _wire.unseal(content).unwrap()
+        if not self._keys.verify(key_id, mac, payload):
+            raise AssertionError("a made message was not authentic")
+        message = _wire.decode_message(payload).unwrap()
+        self.cpu_s += time.process_time() - began_at
+        self._submit(node.MessageReceived(message=message))
+
+    def _submit(self, event: node.Event) -> None:
+        began_at = time.process_time()
+        commands = node.handle(self._state, event, self.now, self._rng)
+        sent = [c for c in commands if isinstance(c, node.SendMessage)]
+        syncs = [c for c in commands if isinstance(c, node.SyncMembers)]
+        contents = [self._seal(command.message) for command in sent]
+        self.cpu_s += time.process_time() - began_at
+        if syncs:
+            self._exchange_views()
+        for command, content in zip(sent, contents, strict=True):
+            self.sent_bytes += len(content) + UDP_HEADER_BYTES
+            if command.message.kind is node.MessageKind.PING:
+                self._answer(command.message)
+
+    def _exchange_views(self) -> None:
+        """Send the view and receive one, then do so again for a peer.
+
+        Each node asks as often as it is asked, on the mean.
+        """
+        began_at = time.process_time()
+        content = _wire.encode_members(self._members)
+        _wire.decode_members(content).unwrap()
+        self.cpu_s += 2 * (time.process_time() - began_at)
+        self.sent_bytes += 2 * len(content)
+        self.received_bytes += 2 * len(content)
+
+    def _answer(self, ping: node.Message) -> None:
+        (target,) = [
+            member for member in self._members if member.node == ping.target
+        ]
+        ack = node.Message(
+            kind=node.MessageKind.ACK,
+            sender=target.node,
+            sender_address=target.address,
+            sequence=ping.sequence,
+            target=target.node,
+            config=ping.config,
+            news=(target,),
+        )
+        self._inbox.append((self.now + 0.002, self._seal(ack)))
+
+
+async def run() -> list[measurement.Measure]:
+    """Measure at four sizes; the figures are those of the largest."""
+    measures = []
+    for count in SIZES:
+        member = _Member(count=count)
+        member.live(60.0)
+        before = (member.sent_bytes + member.received_bytes, member.cpu_s)
+        member.live(WATCHED_S)
+        total = member.sent_bytes + member.received_bytes - before[0]
+        cpu_s = member.cpu_s - before[1]
+        measures.extend(
+            (
+                _measure(
+                    f"gossip_bytes_per_s_{count}",
+                    total / WATCHED_S,
+                    "B/s",
+                    BYTES_BOUND,
+                    int(WATCHED_S),
+                ),
+                _measure(
+                    f"control_cpu_share_{count}",
+                    cpu_s / WATCHED_S,
+                    "cores",
+                    CPU_BOUND,
+                    int(WATCHED_S),
+                ),
+            )
+        )
+    measures.extend(_measure_state())
+    measures.extend(await _measure_rss())
+    return measures
+
+
+def _measure_state() -> list[measurement.Measure]:
+    """Measure the memory that a member and a rule take in the core."""
+    tracemalloc.start()
+    try:
+        empty = tracemalloc.get_traced_memory()[0]
+        documents = measure_choice.build_documents()
+        declared = configuration.parse_documents(documents).unwrap()
+        with_rules = tracemalloc.get_traced_memory()[0]
+        members = measure_choice.build_members(measure_choice.MEMBERS)
+        state = measure_choice.build_state(members, declared, random.Random(1))
+        with_members = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    rules = len(declared.kinds) + len(declared.services)
+    count = len(state.membership.members)
+    one = _wire.encode_members(members[:1])
+    two = _wire.encode_members(members[:2])
+    return [
+        _measure(
+            "bytes_per_rule", (with_rules - empty) / rules, "B", None, rules
+        ),
+        _measure(
+            "bytes_per_member",
+            (with_members - with_rules) / count,
+            "B",
+            None,
+            count,
+        ),
+        _measure(
+            "message_bytes_per_member", len(two) - len(one), "B", None, 1
+        ),
+    ]
+
+
+async def _measure_rss() -> list[measurement.Measure]:
+    fleet = deployment.Deployment(
+        plans=[
+            deployment.VmPlan(name="self", service="s0", zone="z0", slots=12)
+        ]
+    )
+    try:
+        await fleet.start()
+        folder = fleet.folder / "large"
+        folder.mkdir()
+        for name, text in measure_choice.build_documents().items():
+            (folder / name).write_text(text)
+        status, output = await fleet.run_command(
+            "apply", str(folder), "--wait"
+        )
+        if status != 0:
+            raise AssertionError(output)
+        (vm,) = fleet.vms
+        await _tell_members(vm.peer_address)
+        await asyncio.sleep(3.0)
+        if vm.node is None:
+            raise AssertionError("the node was never started")
+        rss_mb = measurement.read_rss_mb(vm.node.pid)
+    finally:
+        await fleet.stop()
+    return [_measure("control_rss_mb", rss_mb, "MB", RSS_BOUND_MB, 1)]
+
+
+async def _tell_members(address: str) -> None:
+    keys = peers.parse_keys(deployment.KEYS).unwrap()
+    body = _wire.encode_members(
+        measure_choice.build_members(measure_choice.MEMBERS)
+    )
+    headers = peers.sign_request(keys, "POST", peers.MEMBERS_TARGET, body)
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(
+            f"http://{address}{peers.MEMBERS_TARGET}",
+            data=body,
+            headers=headers,
+        ) as response,
+    ):
+        if response.status != 200:
+            raise AssertionError(f"status {response.status}")
+
+
+def _measure(
+    name: str, value: float, unit: str, bound: float | None, runs: int
+) -> measurement.Measure:
+    return measurement.Measure(
+        name=name,
+        value=value,
+        unit=unit,
+        bound=bound,
+        baseline=None,
+        runs=runs,
+    )
--- a/packages/standins/marjoramledge_standins/measure_decisions.py
+++ b/packages/standins/marjoramledge_standins/measure_decisions.py
@@ -140,7 +140,7 @@
         measures.extend(_compare_tails(service))
         measures.extend(_measure_overload(service, top_kind))
         measures.extend(_measure_cold(service))
-        measures.append(_measure_probes(service, name))
+        measures.extend(_measure_probes(service, name))
     measures.append(measure_retries.measure_amplification())
     measures.append(measure_choice.measure_choice())
     return measures
@@ -265,17 +265,26 @@
     ]
 
 
-def _measure_probes(service: Service, name: str) -> measurement.Measure:
+def _measure_probes(service: Service, name: str) -> list[measurement.Measure]:
     scenarios = [service(seed, 0.001) for seed in SEEDS]
     results = run_all(scenarios, driver.Policy.OURS)
     servers = len(scenarios[0].server_zones)
     watched_s = driver.START_S + DURATION_S + driver.ANSWER_LIMIT_S
-    return _measure(
-        f"measuring_calls_per_server_per_s_{name}",
-        max(result.probes for result in results) / servers / watched_s,
-        "1/s",
-        1.0,
-    )
+    probes_per_s = max(r.probes for r in results) / servers / watched_s
+    return [
+        _measure(
+            f"measuring_calls_per_server_per_s_{name}",
+            probes_per_s,
+            "1/s",
+            1.0,
+        ),
+        _measure(
+            f"measuring_share_of_slots_{name}",
+            probes_per_s * driver.PROBE_S / scenarios[0].slots,
+            "share",
+            0.001,
+        ),
+    ]
 
 
 def _measure(
--- a/packages/standins/marjoramledge_standins/traffic.py
+++ b/packages/standins/marjoramledge_standins/traffic.py
@@ -70,6 +70,8 @@
         Mean rate of arrivals, which are a Poisson process.
     seed
         Seed of arrivals and choices.
+    takes_turns
+        Whether calls go to the URLs in turn instead of at random.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         kinds: collections.abc.Sequence[CallKind],
         calls_per_s: float,
         seed: int,
+        takes_turns: bool = False,
     ) -> None:
         self.urls = list(urls)
         self._kinds = kinds
@@ -86,6 +89,8 @@
         self._calls_per_s = calls_per_s
         self._rng = random.Random(seed)
         self._seed = seed
+        self._takes_turns = takes_turns
+        self._turn = 0
         self._results: list[CallResult] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._session = aiohttp.ClientSession(
@@ -147,8 +152,14 @@
             )
         )
 
+    def _choose_url(self) -> str:
+        if not self._takes_turns:
+            return self._rng.choice(self.urls)
+        self._turn += 1
+        return self.urls[self._turn % len(self.urls)]
+
     async def _send(self, call: str, kind: CallKind) -> tuple[Ending, str]:
-        url = self._rng.choice(self.urls) + kind.path
+        url = self._choose_url() + kind.path
         async with self._session.request(
             kind.method,
             url,
