--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
 SOURCES := packages tests tools
 
-.PHONY: demo test measure check format clean
+.PHONY: demo test measure plots check format clean
 
 $(VENV)/.ready: constraints.txt requirements-dev.txt \
 		$(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml)
@@ -35,6 +35,10 @@
 measure: $(VENV)/.ready
 	$(BIN)/python -m marjoramledge_standins.measure
 
+plots: $(VENV)/.ready
+	$(BIN)/pip install --quiet -c constraints.txt matplotlib
+	$(BIN)/python tools/plot_tail.py docs/plots/tail.png
+
 format: $(VENV)/.ready
 	$(BIN)/ruff format $(SOURCES)
 	$(BIN)/ruff check --fix $(SOURCES)
--- a/packages/cli/marjoramledge_cli/_fleet_client.py
+++ b/packages/cli/marjoramledge_cli/_fleet_client.py
@@ -40,6 +40,7 @@
     zone: str
     version: int
     is_store_up: bool
+    is_drained_by_order: bool
     running: int
     queued: int
     limit: int
@@ -74,18 +75,15 @@
         self, address: node.Address
     ) -> result.Result[NodeStatus, str]:
         """Ask one node."""
-        target = peers.STATUS_TARGET
-        url = f"http://{address.host}:{address.port}{target}"
-        headers = peers.sign_request(self._keys, "GET", target, b"")
-        try:
-            async with self._slots:
-                async with self._session.get(url, headers=headers) as reply:
-                    content = await reply.read()
-                    if reply.status != 200:
-                        return result.Failure(f"status {reply.status}")
-        except (aiohttp.ClientError, OSError) as error:
-            return result.Failure(f"{address.host}:{address.port}: {error}")
-        return _parse_status(content)
+        answered = await self._ask("GET", address, peers.STATUS_TARGET)
+        return answered.bind(_parse_status)
+
+    async def order_drain(
+        self, address: node.Address, *, is_drained: bool
+    ) -> result.Result[bytes, str]:
+        """Order one node to take no new work, or to take it again."""
+        method = "PUT" if is_drained else "DELETE"
+        return await self._ask(method, address, peers.DRAIN_TARGET)
 
     async def read_any(
         self, addresses: collections.abc.Iterable[node.Address]
@@ -121,6 +119,23 @@
                 return behind
             await asyncio.sleep(POLL_PERIOD_S)
 
+    async def _ask(
+        self, method: str, address: node.Address, target: str
+    ) -> result.Result[bytes, str]:
+        url = f"http://{address.host}:{address.port}{target}"
+        headers = peers.sign_request(self._keys, method, target, b"")
+        try:
+            async with (
+                self._slots,
+                self._session.request(method, url, headers=headers) as reply,
+            ):
+                content = await reply.read()
+        except (aiohttp.ClientError, OSError) as error:
+            return result.Failure(f"{address.host}:{address.port}: {error}")
+        if reply.status != 200:
+            return result.Failure(f"status {reply.status}")
+        return result.Success(content)
+
     async def _find_behind(
         self,
         version: int,
@@ -154,6 +169,7 @@
                 zone=fields["zone"],
                 version=fields["version"],
                 is_store_up=fields["is_store_up"],
+                is_drained_by_order=fields["is_drained_by_order"],
                 running=gate["running"],
                 queued=gate["queued"],
                 limit=gate["limit"],
--- a/packages/cli/marjoramledge_cli/_main.py
+++ b/packages/cli/marjoramledge_cli/_main.py
@@ -263,6 +263,81 @@
         print(_reports.format_status(seen))
 
 
+@app.command()
+def drain(
+    *,
+    keys: Keys,
+    zone: typing.Annotated[
+        str, typer.Option("--zone", help="Every node of this zone.")
+    ] = "",
+    node_id: typing.Annotated[
+        str, typer.Option("--node", help="This node only.")
+    ] = "",
+    end: typing.Annotated[
+        bool, typer.Option("--end", help="Let them take work again.")
+    ] = False,
+    peer_addresses: Peers = "",
+    store_url: StoreUrl = "",
+) -> None:
+    """Order nodes to give their backend servers no new work.
+
+    Works without the store.  It is no accepted configuration: it holds until
+    it is ended or the node restarts.
+    """
+    key_ring = _parse_keys(keys)
+    if bool(zone) == bool(node_id):
+        raise typer.BadParameter("give either --zone or --node")
+
+    async def order() -> tuple[list[str], list[str]]:
+        fleet = _fleet_client.FleetClient(keys=key_ring)
+        try:
+            addresses = await _find_peers(peer_addresses, store_url)
+            return await _order_drains(
+                fleet, addresses, zone, node_id, is_drained=not end
+            )
+        finally:
+            await fleet.close()
+
+    done, failed = asyncio.run(order())
+    for line in done:
+        print(line)
+    if failed or not done:
+        _fail(failed or ["no such node is present"], ExitStatus.FAILED)
+
+
+async def _order_drains(
+    fleet: _fleet_client.FleetClient,
+    addresses: collections.abc.Sequence[node.Address],
+    zone: str,
+    node_id: str,
+    *,
+    is_drained: bool,
+) -> tuple[list[str], list[str]]:
+    """Order every node that is meant; return what was done and what not."""
+    known = await fleet.read_any(addresses)
+    if isinstance(known, result.Failure):
+        return [], [known.failure()]
+    meant = [
+        member
+        for member in known.unwrap().present()
+        if zone == member.zone or node_id == member.node_id
+    ]
+    outcomes = await asyncio.gather(
+        *(
+            fleet.order_drain(member.address, is_drained=is_drained)
+            for member in meant
+        )
+    )
+    word = "drained by order" if is_drained else "takes work again"
+    done, failed = [], []
+    for member, outcome in zip(meant, outcomes, strict=True):
+        if isinstance(outcome, result.Success):
+            done.append(f"{member.node_id}: {word}")
+        else:
+            failed.append(f"{member.node_id}: {outcome.failure()}")
+    return done, failed
+
+
 def _check(folder: pathlib.Path) -> configuration.Configuration:
     parsed = configuration.parse_documents(_documents.read_documents(folder))
     if isinstance(parsed, result.Failure):
--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -49,6 +49,7 @@
         _outcomes.Reason.OVERLOADED,
         _outcomes.Reason.SERVER_LEAVING,
         _outcomes.Reason.ZONE_CLOSED,
+        _outcomes.Reason.DRAINED_BY_ORDER,
         _outcomes.Reason.NODE_STOPPING,
         _outcomes.Reason.SERVER_REFUSED,
         _outcomes.Reason.SERVER_UNREACHABLE,
--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -181,6 +181,17 @@
     detail: str
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class DrainOrdered:
+    """An operator orders the gate of this node to take no new work.
+
+    Or, with ``is_drained`` false, to take work again.  Such an order is no
+    configuration: it is not kept, and a restart of the node ends it.
+    """
+
+    is_drained: bool
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class StopRequested:
     """The node is to stop, without cutting a call."""
@@ -211,6 +222,7 @@
     | VersionRead
     | ManifestFetched
     | ManifestFailed
+    | DrainOrdered
     | StopRequested
     | TimePassed
 )
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -271,6 +271,7 @@
     _events.VersionRead: _take_version,
     _events.ManifestFetched: _take_manifest,
     _events.ManifestFailed: _fail_manifest,
+    _events.DrainOrdered: _work.order_drain,
     _events.StopRequested: _request_stop,
     _events.TimePassed: _pass_time,
 }
--- a/packages/core/marjoramledge_core/_outcomes.py
+++ b/packages/core/marjoramledge_core/_outcomes.py
@@ -24,6 +24,7 @@
     DEADLINE_PASSED = "deadline-passed"
     SERVER_LEAVING = "server-leaving"
     ZONE_CLOSED = "zone-closed"
+    DRAINED_BY_ORDER = "drained-by-order"
     NODE_STOPPING = "node-stopping"
     SERVER_REFUSED = "server-refused"
     SERVER_UNREACHABLE = "server-unreachable"
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -30,6 +30,8 @@
     MEMBER_LEFT = "member-left"
     CONFIG_ADOPTED = "config-adopted"
     CONFIG_REFUSED = "config-refused"
+    DRAIN_ORDERED = "drain-ordered"
+    DRAIN_ENDED = "drain-ended"
     ZONE_CLOSED = "zone-closed"
     ZONE_OPENED = "zone-opened"
     STORE_FAILED = "store-failed"
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -11,6 +11,7 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _latency
 from marjoramledge_core import _load
+from marjoramledge_core import _members
 from marjoramledge_core import _membership
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _queue
@@ -102,6 +103,7 @@
         tuple[_ids.ServiceName, _ids.KindName], _latency.QuantileEstimate
     ]
     budgets: dict[_ids.ServiceName, _budget.RetryBudget]
+    is_drained_by_order: bool = False
     stop_phase: StopPhase = StopPhase.RUNNING
     stop_begun_at: float = 0.0
 
@@ -139,10 +141,13 @@
         """Tell the other nodes how the backend server stands."""
         gate = self.state.gate
         server = gate.server
+        standing = gate.state
+        if self.state.is_drained_by_order and gate.accepts_work:
+            standing = _members.ServerState.DRAINING
         myself = self.state.membership.myself
         self.state.membership.update_myself(
             service=myself.service if server is None else server.service,
-            server=gate.state,
+            server=standing,
             slots=myself.slots if server is None else server.slots,
             now=self.now,
         )
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -25,6 +25,8 @@
         return _outcomes.Reason.SERVER_LEAVING
     if not step.is_zone_open():
         return _outcomes.Reason.ZONE_CLOSED
+    if step.state.is_drained_by_order:
+        return _outcomes.Reason.DRAINED_BY_ORDER
     return None
 
 
@@ -179,6 +181,20 @@
         hand_back(step, work, reason)
 
 
+def order_drain(step: _state.Step, event: _events.DrainOrdered) -> None:
+    """Take no new work, or take it again, on an operator's order."""
+    if event.is_drained == step.state.is_drained_by_order:
+        return
+    step.state.is_drained_by_order = event.is_drained
+    if event.is_drained:
+        refuse_waiting(step, _outcomes.Reason.DRAINED_BY_ORDER)
+        step.record(_records.RecordKind.DRAIN_ORDERED)
+    else:
+        step.state.gate.restart_ramp()
+        step.record(_records.RecordKind.DRAIN_ENDED)
+    step.publish_server()
+
+
 def probe_server(step: _state.Step) -> None:
     """Probe the backend server unless traffic has just told enough."""
     configuration = step.state.versions.configuration
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -8,6 +8,7 @@
 from marjoramledge_core import _node
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _records
+from marjoramledge_core import _replay
 from marjoramledge_core import _state
 
 Identity = _node.Identity
@@ -25,6 +26,7 @@
 MessageKind = _members.MessageKind
 Reason = _outcomes.Reason
 Record = _records.Record
+ReplayGuard = _replay.ReplayGuard
 RecordKind = _records.RecordKind
 RunState = _outcomes.RunState
 Server = _gate.Server
@@ -41,6 +43,7 @@
 ManifestFailed = _events.ManifestFailed
 ManifestFetched = _events.ManifestFetched
 MembersReceived = _events.MembersReceived
+DrainOrdered = _events.DrainOrdered
 MessageReceived = _events.MessageReceived
 ProbeEnded = _events.ProbeEnded
 SeedsFound = _events.SeedsFound
--- a/packages/node/marjoramledge_node/_auth.py
+++ b/packages/node/marjoramledge_node/_auth.py
@@ -7,8 +7,10 @@
 import collections.abc
 import dataclasses
 import hmac
+import itertools
 import typing
 
+from marjoramledge_core import node
 from returns import result
 
 MIN_SECRET_LENGTH: typing.Final = 16
@@ -67,6 +69,56 @@
             return False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Stamp:
+    """Marks one message of one run of a sender."""
+
+    run: str
+    number: int
+
+    def __str__(self) -> str:
+        """Render the stamp as the value of a header."""
+        return f"{self.run};{self.number}"
+
+
+class Stamper:
+    """Numbers what one run of a node sends.
+
+    Parameters
+    ----------
+    run
+        Name of the run, unique among all runs of all nodes.
+    """
+
+    def __init__(self, *, run: str) -> None:
+        self._run = run
+        self._numbers = itertools.count(1)
+
+    def stamp(self) -> Stamp:
+        """Make the next stamp."""
+        return Stamp(run=self._run, number=next(self._numbers))
+
+
+def parse_stamp(text: str | None) -> Stamp | None:
+    """Read a stamp from a header; None when it makes no sense."""
+    run, _, number = (text or "").rpartition(";")
+    if not run or not number.isascii() or not number.isdigit():
+        return None
+    return Stamp(run=run, number=int(number))
+
+
+def stamped_content(
+    stamp: Stamp, receiver: node.Address, content: bytes
+) -> bytes:
+    """Join what is signed of a message that must count only once.
+
+    The receiver is part of it, so that what was sent to one node can't be
+    shown to another.
+    """
+    head = f"{stamp} {receiver.host}:{receiver.port}\n"
+    return head.encode() + content
+
+
 def parse_keys(text: str) -> result.Result[KeyRing, str]:
     """Read keys written as ``id:secret[,id:secret...]``."""
     keys = []
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -84,6 +84,8 @@
         Clients to send with.
     keys
         Keys that sign what is sent to peers.
+    stamper
+        Numbers what is sent to peers.
     call_prefix
         Start of the ids of this node's calls, unique to this run of it.
     """
@@ -94,11 +96,13 @@
         engine: _engine.Engine,
         upstream: _upstream.Upstream,
         keys: _auth.KeyRing,
+        stamper: _auth.Stamper,
         call_prefix: str,
     ) -> None:
         self._engine = engine
         self._upstream = upstream
         self._keys = keys
+        self._stamper = stamper
         self._call_prefix = call_prefix
         self._numbers = itertools.count()
 
@@ -202,12 +206,18 @@
         self, exchange: _Exchange, command: node.SendToPeer
     ) -> None:
         attempt = command.attempt
-        signed = _auth.request_content(
-            exchange.request.method, exchange.target, attempt, b""
+        stamp = self._stamper.stamp()
+        signed = _auth.stamped_content(
+            stamp,
+            command.address,
+            _auth.request_content(
+                exchange.request.method, exchange.target, attempt, b""
+            ),
         )
         outgoing = exchange.outgoing(
             {
                 _headers.ATTEMPT: attempt,
+                _headers.STAMP: str(stamp),
                 _headers.AUTH: self._keys.sign_header(signed),
             }
         )
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -86,6 +86,9 @@
                 node.MembersReceived(members=received.unwrap())
             )
             return _wire.encode_members(state.membership.members.values())
+        if target == _peer_port.DRAIN_TARGET and method in ("PUT", "DELETE"):
+            self._engine.submit(node.DrainOrdered(is_drained=method == "PUT"))
+            return b"{}"
         if (method, target) == ("GET", _peer_port.STATUS_TARGET):
             return json.dumps(self._describe()).encode()
         current = _peer_port.manifest_target(state.versions.ref.digest)
@@ -238,6 +241,7 @@
             "version": state.versions.ref.version,
             "digest": state.versions.ref.digest,
             "is_store_up": self._is_store_up,
+            "is_drained_by_order": state.is_drained_by_order,
             "stop_phase": state.stop_phase.name.lower(),
             "gate": {
                 "state": gate.state.name.lower(),
--- a/packages/node/marjoramledge_node/_gossip_port.py
+++ b/packages/node/marjoramledge_node/_gossip_port.py
@@ -21,11 +21,25 @@
         The node's engine.
     keys
         Keys that sign and let in.
+    stamper
+        Numbers what is sent.
+    guard
+        Knows what was received before.
     """
 
-    def __init__(self, *, engine: _engine.Engine, keys: _auth.KeyRing) -> None:
+    def __init__(
+        self,
+        *,
+        engine: _engine.Engine,
+        keys: _auth.KeyRing,
+        stamper: _auth.Stamper,
+        guard: node.ReplayGuard,
+    ) -> None:
         self._engine = engine
         self._keys = keys
+        self._stamper = stamper
+        self._guard = guard
+        self._address = engine.state.membership.myself.address
         self._transport: asyncio.DatagramTransport | None = None
         self._rejected = 0
         self._sent_bytes = 0
@@ -33,7 +47,7 @@
 
     @property
     def rejected(self) -> int:
-        """Datagrams that bore no valid key or made no sense."""
+        """Datagrams without a valid key, without sense or sent again."""
         return self._rejected
 
     @property
@@ -67,21 +81,45 @@
     def _open(self, data: bytes) -> node.Message | None:
         if len(data) > _wire.MAX_DATAGRAM_BYTES:
             return None
-        sealed = _wire.unseal(data)
-        if isinstance(sealed, result.Failure):
+        unsealed = _wire.unseal(data)
+        if isinstance(unsealed, result.Failure):
+            return None
+        sealed = unsealed.unwrap()
+        signed = _auth.stamped_content(
+            sealed.stamp, self._address, sealed.payload
+        )
+        if not self._keys.verify(sealed.key_id, sealed.mac, signed):
             return None
-        key_id, mac, payload = sealed.unwrap()
-        if not self._keys.verify(key_id, mac, payload):
+        if not self._guard.accept(sealed.stamp.run, sealed.stamp.number):
             return None
-        return _wire.decode_message(payload).value_or(None)
+        return _wire.decode_message(sealed.payload).value_or(None)
 
     def _send(self, command: node.SendMessage) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        payload = _wire.encode_message(command.message)
-        datagram = _wire.seal(
-            self._keys.signing_key_id, self._keys.sign(payload), payload
+        address = command.address
+        datagram = seal_message(
+            self._keys, self._stamper, address, command.message
         )
         self._sent_bytes += len(datagram)
-        address = command.address
         self._transport.sendto(datagram, (address.host, address.port))
+
+
+def seal_message(
+    keys: _auth.KeyRing,
+    stamper: _auth.Stamper,
+    receiver: node.Address,
+    message: node.Message,
+) -> bytes:
+    """Encode, stamp and sign a message to one receiver."""
+    payload = _wire.encode_message(message)
+    stamp = stamper.stamp()
+    signed = _auth.stamped_content(stamp, receiver, payload)
+    return _wire.seal(
+        _wire.Sealed(
+            key_id=keys.signing_key_id,
+            mac=keys.sign(signed),
+            stamp=stamp,
+            payload=payload,
+        )
+    )
--- a/packages/node/marjoramledge_node/_headers.py
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -21,6 +21,7 @@
 # Nodes tell one another these.
 ATTEMPT: typing.Final = "Marjoramledge-Attempt"
 AUTH: typing.Final = "Marjoramledge-Auth"
+STAMP: typing.Final = "Marjoramledge-Stamp"
 LOAD: typing.Final = "Marjoramledge-Load"
 PATIENT: typing.Final = "Marjoramledge-Patient"
 
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -25,6 +25,7 @@
 
 MEMBERS_TARGET: typing.Final = "/members"
 STATUS_TARGET: typing.Final = "/status"
+DRAIN_TARGET: typing.Final = "/drain"
 MANIFEST_TARGET: typing.Final = "/manifests/"
 # Bound of a list of members: some thousands of about 80 bytes each.
 MAX_MEMBERS_BYTES: typing.Final = 1024 * 1024
@@ -43,6 +44,8 @@
         Client to send to the backend server with.
     keys
         Keys that let peers in.
+    guard
+        Knows which offers were received before.
     find_document
         Finds what a method, a target and a body ask for; None when there is
         no such document.
@@ -54,11 +57,14 @@
         engine: _engine.Engine,
         upstream: _upstream.Upstream,
         keys: _auth.KeyRing,
+        guard: node.ReplayGuard,
         find_document: DocumentSource,
     ) -> None:
         self._engine = engine
         self._upstream = upstream
         self._keys = keys
+        self._guard = guard
+        self._address = engine.state.membership.myself.address
         self._find_document = find_document
         self._rejected = 0
 
@@ -72,7 +78,7 @@
         attempt = request.headers.get(_headers.ATTEMPT)
         if attempt is None:
             return await self._serve_document(request)
-        if not self._is_authentic(request, attempt, b""):
+        if not self._is_new_offer(request, attempt):
             return self._reject()
         return await self._serve_offer(request, ids.AttemptId(attempt))
 
@@ -95,6 +101,18 @@
             return web.Response(status=404)
         return web.Response(body=document)
 
+    def _is_new_offer(self, request: web.BaseRequest, attempt: str) -> bool:
+        stamp = _auth.parse_stamp(request.headers.get(_headers.STAMP))
+        if stamp is None:
+            return False
+        content = _auth.request_content(
+            request.method, request.raw_path, attempt, b""
+        )
+        signed = _auth.stamped_content(stamp, self._address, content)
+        return self._keys.verify_header(
+            request.headers.get(_headers.AUTH), signed
+        ) and self._guard.accept(stamp.run, stamp.number)
+
     def _is_authentic(
         self, request: web.BaseRequest, subject: str, body: bytes
     ) -> bool:
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -14,6 +14,7 @@
 from marjoramledge_store import client
 import uvloop
 
+from marjoramledge_node import _auth
 from marjoramledge_node import _caller_port
 from marjoramledge_node import _engine
 from marjoramledge_node import _fleet
@@ -74,15 +75,22 @@
             options=options,
             timeline=self._timeline,
         )
+        run = f"{options.node_id}-{os.urandom(4).hex()}-"
+        stamper = _auth.Stamper(run=run)
+        guard = node.ReplayGuard()
         self._gossip = _gossip_port.GossipPort(
-            engine=self._engine, keys=options.keys
+            engine=self._engine,
+            keys=options.keys,
+            stamper=stamper,
+            guard=guard,
         )
         self._callers = _caller_port.make_server(
             _caller_port.CallerPort(
                 engine=self._engine,
                 upstream=self._upstream,
                 keys=options.keys,
-                call_prefix=f"{options.node_id}-{os.urandom(4).hex()}-",
+                stamper=stamper,
+                call_prefix=run,
             )
         )
         self._peers = _peer_port.make_server(
@@ -90,6 +98,7 @@
                 engine=self._engine,
                 upstream=self._upstream,
                 keys=options.keys,
+                guard=guard,
                 find_document=self._fleet.find_document,
             )
         )
--- a/packages/node/marjoramledge_node/_refusals.py
+++ b/packages/node/marjoramledge_node/_refusals.py
@@ -20,6 +20,7 @@
     node.Reason.DEADLINE_PASSED: 504,
     node.Reason.SERVER_LEAVING: 503,
     node.Reason.ZONE_CLOSED: 503,
+    node.Reason.DRAINED_BY_ORDER: 503,
     node.Reason.NODE_STOPPING: 503,
     node.Reason.SERVER_REFUSED: 503,
     node.Reason.SERVER_UNREACHABLE: 502,
--- a/packages/node/marjoramledge_node/_wire.py
+++ b/packages/node/marjoramledge_node/_wire.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import dataclasses
 import typing
 
 from marjoramledge_core import configuration
@@ -16,6 +17,8 @@
 from thriftpy2 import thrift
 from thriftpy2 import utils
 
+from marjoramledge_node import _auth
+
 MAX_DATAGRAM_BYTES: typing.Final = 8192
 
 _STRING: typing.Final = thrift.TType.STRING
@@ -68,6 +71,8 @@
         1: (_STRING, "key_id", False),
         2: (_BINARY, "mac", False),
         3: (_BINARY, "payload", False),
+        4: (_STRING, "run", False),
+        5: (_I64, "number", False),
     }
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
@@ -138,17 +143,42 @@
         return result.Failure(repr(error))
 
 
-def seal(key_id: str, mac: bytes, payload: bytes) -> bytes:
-    """Put a payload and its authentication code into one datagram."""
-    return _encode(_EnvelopeStruct(key_id=key_id, mac=mac, payload=payload))
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Sealed:
+    """A datagram taken apart, not yet found authentic."""
+
+    key_id: str
+    mac: bytes
+    stamp: _auth.Stamp
+    payload: bytes
 
 
-def unseal(content: bytes) -> result.Result[tuple[str, bytes, bytes], str]:
-    """Take a datagram apart into key id, code and payload."""
+def seal(sealed: Sealed) -> bytes:
+    """Put a payload, its stamp and its code into one datagram."""
+    return _encode(
+        _EnvelopeStruct(
+            key_id=sealed.key_id,
+            mac=sealed.mac,
+            payload=sealed.payload,
+            run=sealed.stamp.run,
+            number=sealed.stamp.number,
+        )
+    )
+
+
+def unseal(content: bytes) -> result.Result[Sealed, str]:
+    """Take a datagram apart."""
     try:
         struct = utils.deserialize(_EnvelopeStruct(), content, _PROTOCOL)
         return result.Success(
-            (str(struct.key_id), bytes(struct.mac), bytes(struct.payload))
+            Sealed(
+                key_id=str(struct.key_id),
+                mac=bytes(struct.mac),
+                stamp=_auth.Stamp(
+                    run=str(struct.run), number=int(struct.number)
+                ),
+                payload=bytes(struct.payload),
+            )
         )
     except Exception as error:  # The codec raises many kinds.
         return result.Failure(repr(error))
--- a/packages/node/marjoramledge_node/peers.py
+++ b/packages/node/marjoramledge_node/peers.py
@@ -5,6 +5,7 @@
 from marjoramledge_node import _peer_port
 
 KeyRing = _auth.KeyRing
+DRAIN_TARGET = _peer_port.DRAIN_TARGET
 MEMBERS_TARGET = _peer_port.MEMBERS_TARGET
 STATUS_TARGET = _peer_port.STATUS_TARGET
 
--- a/packages/standins/marjoramledge_standins/demo.py
+++ b/packages/standins/marjoramledge_standins/demo.py
@@ -83,6 +83,20 @@
     ]
 
 
+def write_closed_example(folder: pathlib.Path, zone: str) -> pathlib.Path:
+    """Write the example with one zone out of service."""
+    shutil.copytree(EXAMPLE, folder)
+    inventory = folder / "inventory.toml"
+    inventory.write_text(
+        re.sub(
+            rf"(\[zones\.{zone}\][^\[]*?takes_work = )true",
+            r"\1false",
+            inventory.read_text(),
+        )
+    )
+    return folder
+
+
 class Demo:
     """One run of the demonstration."""
 
@@ -126,17 +140,7 @@
 
     async def _move_zone(self) -> None:
         fleet = self._deployment
-        closed = fleet.folder / "closed"
-        shutil.copytree(EXAMPLE, closed)
-        inventory = closed / "inventory.toml"
-        text = inventory.read_text()
-        inventory.write_text(
-            re.sub(
-                rf"(\[zones\.{ZONE}\][^\[]*?takes_work = )true",
-                r"\1false",
-                text,
-            )
-        )
+        closed = write_closed_example(fleet.folder / "closed", ZONE)
         self._say(f"taking {ZONE} out of service")
         self._out_at = await self._apply(closed)
         await asyncio.sleep(6.0)
--- a/packages/standins/marjoramledge_standins/measure.py
+++ b/packages/standins/marjoramledge_standins/measure.py
@@ -14,6 +14,7 @@
 from marjoramledge_standins import measure_decisions
 from marjoramledge_standins import measure_latency
 from marjoramledge_standins import measure_processes
+from marjoramledge_standins import measure_zones
 from marjoramledge_standins import measurement
 
 Run = collections.abc.Callable[
@@ -24,6 +25,7 @@
     "latency": measure_latency.run,
     "decisions": measure_decisions.run,
     "control": measure_control.run,
+    "zones": measure_zones.run,
     "processes": measure_processes.run,
 }
 
--- a/packages/standins/marjoramledge_standins/measure_control.py
+++ b/packages/standins/marjoramledge_standins/measure_control.py
@@ -18,6 +18,7 @@
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_node import _auth
+from marjoramledge_node import _gossip_port
 from marjoramledge_node import _wire
 from marjoramledge_node import peers
 
@@ -34,6 +35,7 @@
 # Copies of a piece of news that reach a node through pushes.
 COPIES: typing.Final = 3
 UDP_HEADER_BYTES: typing.Final = 28
+SELF: typing.Final = node.Address(host="10.99.0.1", port=8081)
 
 BYTES_BOUND: typing.Final = 6000.0
 CPU_BOUND: typing.Final = 0.016
@@ -54,6 +56,8 @@
             tuple(self._members), declared, self._rng
         )
         self._version = 1
+        self._stamper = _auth.Stamper(run="vm-0000-01234567-")
+        self._guard = node.ReplayGuard()
         self._inbox: list[tuple[float, bytes]] = []
         self.now = 0.0
         self.sent_bytes = 0
@@ -134,19 +138,22 @@
             news=news,
         )
 
-    def _seal(self, message: node.Message) -> bytes:
-        payload = _wire.encode_message(message)
-        return _wire.seal(
-            self._keys.signing_key_id, self._keys.sign(payload), payload
+    def _seal(
+        self, message: node.Message, receiver: node.Address = SELF
+    ) -> bytes:
+        return _gossip_port.seal_message(
+            self._keys, self._stamper, receiver, message
         )
 
     def _receive(self, content: bytes) -> None:
         self.received_bytes += len(content) + UDP_HEADER_BYTES
         began_at = time.process_time()
-        key_id, mac, payload = _wire.unseal(content).unwrap()
-        if not self._keys.verify(key_id, mac, payload):
+        sealed = _wire.unseal(content).unwrap()
+        signed = _auth.stamped_content(sealed.stamp, SELF, sealed.payload)
+        if not self._keys.verify(sealed.key_id, sealed.mac, signed):
             raise AssertionError("a made message was not authentic")
-        message = _wire.decode_message(payload).unwrap()
+        self._guard.accept(sealed.stamp.run, sealed.stamp.number)
+        message = _wire.decode_message(sealed.payload).unwrap()
         self.cpu_s += time.process_time() - began_at
         self._submit(node.MessageReceived(message=message))
 
@@ -155,7 +162,7 @@
         commands = node.handle(self._state, event, self.now, self._rng)
         sent = [c for c in commands if isinstance(c, node.SendMessage)]
         syncs = [c for c in commands if isinstance(c, node.SyncMembers)]
-        contents = [self._seal(command.message) for command in sent]
+        contents = [self._seal(c.message, c.address) for c in sent]
         self.cpu_s += time.process_time() - began_at
         if syncs:
             self._exchange_views()
@@ -194,7 +201,7 @@
 
 async def run() -> list[measurement.Measure]:
     """Measure at four sizes; the figures are those of the largest."""
-    measures = []
+    measures: list[measurement.Measure] = []
     for count in SIZES:
         member = _Member(count=count)
         member.live(60.0)
@@ -204,14 +211,14 @@
         cpu_s = member.cpu_s - before[1]
         measures.extend(
             (
-                _measure(
+                measurement.make(
                     f"gossip_bytes_per_s_{count}",
                     total / WATCHED_S,
                     "B/s",
                     BYTES_BOUND,
                     int(WATCHED_S),
                 ),
-                _measure(
+                measurement.make(
                     f"control_cpu_share_{count}",
                     cpu_s / WATCHED_S,
                     "cores",
@@ -243,17 +250,17 @@
     one = _wire.encode_members(members[:1])
     two = _wire.encode_members(members[:2])
     return [
-        _measure(
+        measurement.make(
             "bytes_per_rule", (with_rules - empty) / rules, "B", None, rules
         ),
-        _measure(
+        measurement.make(
             "bytes_per_member",
             (with_members - with_rules) / count,
             "B",
             None,
             count,
         ),
-        _measure(
+        measurement.make(
             "message_bytes_per_member", len(two) - len(one), "B", None, 1
         ),
     ]
@@ -284,7 +291,7 @@
         rss_mb = measurement.read_rss_mb(vm.node.pid)
     finally:
         await fleet.stop()
-    return [_measure("control_rss_mb", rss_mb, "MB", RSS_BOUND_MB, 1)]
+    return [measurement.make("control_rss_mb", rss_mb, "MB", RSS_BOUND_MB, 1)]
 
 
 async def _tell_members(address: str) -> None:
@@ -303,16 +310,3 @@
     ):
         if response.status != 200:
             raise AssertionError(f"status {response.status}")
-
-
-def _measure(
-    name: str, value: float, unit: str, bound: float | None, runs: int
-) -> measurement.Measure:
-    return measurement.Measure(
-        name=name,
-        value=value,
-        unit=unit,
-        bound=bound,
-        baseline=None,
-        runs=runs,
-    )
--- a/packages/standins/marjoramledge_standins/measure_decisions.py
+++ b/packages/standins/marjoramledge_standins/measure_decisions.py
@@ -294,11 +294,4 @@
     bound: float | None,
     baseline: float | None = None,
 ) -> measurement.Measure:
-    return measurement.Measure(
-        name=name,
-        value=value,
-        unit=unit,
-        bound=bound,
-        baseline=baseline,
-        runs=len(SEEDS),
-    )
+    return measurement.make(name, value, unit, bound, len(SEEDS), baseline)
--- a/packages/standins/marjoramledge_standins/measurement.py
+++ b/packages/standins/marjoramledge_standins/measurement.py
@@ -22,6 +22,25 @@
     runs: int
 
 
+def make(
+    name: str,
+    value: float,
+    unit: str,
+    bound: float | None,
+    runs: int,
+    baseline: float | None = None,
+) -> Measure:
+    """Make a measure."""
+    return Measure(
+        name=name,
+        value=value,
+        unit=unit,
+        bound=bound,
+        baseline=baseline,
+        runs=runs,
+    )
+
+
 def format_measure(measure: Measure) -> str:
     """Render a measure as one JSON object."""
     return json.dumps(
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -49,6 +49,10 @@
     )
 
 
+def _shown_server(driver: builders.CoreDriver) -> node.ServerState:
+    return driver.state.membership.myself.server
+
+
 def test_a_call_before_any_configuration_is_refused_as_not_run() -> None:
     (command,) = builders.CoreDriver().arrive("c")
     assert isinstance(command, node.RefuseCall)
@@ -188,6 +192,22 @@
     assert isinstance(sent, node.SendToPeer)
 
 
+def test_a_drain_by_order_holds_until_it_is_ended() -> None:
+    driver = _start(peers=("n1",))
+    driver.submit(node.DrainOrdered(is_drained=True))
+    assert _shown_server(driver) is node.ServerState.DRAINING
+    (sent,) = driver.arrive("elsewhere")
+    assert isinstance(sent, node.SendToPeer)
+    # A new configuration is no end of the order.
+    driver.configure(2)
+    (sent,) = driver.arrive("still-elsewhere")
+    assert isinstance(sent, node.SendToPeer)
+    driver.submit(node.DrainOrdered(is_drained=False))
+    assert _shown_server(driver) is node.ServerState.WARM
+    (here,) = driver.arrive("here")
+    assert isinstance(here, node.RunOnServer)
+
+
 def test_a_configuration_never_reverts() -> None:
     driver = _start()
     driver.configure(3)
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,95 @@
+"""Authentication and replay, against naive versions."""
+
+import itertools
+
+import fake_network
+import hypothesis
+from hypothesis import strategies
+from marjoramledge_core import _replay
+from marjoramledge_core import node
+from marjoramledge_node import _auth
+from marjoramledge_node import _gossip_port
+from marjoramledge_node import _wire
+
+HERE = node.Address(host="127.0.0.1", port=7000)
+KEYS = "a:a-secret-of-sixteen,b:b-secret-of-sixteen"
+
+
+@hypothesis.given(strategies.lists(strategies.integers(1, 3000)))
+def test_guard_accepts_what_a_set_would_within_its_window(
+    numbers: list[int],
+) -> None:
+    guard = _replay.ReplayGuard()
+    seen: set[int] = set()
+    for number in numbers:
+        is_recent = number > max(seen, default=0) - _replay.WINDOW
+        expected = is_recent and number not in seen
+        assert guard.accept("run", number) is expected
+        if expected:
+            seen.add(number)
+
+
+def test_guard_keeps_runs_apart_and_its_state_bounded() -> None:
+    guard = _replay.ReplayGuard()
+    for number in range(2 * _replay.MAX_RUNS):
+        assert guard.accept(f"run{number}", 1)
+    assert not guard.accept(f"run{2 * _replay.MAX_RUNS - 1}", 1)
+    assert guard.dropped == 1
+
+
+def _is_let_in(
+    content: bytes, receiver: node.Address, keys: _auth.KeyRing
+) -> bool:
+    sealed = _wire.unseal(content).unwrap()
+    signed = _auth.stamped_content(sealed.stamp, receiver, sealed.payload)
+    return keys.verify(sealed.key_id, sealed.mac, signed)
+
+
+def _seal(keys: _auth.KeyRing) -> bytes:
+    network = fake_network.Network(count=1, seed=1)
+    (state,) = network.nodes.values()
+    message = node.Message(
+        kind=node.MessageKind.PING,
+        sender=state.node,
+        sender_address=HERE,
+        sequence=1,
+        target=state.node,
+        config=state.versions.ref,
+        news=(state.membership.myself,),
+    )
+    stamper = _auth.Stamper(run="n0-")
+    content = _gossip_port.seal_message(keys, stamper, HERE, message)
+    unsealed = _wire.unseal(content).unwrap()
+    assert _wire.decode_message(unsealed.payload).unwrap() == message
+    return content
+
+
+def test_a_message_is_for_one_receiver_and_one_key() -> None:
+    keys = _auth.parse_keys(KEYS).unwrap()
+    content = _seal(keys)
+    assert _is_let_in(content, HERE, keys)
+    elsewhere = node.Address(host="127.0.0.2", port=7000)
+    assert not _is_let_in(content, elsewhere, keys)
+    other = _auth.parse_keys("a:another-secret-of-it").unwrap()
+    assert not _is_let_in(content, HERE, other)
+
+
+def test_keys_are_rotated_without_a_gap() -> None:
+    old = _auth.parse_keys("a:a-secret-of-sixteen").unwrap()
+    both = _auth.parse_keys(KEYS).unwrap()
+    new_first = _auth.parse_keys(
+        "b:b-secret-of-sixteen,a:a-secret-of-sixteen"
+    ).unwrap()
+    new = _auth.parse_keys("b:b-secret-of-sixteen").unwrap()
+    for before, after in itertools.pairwise((old, both, new_first, new)):
+        assert _is_let_in(_seal(before), HERE, after)
+        assert _is_let_in(_seal(after), HERE, before)
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_nonsense_is_never_let_in(content: bytes) -> None:
+    keys = _auth.parse_keys(KEYS).unwrap()
+    unsealed = _wire.unseal(content)
+    assert unsealed.value_or(None) is None or not _is_let_in(
+        content, HERE, keys
+    )
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -369,6 +369,29 @@
     asyncio.run(race())
 
 
+def test_a_zone_is_drained_by_order_while_the_store_is_down() -> None:
+    async def drain_and_end() -> None:
+        async with _running_fleet() as fleet:
+            running = fleet.running
+            await running.set_faults("down")
+            ask = ("--zone", "obihiro", "--peers", running.vms[0].peer_address)
+            status, output = await running.run_command("drain", *ask)
+            assert (status, output) == (0, "shop-2: drained by order\n")
+            await asyncio.sleep(1.0)
+            for number in range(20):
+                call = f"drained-{number}"
+                await fleet.call("/kits/1", vm=2, X_Call_Id=call)
+                assert "shop-2" not in fleet.runs_of(call)
+            status, output = await running.run_command("drain", "--end", *ask)
+            assert (status, output) == (0, "shop-2: takes work again\n")
+            await fleet.call("/kits/1", vm=2, X_Call_Id="ended")
+            assert fleet.runs_of("ended") == ["shop-2"]
+            status, _ = await running.run_command("drain", *ask[2:])
+            assert status == 2
+
+    asyncio.run(drain_and_end())
+
+
 def test_a_planned_stop_finishes_what_runs_and_refuses_the_rest() -> None:
     async def stop_under_calls() -> None:
         async with _running_fleet() as fleet:
