--- a/packages/standins/marjoramledge_standins/measure.py
+++ b/packages/standins/marjoramledge_standins/measure.py
@@ -13,6 +13,7 @@
 from marjoramledge_standins import measure_control
 from marjoramledge_standins import measure_decisions
 from marjoramledge_standins import measure_latency
+from marjoramledge_standins import measure_membership
 from marjoramledge_standins import measure_processes
 from marjoramledge_standins import measure_zones
 from marjoramledge_standins import measurement
@@ -25,6 +26,7 @@
     "latency": measure_latency.run,
     "decisions": measure_decisions.run,
     "control": measure_control.run,
+    "membership": measure_membership.run,
     "zones": measure_zones.run,
     "processes": measure_processes.run,
 }
--- a/packages/standins/marjoramledge_standins/measure_control.py
+++ b/packages/standins/marjoramledge_standins/measure_control.py
@@ -31,6 +31,8 @@
 UPDATES_PER_RESTART: typing.Final = 5
 RESTARTS_PER_DAY: typing.Final = 548
 CHANGES_PER_DAY: typing.Final = 2600
+STORE_SETTLED_S: typing.Final = 1200.0
+STORE_WATCHED_S: typing.Final = 7200.0
 DAY_S: typing.Final = 86400.0
 # Copies of a piece of news that reach a node through pushes.
 COPIES: typing.Final = 3
@@ -63,6 +65,8 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self.cpu_s = 0.0
+        self.reads = 0
+        self.registrations = 0
 
     def live(self, seconds: float) -> None:
         """Let time pass while peers answer and things happen."""
@@ -162,6 +166,9 @@
         commands = node.handle(self._state, event, self.now, self._rng)
         sent = [c for c in commands if isinstance(c, node.SendMessage)]
         syncs = [c for c in commands if isinstance(c, node.SyncMembers)]
+        for command in commands:
+            self.reads += isinstance(command, node.ReadVersion)
+            self.registrations += isinstance(command, node.RegisterMember)
         contents = [self._seal(c.message, c.address) for c in sent]
         self.cpu_s += time.process_time() - began_at
         if syncs:
@@ -227,11 +234,38 @@
                 ),
             )
         )
+    measures.extend(_measure_store_traffic())
     measures.extend(_measure_state())
     measures.extend(await _measure_rss())
     return measures
 
 
+def _measure_store_traffic() -> list[measurement.Measure]:
+    """Count what 1,400 nodes ask of the store once they have settled.
+
+    A registration writes one row and reads some others at once.
+    """
+    member = _Member(count=measure_choice.MEMBERS)
+    member.live(STORE_SETTLED_S)
+    reads, registrations = member.reads, member.registrations
+    member.live(STORE_WATCHED_S)
+    registrations = member.registrations - registrations
+    reads = member.reads - reads + registrations
+    fleet_per_s = measure_choice.MEMBERS / STORE_WATCHED_S
+    return [
+        measurement.make(
+            "store_reads_per_s", reads * fleet_per_s, "1/s", 200.0, reads
+        ),
+        measurement.make(
+            "store_writes_per_s",
+            registrations * fleet_per_s,
+            "1/s",
+            50.0,
+            registrations,
+        ),
+    ]
+
+
 def _measure_state() -> list[measurement.Measure]:
     """Measure the memory that a member and a rule take in the core."""
     tracemalloc.start()
--- /dev/null
+++ b/packages/standins/marjoramledge_standins/measure_membership.py
@@ -0,0 +1,144 @@
+"""Failure detection and spread of configuration, over joined cores.
+
+At most 64 real cores under virtual time with 1 % loss; what is said of 1,400
+members is extrapolated over the logarithm of their number from 8, 16, 32 and
+64.
+"""
+
+import concurrent.futures
+import math
+import statistics
+import typing
+
+from marjoramledge_core import node
+
+from marjoramledge_standins import measure_choice
+from marjoramledge_standins import measurement
+from marjoramledge_standins import virtual_network
+
+SIZES: typing.Final = (8, 16, 32, 64)
+SEEDS: typing.Final = (1, 2, 3)
+LOSS: typing.Final = 0.01
+JOIN_S: typing.Final = 30.0
+CHANGES: typing.Final = 10
+KILLS: typing.Final = 8
+KILL_PERIOD_S: typing.Final = 30.0
+CALM_S: typing.Final = 400.0
+PAUSE_S: typing.Final = 2.0
+PAUSE_PERIOD_S: typing.Final = 20.0
+DAY_S: typing.Final = 86400.0
+STEP_S: typing.Final = 0.05
+MAX_PARALLEL: typing.Final = 6
+
+
+async def run() -> list[measurement.Measure]:
+    """Measure all."""
+    with concurrent.futures.ProcessPoolExecutor(MAX_PARALLEL) as pool:
+        pairs = [(size, seed) for size in SIZES for seed in SEEDS]
+        spreads = list(pool.map(_spread_changes, *zip(*pairs, strict=True)))
+        detections = list(pool.map(_detect_failures, SEEDS))
+        suspicions = list(pool.map(_count_false_suspicions, SEEDS))
+    largest = [
+        max(
+            seconds
+            for (of, _), times in zip(pairs, spreads, strict=True)
+            for seconds in times
+            if of == size
+        )
+        for size in SIZES
+    ]
+    logs = [math.log2(size) for size in SIZES]
+    slope, intercept = statistics.linear_regression(logs, largest)
+    at_1400 = intercept + slope * math.log2(measure_choice.MEMBERS)
+    times = [seconds for run in detections for seconds in run]
+    trials = len(SEEDS) * CHANGES
+    node_days = len(SEEDS) * SIZES[-1] * CALM_S / DAY_S
+    return [
+        *(
+            measurement.make(
+                f"config_in_force_s_{size}_cores", seconds, "s", 16.0, trials
+            )
+            for size, seconds in zip(SIZES, largest, strict=True)
+        ),
+        measurement.make(
+            "config_in_force_1400_s",
+            max(at_1400, largest[-1]),
+            "s",
+            16.0,
+            trials * len(SIZES),
+        ),
+        measurement.make(
+            "failure_detection_s",
+            measurement.quantile(times, 0.99),
+            "s",
+            10.0,
+            len(times),
+        ),
+        measurement.make(
+            "false_suspicions_per_node_day",
+            sum(suspicions) / node_days,
+            "1/day",
+            1.0,
+            len(SEEDS),
+        ),
+    ]
+
+
+def _start(size: int, seed: int) -> virtual_network.Network:
+    network = virtual_network.Network(count=size, seed=seed)
+    network.store.accept(1)
+    network.run(JOIN_S)
+    if not network.is_agreed():
+        raise AssertionError("the nodes did not find one another")
+    network.link.loss = LOSS
+    return network
+
+
+def _spread_changes(size: int, seed: int) -> list[float]:
+    """Time how long each of some changes takes to be in force everywhere."""
+    network = _start(size, seed)
+    times = []
+    for version in range(2, 2 + CHANGES):
+        network.run(network.rng.uniform(1.0, 5.0))
+        accepted_at = network.now
+        network.store.accept(version)
+        while network.versions() != {version}:
+            network.run(STEP_S)
+        times.append(network.now - accepted_at)
+    return times
+
+
+def _detect_failures(seed: int) -> list[float]:
+    """Time how long each killed node takes to be failed for all."""
+    network = _start(SIZES[-1], seed)
+    times = []
+    for number in range(KILLS):
+        network.kill(number)
+        killed_at = network.now
+        while not network.is_agreed():
+            network.run(STEP_S)
+        times.append(network.now - killed_at)
+        network.run(max(0.0, killed_at + KILL_PERIOD_S - network.now))
+    return times
+
+
+def _count_false_suspicions(seed: int) -> int:
+    """Count suspicions of nodes that ran, while others were paused."""
+    network = _start(SIZES[-1], seed)
+    first = len(network.records)
+    pauses: list[tuple[str, float]] = []
+    for number in range(int(CALM_S / PAUSE_PERIOD_S)):
+        paused = number % SIZES[-1]
+        pauses.append((f"n{paused}", network.now))
+        network.pause(paused, PAUSE_S)
+        network.run(PAUSE_PERIOD_S)
+    suspected = {
+        (record.peer, record.detail)
+        for at, _, record in network.records[first:]
+        if record.kind is node.RecordKind.MEMBER_SUSPECTED
+        and not any(
+            record.peer == name and since <= at < since + PAUSE_PERIOD_S
+            for name, since in pauses
+        )
+    }
+    return len(suspected)
--- a/tests/fake_network.py
+++ b/packages/standins/marjoramledge_standins/virtual_network.py
@@ -12,11 +12,12 @@
 import random
 import typing
 
-import builders
 from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
 
+from marjoramledge_standins import builders
+
 EXCHANGE_S: typing.Final = 0.005
 
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,8 +1,8 @@
 """The life of a call at its entry, under virtual time."""
 
-import builders
 from marjoramledge_core import ids
 from marjoramledge_core import node
+from marjoramledge_standins import builders
 import pytest
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,7 +4,6 @@
 import random
 import typing
 
-import builders
 import hypothesis
 from hypothesis import strategies
 from marjoramledge_core import _budget
@@ -18,6 +17,7 @@
 from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
+from marjoramledge_standins import builders
 import pytest
 
 NOW = 100.0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,12 +2,14 @@
 
 import itertools
 
-import fake_network
 from marjoramledge_core import node
+from marjoramledge_standins import virtual_network
 import pytest
 
 
-def _run_until_agreed(network: fake_network.Network, limit_s: float) -> float:
+def _run_until_agreed(
+    network: virtual_network.Network, limit_s: float
+) -> float:
     began_at = network.now
     while not network.is_agreed():
         assert network.now - began_at < limit_s, "no agreement"
@@ -15,7 +17,9 @@
     return network.now - began_at
 
 
-def _has_event(network: fake_network.Network, kind: node.RecordKind) -> bool:
+def _has_event(
+    network: virtual_network.Network, kind: node.RecordKind
+) -> bool:
     return any(record.kind is kind for _, _, record in network.records)
 
 
@@ -24,7 +28,9 @@
 def test_nodes_that_start_together_do_not_remain_in_groups(
     seed: int, uses_store: bool
 ) -> None:
-    network = fake_network.Network(count=9, seed=seed, uses_store=uses_store)
+    network = virtual_network.Network(
+        count=9, seed=seed, uses_store=uses_store
+    )
     _run_until_agreed(network, 15.0)
 
 
@@ -32,7 +38,7 @@
 def test_a_killed_node_is_found_and_a_restarted_one_welcomed(
     seed: int,
 ) -> None:
-    network = fake_network.Network(count=16, seed=seed)
+    network = virtual_network.Network(count=16, seed=seed)
     _run_until_agreed(network, 15.0)
     network.link.loss = 0.01
     network.kill(3)
@@ -44,7 +50,7 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_a_node_that_leaves_is_not_called_failed(seed: int) -> None:
-    network = fake_network.Network(count=8, seed=seed)
+    network = virtual_network.Network(count=8, seed=seed)
     _run_until_agreed(network, 15.0)
     network.submit(network.address(2), node.StopRequested())
     network.run(2.0)
@@ -56,7 +62,7 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_a_paused_node_neither_harms_nor_is_lost(seed: int) -> None:
-    network = fake_network.Network(count=12, seed=seed)
+    network = virtual_network.Network(count=12, seed=seed)
     _run_until_agreed(network, 15.0)
     network.pause(4, 20.0)
     network.run(20.0)
@@ -78,7 +84,7 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_halves_that_were_apart_for_minutes_come_together(seed: int) -> None:
-    network = fake_network.Network(count=10, seed=seed)
+    network = virtual_network.Network(count=10, seed=seed)
     _run_until_agreed(network, 15.0)
     addresses = list(network.nodes)
     network.cut = {
@@ -93,8 +99,8 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_a_version_is_in_force_everywhere_within_seconds(seed: int) -> None:
-    network = fake_network.Network(count=16, seed=seed)
-    network.link = fake_network.Link(loss=0.01, doubling=0.1)
+    network = virtual_network.Network(count=16, seed=seed)
+    network.link = virtual_network.Link(loss=0.01, doubling=0.1)
     network.store.accept(1)
     network.run(15.0)
     assert network.versions() == {1}
@@ -104,7 +110,7 @@
 
 
 def test_a_node_that_starts_in_an_outage_learns_from_its_peers() -> None:
-    network = fake_network.Network(count=5, seed=1, uses_store=False)
+    network = virtual_network.Network(count=5, seed=1, uses_store=False)
     network.store.accept(1)
     network.run(10.0)
     network.store.is_up = False
@@ -114,7 +120,7 @@
 
 
 def test_an_old_version_row_reverts_nothing() -> None:
-    network = fake_network.Network(count=5, seed=1)
+    network = virtual_network.Network(count=5, seed=1)
     network.store.accept(4)
     network.run(10.0)
     network.store.accept(3, closed_zone="south")
@@ -123,7 +129,7 @@
 
 
 def test_nothing_is_left_behind_by_departed_members() -> None:
-    network = fake_network.Network(count=6, seed=1)
+    network = virtual_network.Network(count=6, seed=1)
     network.run(10.0)
     network.kill(5)
     network.run(700.0)
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -2,7 +2,6 @@
 
 import itertools
 
-import fake_network
 import hypothesis
 from hypothesis import strategies
 from marjoramledge_core import _replay
@@ -10,6 +9,7 @@
 from marjoramledge_node import _auth
 from marjoramledge_node import _gossip_port
 from marjoramledge_node import _wire
+from marjoramledge_standins import virtual_network
 
 HERE = node.Address(host="127.0.0.1", port=7000)
 KEYS = "a:a-secret-of-sixteen,b:b-secret-of-sixteen"
@@ -46,7 +46,7 @@
 
 
 def _seal(keys: _auth.KeyRing) -> bytes:
-    network = fake_network.Network(count=1, seed=1)
+    network = virtual_network.Network(count=1, seed=1)
     (state,) = network.nodes.values()
     message = node.Message(
         kind=node.MessageKind.PING,
