Refuse requests that have crashed two backend servers

Cause: a request that crashes whatever runs it was carried from server to server, by retries and by its caller.

A call is not sent on after two lost attempts.

Figures: over three real VMs a page that crashes its server, sent five times through all nodes, killed two servers and was then refused as not run, while a like request was served. Before, a trial is not needed to say that nothing stopped it at two: each sending could kill up to four.

Conclusion: holds in the tests named; not yet run at length.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -8,6 +8,7 @@
 sent again, so the levels of a deep call do not multiply their retries.
 """
 
+import math
 import typing
 
 from marjoramledge_core import _budget
@@ -28,11 +29,17 @@
 from marjoramledge_core import _work
 
 MAX_ATTEMPTS: typing.Final = 4
+# Attempts of one call that may end with a broken connection: a request that
+# kills servers must not be carried to a third.
+MAX_LOSSES: typing.Final = 2
 # The attempt, counted from one, that waits at a busy gate.
 PATIENT_ATTEMPT: typing.Final = 3
 # The own server is no longer taken unseen when calls take this many times
 # as long as usual.
 SLOW_RATIO: typing.Final = 2.0
+# Calls lost with a node this long before it was found gone ran on it.
+LOST_NODE_WINDOW_S: typing.Final = 10.0
+MAX_LOSSES_KEPT: typing.Final = 64
 RETRY_AFTER_S: typing.Final = 1
 
 _WAITING: typing.Final = frozenset(
@@ -79,6 +86,15 @@
         _answer_unplaced(step, event, _outcomes.Reason.UNKNOWN_SERVICE)
         return
     kind = configuration.classify(service.name, event.method, event.path)
+    refused_s = _work.quarantine_s(step, event.fingerprint)
+    if refused_s is not None:
+        _answer_unplaced(
+            step,
+            event,
+            _outcomes.Reason.QUARANTINED,
+            retry_after_s=math.ceil(refused_s),
+        )
+        return
     deadline_s = kind.deadline_s
     if event.deadline_s is not None:
         deadline_s = min(deadline_s, event.deadline_s)
@@ -94,6 +110,7 @@
         tried=set(),
         faulty=set(),
         timers=[],
+        fingerprint=event.fingerprint,
     )
     step.state.calls[call.call] = call
     _budget_of(step, kind.service).earn()
@@ -135,9 +152,45 @@
         return
     _learn(step, attempt.server, event.load, event.reason in _FAULTS)
     call.is_body_gone = call.is_body_gone or event.is_body_gone
+    _watch_for_lost_nodes(step, call, attempt, event)
     _settle_failure(step, call, attempt, event.run, event.reason)
 
 
+def _watch_for_lost_nodes(
+    step: _state.Step,
+    call: _state.Call,
+    attempt: _state.Attempt,
+    event: _events.AttemptFailed,
+) -> None:
+    """Note the death of a server whose node went with it.
+
+    A node that lives tells of its server's death itself, and its refusals
+    carry its load; only a connection that broke carries none.
+    """
+    peer = attempt.server
+    if peer.is_local or event.load is not None:
+        return
+    losses = step.state.losses.setdefault(peer.node, [])
+    if event.run is _outcomes.RunState.MAY_HAVE_RUN:
+        losses.append(_state.Loss(at=step.now, fingerprint=call.fingerprint))
+        del losses[:-MAX_LOSSES_KEPT]
+        while len(step.state.losses) > MAX_LOSSES_KEPT:
+            del step.state.losses[next(iter(step.state.losses))]
+        return
+    if event.reason is not _outcomes.Reason.PEER_UNREACHABLE:
+        return
+    ran = [
+        loss.fingerprint
+        for loss in losses
+        if step.now - loss.at <= LOST_NODE_WINDOW_S
+    ]
+    del step.state.losses[peer.node]
+    member = step.state.membership.members.get(peer.node)
+    if member is not None:
+        death = _ids.DeathId(f"{peer.node}@{member.incarnation}")
+        _work.note_death(step, death, ran)
+
+
 def answer_lost(step: _state.Step, event: _events.AnswerLost) -> None:
     """Go on with a call whose answer broke off unread by the caller."""
     call = step.state.calls.get(event.call)
@@ -229,7 +282,7 @@
     """
     if len(call.attempts) >= MAX_ATTEMPTS or step.now >= call.deadline_at:
         return False
-    if call.is_body_gone:
+    if call.is_body_gone or call.losses >= MAX_LOSSES:
         return False
     if call.kind.idempotent:
         return True
@@ -253,6 +306,7 @@
         call.faulty.add(attempt.server.node)
     if run is _outcomes.RunState.MAY_HAVE_RUN:
         call.may_have_run = True
+        call.losses += 1
     is_other_open = any(
         other.is_open
         for other in call.attempts.values()
@@ -462,13 +516,21 @@
     step: _state.Step,
     event: _events.CallArrived,
     reason: _outcomes.Reason,
+    *,
+    retry_after_s: int | None = None,
 ) -> None:
     step.record(
         _records.RecordKind.CALL_REFUSED,
         call=event.call,
         detail=reason.value,
     )
-    _answer(step, event.call, reason, _outcomes.RunState.NOT_RUN)
+    _answer(
+        step,
+        event.call,
+        reason,
+        _outcomes.RunState.NOT_RUN,
+        retry_after_s=retry_after_s,
+    )
 
 
 def _answer(
@@ -476,13 +538,14 @@
     call: _ids.CallId,
     reason: _outcomes.Reason,
     run: _outcomes.RunState,
+    *,
+    retry_after_s: int | None = None,
 ) -> None:
+    if retry_after_s is None and reason in _RETRY_LATER:
+        retry_after_s = RETRY_AFTER_S
     step.out.append(
         _commands.RefuseCall(
-            call=call,
-            reason=reason,
-            run=run,
-            retry_after_s=RETRY_AFTER_S if reason in _RETRY_LATER else None,
+            call=call, reason=reason, run=run, retry_after_s=retry_after_s
         )
     )
 
--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -16,7 +16,8 @@
     """A caller's request came in at this node.
 
     ``deadline_s`` is what the caller allows, in seconds from now, and
-    ``is_body_held`` tells that the whole body is at hand.
+    ``is_body_held`` tells that the whole body is at hand.  ``fingerprint``
+    is the same for the same request, wherever it comes in.
     """
 
     call: _ids.CallId
@@ -25,6 +26,7 @@
     path: str
     deadline_s: float | None
     is_body_held: bool
+    fingerprint: _ids.Fingerprint
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -91,6 +93,7 @@
     path: str
     deadline_s: float
     is_patient: bool
+    fingerprint: _ids.Fingerprint
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -6,6 +6,7 @@
 construction.
 """
 
+import collections
 import dataclasses
 import enum
 import typing
@@ -28,6 +29,9 @@
 IMPATIENT_QUEUE_PER_SLOT: typing.Final = 0.25
 QUEUE_PER_SLOT: typing.Final = 2
 MIN_QUEUE: typing.Final = 4
+# Calls that broke off this long before a server was found dead ran on it.
+DEATH_WINDOW_S: typing.Final = 2.0
+MAX_BROKEN: typing.Final = 256
 
 _FAILURES: typing.Final = frozenset(
     {_outcomes.ServerOutcome.SHED, _outcomes.ServerOutcome.BROKE_OFF}
@@ -90,6 +94,9 @@
         self._heard_at = 0.0
         self._speed = _speed.SpeedEstimate()
         self._probe_s = 0.0
+        self._broken: collections.deque[tuple[float, _ids.Fingerprint]] = (
+            collections.deque(maxlen=MAX_BROKEN)
+        )
 
     @property
     def server(self) -> Server | None:
@@ -242,6 +249,8 @@
             raise AssertionError(f"attempt {attempt} is not running")
         self._running_by_kind[work.kind.name] -= 1
         ending = Ending(started=[], refused=[])
+        if outcome is _outcomes.ServerOutcome.BROKE_OFF:
+            self._broken.append((now, work.fingerprint))
         self._learn(outcome, head_s, now, ending)
         if self.accepts_work:
             ending.started = self._start_waiting(now)
@@ -282,6 +291,22 @@
         self._state = _members.ServerState.UNREACHABLE
         return True
 
+    @property
+    def runs_suspect(self) -> bool:
+        """Whether a suspected request runs."""
+        return any(work.is_suspect for work in self._running.values())
+
+    def take_dead(self, now: float) -> list[_ids.Fingerprint]:
+        """Return what ran at the server when it died, once."""
+        ran = [
+            fingerprint
+            for at, fingerprint in self._broken
+            if now - at <= DEATH_WINDOW_S
+        ]
+        self._broken.clear()
+        ran.extend(work.fingerprint for work in self._running.values())
+        return ran
+
     def drop_waiting(self) -> list[_queue.Work]:
         """Remove and return the calls that wait."""
         self._waiting.clear()
--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -9,6 +9,7 @@
 
 from marjoramledge_core import _ids
 from marjoramledge_core import _manifest
+from marjoramledge_core import _quarantine
 
 
 class MemberStatus(enum.IntEnum):
@@ -99,3 +100,4 @@
     target: _ids.NodeId
     config: _manifest.VersionRef
     news: tuple[Member, ...]
+    suspicions: tuple[_quarantine.Suspicion, ...]
--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -25,6 +25,7 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _manifest
 from marjoramledge_core import _members
+from marjoramledge_core import _quarantine
 from marjoramledge_core import _records
 from marjoramledge_core import _timers
 
@@ -34,6 +35,8 @@
 MIN_SUSPICION_S: typing.Final = 3.0
 NEWS_DELAY_S: typing.Final = 0.05
 NEWS_FANOUT: typing.Final = 3
+# A caller may send a deadly request again within a millisecond.
+SUSPICION_FANOUT: typing.Final = 8
 # Keeps a datagram below the usual path MTU at about 70 bytes a member.
 NEWS_PER_MESSAGE: typing.Final = 14
 TRANSMISSIONS_PER_LOG: typing.Final = 3
@@ -108,6 +111,9 @@
         self._relays: dict[int, _Relay] = {}
         self._sequence = 0
         self._news: dict[_ids.NodeId, int] = {}
+        self._suspicions: dict[
+            _ids.Fingerprint, tuple[_quarantine.Suspicion, int]
+        ] = {}
         self._push_is_set = False
         self._probed_at: float | None = None
         self._sync_period_s = FIRST_SYNC_PERIOD_S
@@ -158,6 +164,24 @@
         for member in self._pick_present(NEWS_FANOUT, rng):
             self._send(_members.MessageKind.NEWS, member.address, out)
 
+    def tell_suspicions(
+        self,
+        suspicions: collections.abc.Iterable[_quarantine.Suspicion],
+        rng: random.Random,
+        out: list[_commands.Command],
+    ) -> None:
+        """Tell of suspected or cleared requests, now and for a while."""
+        for suspicion in suspicions:
+            self._suspicions.pop(suspicion.fingerprint, None)
+            self._suspicions[suspicion.fingerprint] = (
+                suspicion,
+                self._transmissions() + SUSPICION_FANOUT,
+            )
+        while len(self._suspicions) > _quarantine.MAX_SUSPECTS:
+            del self._suspicions[next(iter(self._suspicions))]
+        for member in self._pick_present(SUSPICION_FANOUT, rng):
+            self._send(_members.MessageKind.NEWS, member.address, out)
+
     def update_myself(
         self,
         *,
@@ -581,13 +605,16 @@
             self._news.setdefault(message.sender, 1)
 
     def _spread(self, node: _ids.NodeId, now: float) -> None:
-        self._news[node] = TRANSMISSIONS_PER_LOG * math.ceil(
-            math.log2(len(self._members) + 1)
-        )
+        self._news[node] = self._transmissions()
         if not self._push_is_set:
             self._push_is_set = True
             self._timers.set(now + NEWS_DELAY_S, _timers.TimerKind.NEWS)
 
+    def _transmissions(self) -> int:
+        return TRANSMISSIONS_PER_LOG * math.ceil(
+            math.log2(len(self._members) + 1)
+        )
+
     def _take_news(
         self, about: _ids.NodeId | None
     ) -> tuple[_members.Member, ...]:
@@ -610,6 +637,20 @@
                 self._news[node] = left - 1
         return tuple(self._members[node] for node in chosen)
 
+    def _take_suspicions(self) -> tuple[_quarantine.Suspicion, ...]:
+        if not self._suspicions:
+            return ()
+        chosen = list(self._suspicions)[-_quarantine.MAX_TOLD :]
+        told = []
+        for fingerprint in chosen:
+            suspicion, left = self._suspicions[fingerprint]
+            told.append(suspicion)
+            if left <= 1:
+                del self._suspicions[fingerprint]
+            else:
+                self._suspicions[fingerprint] = (suspicion, left - 1)
+        return tuple(told)
+
     def _next_sequence(self) -> int:
         self._sequence += 1
         return self._sequence
@@ -631,5 +672,6 @@
             target=about or self._myself.node,
             config=self._config,
             news=self._take_news(about),
+            suspicions=self._take_suspicions(),
         )
         out.append(_commands.SendMessage(address=address, message=message))
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -21,6 +21,7 @@
 from marjoramledge_core import _members
 from marjoramledge_core import _membership
 from marjoramledge_core import _outcomes
+from marjoramledge_core import _quarantine
 from marjoramledge_core import _records
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
@@ -93,6 +94,8 @@
         versions=_versions.Versions(timers=timers),
         directory=_directory.Directory(node=identity.node, zone=identity.zone),
         calls={},
+        quarantine=_quarantine.Quarantine(),
+        losses={},
         latencies={},
         budgets={},
     )
@@ -142,6 +145,9 @@
 def _take_message(step: _state.Step, event: _events.MessageReceived) -> None:
     message = event.message
     step.state.membership.take_message(message, step.now, step.out)
+    step.tell_suspicions(
+        step.state.quarantine.take(message.suspicions, step.now)
+    )
     step.state.versions.note_version(
         message.config, message.sender_address, step.out
     )
--- a/packages/core/marjoramledge_core/_outcomes.py
+++ b/packages/core/marjoramledge_core/_outcomes.py
@@ -31,6 +31,7 @@
     PEER_UNREACHABLE = "peer-unreachable"
     ANSWER_LOST = "answer-lost"
     ANSWER_CUT_SHORT = "answer-cut-short"
+    QUARANTINED = "quarantined"
     BAD_REQUEST = "bad-request"
     BODY_STALLED = "body-stalled"
     NOT_A_MEMBER = "not-a-member"
--- a/packages/core/marjoramledge_core/_queue.py
+++ b/packages/core/marjoramledge_core/_queue.py
@@ -29,9 +29,11 @@
     call: _ids.CallId | None
     kind: _settings.RequestKind
     is_patient: bool
+    fingerprint: _ids.Fingerprint
     deadline_at: float
     offered_at: float
     started_at: float = 0.0
+    is_suspect: bool = False
 
 
 class WorkQueue:
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -22,6 +22,8 @@
     SERVER_WITHDRAWN = "server-withdrawn"
     SERVER_UNREACHABLE = "server-unreachable"
     SERVER_FELL_COLD = "server-fell-cold"
+    SERVER_DIED = "server-died"
+    REQUEST_QUARANTINED = "request-quarantined"
     PEER_EJECTED = "peer-ejected"
     PEER_READMITTED = "peer-readmitted"
     MEMBER_JOINED = "member-joined"
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -14,6 +14,7 @@
 from marjoramledge_core import _members
 from marjoramledge_core import _membership
 from marjoramledge_core import _outcomes
+from marjoramledge_core import _quarantine
 from marjoramledge_core import _queue
 from marjoramledge_core import _records
 from marjoramledge_core import _settings
@@ -73,11 +74,21 @@
     tried: set[_ids.NodeId]
     faulty: set[_ids.NodeId]
     timers: list[_timers.Timer]
+    fingerprint: _ids.Fingerprint
     delivered: Attempt | None = None
     may_have_run: bool = False
+    losses: int = 0
     last_reason: _outcomes.Reason = _outcomes.Reason.NO_SERVER
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Loss:
+    """A request whose connection to a node broke."""
+
+    at: float
+    fingerprint: _ids.Fingerprint
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Options:
     """Options of the decisions."""
@@ -99,10 +110,13 @@
     directory: _directory.Directory
     directory_revision: tuple[int, int] = (-1, -1)
     calls: dict[_ids.CallId, Call]
+    quarantine: _quarantine.Quarantine
+    losses: dict[_ids.NodeId, list[Loss]]
     latencies: dict[
         tuple[_ids.ServiceName, _ids.KindName], _latency.QuantileEstimate
     ]
     budgets: dict[_ids.ServiceName, _budget.RetryBudget]
+    deaths: int = 0
     is_drained_by_order: bool = False
     stop_phase: StopPhase = StopPhase.RUNNING
     stop_begun_at: float = 0.0
@@ -152,6 +166,11 @@
             now=self.now,
         )
 
+    def tell_suspicions(self, news: tuple[_quarantine.Suspicion, ...]) -> None:
+        """Tell the other nodes of suspected or cleared requests, at once."""
+        if news:
+            self.state.membership.tell_suspicions(news, self.rng, self.out)
+
     def is_zone_open(self) -> bool:
         """Tell whether this node's zone takes work."""
         configuration = self.state.versions.configuration
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -5,10 +5,14 @@
 and a call of this node is placed anew by ``_calls``.
 """
 
+import collections.abc
+import typing
+
 from marjoramledge_core import _commands
 from marjoramledge_core import _events
 from marjoramledge_core import _gate
 from marjoramledge_core import _ids
+from marjoramledge_core import _members
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _queue
 from marjoramledge_core import _records
@@ -16,6 +20,14 @@
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
 
+_ANSWERS: typing.Final = frozenset(
+    {
+        _outcomes.ServerOutcome.ANSWERED,
+        _outcomes.ServerOutcome.ERRORED,
+        _outcomes.ServerOutcome.SHED,
+    }
+)
+
 
 def reason_to_refuse(step: _state.Step) -> _outcomes.Reason | None:
     """Tell why no new work may be given to the backend server here."""
@@ -47,6 +59,7 @@
             call=call.call,
             kind=call.kind,
             is_patient=is_patient,
+            fingerprint=call.fingerprint,
             deadline_at=call.deadline_at,
             offered_at=step.now,
         ),
@@ -59,6 +72,8 @@
     kind = None if reason else _find_kind(step, event)
     if event.deadline_s <= 0.0:
         reason = _outcomes.Reason.DEADLINE_PASSED
+    elif quarantine_s(step, event.fingerprint) is not None:
+        reason = _outcomes.Reason.QUARANTINED
     elif kind is None and reason is None:
         reason = _outcomes.Reason.UNKNOWN_SERVICE
     if reason is not None or kind is None:
@@ -69,6 +84,7 @@
         call=None,
         kind=kind,
         is_patient=event.is_patient,
+        fingerprint=event.fingerprint,
         deadline_at=step.now + event.deadline_s,
         offered_at=step.now,
     )
@@ -76,9 +92,21 @@
         _refuse(step, event.attempt, _outcomes.Reason.OVERLOADED)
 
 
+def quarantine_s(
+    step: _state.Step, fingerprint: _ids.Fingerprint
+) -> float | None:
+    """Seconds for which a request is refused; None when it is not."""
+    return step.state.quarantine.refuse_for_s(fingerprint, step.now)
+
+
 def end_work(step: _state.Step, event: _events.WorkEnded) -> None:
     """Take in how the backend server ended a request."""
     gate = step.state.gate
+    ended = gate.find(event.attempt)
+    if ended is not None and event.outcome in _ANSWERS:
+        step.tell_suspicions(
+            step.state.quarantine.note_answered(ended.fingerprint, step.now)
+        )
     ending = gate.end(event.attempt, event.outcome, event.head_s, step.now)
     for work in ending.started:
         start_work(step, work)
@@ -86,7 +114,10 @@
         hand_back(step, work, _outcomes.Reason.SERVER_UNREACHABLE)
     if ending.became_unreachable:
         step.record(_records.RecordKind.SERVER_UNREACHABLE)
+        _note_server_death(step)
         step.publish_server()
+    elif event.outcome is _outcomes.ServerOutcome.BROKE_OFF:
+        _ask_whether_dead(step)
     if ending.fell_cold:
         step.record(_records.RecordKind.SERVER_FELL_COLD)
 
@@ -148,6 +179,9 @@
     """Take in the announcement of the backend server on this VM."""
     gate = step.state.gate
     before = (gate.server, gate.state)
+    if event.server.is_cold and gate.state is _members.ServerState.WARM:
+        # The process was replaced before its death was noticed.
+        _note_server_death(step)
     gate.announce(event.server, step.now)
     if before == (gate.server, gate.state):
         return
@@ -227,10 +261,55 @@
     else:
         refuse_waiting(step, _outcomes.Reason.SERVER_UNREACHABLE)
         step.record(_records.RecordKind.SERVER_UNREACHABLE)
+        _note_server_death(step)
     step.publish_server()
 
 
+def note_death(
+    step: _state.Step,
+    death: _ids.DeathId,
+    ran: collections.abc.Collection[_ids.Fingerprint],
+) -> None:
+    """Suspect what ran at a death, and tell the other nodes."""
+    if not ran:
+        return
+    quarantine = step.state.quarantine
+    told = quarantine.note_death(death, ran, step.now)
+    step.record(
+        _records.RecordKind.SERVER_DIED,
+        detail=f"{death}: {len(told)} requests suspected",
+    )
+    for suspicion in told:
+        if quarantine.refuse_for_s(suspicion.fingerprint, step.now):
+            step.record(
+                _records.RecordKind.REQUEST_QUARANTINED,
+                detail=suspicion.fingerprint,
+            )
+    step.tell_suspicions(told)
+
+
+def _note_server_death(step: _state.Step) -> None:
+    """Note the death of the backend server on this VM."""
+    ran = step.state.gate.take_dead(step.now)
+    myself = step.state.membership.myself
+    step.state.deaths += 1
+    death = f"{myself.node}@{myself.incarnation}#{step.state.deaths}"
+    note_death(step, _ids.DeathId(death), ran)
+
+
+def _ask_whether_dead(step: _state.Step) -> None:
+    gate = step.state.gate
+    if gate.server is not None and gate.accepts_work:
+        step.out.append(_commands.ProbeServer(server=gate.server))
+
+
 def _offer(step: _state.Step, work: _queue.Work) -> _gate.Admission:
+    work.is_suspect = step.state.quarantine.is_suspect(
+        work.fingerprint, step.now
+    )
+    if work.is_suspect and step.state.gate.runs_suspect:
+        # Two suspects at once would share the blame for a death.
+        return _gate.Admission.REFUSED
     offer = step.state.gate.offer(work, step.now)
     if offer.displaced is not None:
         hand_back(step, offer.displaced, _outcomes.Reason.OVERLOADED)
--- a/packages/core/marjoramledge_core/ids.py
+++ b/packages/core/marjoramledge_core/ids.py
@@ -4,6 +4,8 @@
 
 AttemptId = _ids.AttemptId
 CallId = _ids.CallId
+DeathId = _ids.DeathId
+Fingerprint = _ids.Fingerprint
 ConfigVersion = _ids.ConfigVersion
 Digest = _ids.Digest
 KindName = _ids.KindName
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -7,6 +7,7 @@
 from marjoramledge_core import _members
 from marjoramledge_core import _node
 from marjoramledge_core import _outcomes
+from marjoramledge_core import _quarantine
 from marjoramledge_core import _records
 from marjoramledge_core import _replay
 from marjoramledge_core import _state
@@ -28,6 +29,7 @@
 Record = _records.Record
 ReplayGuard = _replay.ReplayGuard
 RecordKind = _records.RecordKind
+Suspicion = _quarantine.Suspicion
 RunState = _outcomes.RunState
 Server = _gate.Server
 ServerOutcome = _outcomes.ServerOutcome
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+import hashlib
 import itertools
 import typing
 
@@ -50,6 +51,7 @@
             if body is None and request.body_exists
             else None
         )
+        self.fingerprint = compute_fingerprint(request, body)
         self.answers: dict[ids.AttemptId, _upstream.Answer] = {}
         self.local_attempts: set[ids.AttemptId] = set()
         self.hedge: asyncio.Task[None] | None = None
@@ -137,6 +139,7 @@
                 path=exchange.target.partition("?")[0],
                 deadline_s=deadline_s,
                 is_body_held=body is not None or not request.body_exists,
+                fingerprint=exchange.fingerprint,
             )
         )
         try:
@@ -218,6 +221,7 @@
             {
                 _headers.ATTEMPT: attempt,
                 _headers.STAMP: str(stamp),
+                _headers.FINGERPRINT: exchange.fingerprint,
                 _headers.AUTH: self._keys.sign_header(signed),
             }
         )
@@ -352,6 +356,21 @@
         return self._engine.state.stop_phase is not node.StopPhase.RUNNING
 
 
+def compute_fingerprint(
+    request: web.BaseRequest, body: bytes | None
+) -> ids.Fingerprint:
+    """Compute what is the same for the same request wherever it comes in.
+
+    Of a body that flows only the announced length is part of it.
+    """
+    digest = hashlib.blake2b(digest_size=8)
+    length = request.headers.get("Content-Length", "")
+    parts = (request.method, request.headers["Host"], request.raw_path, length)
+    digest.update("\n".join(parts).encode("utf-8", "surrogateescape"))
+    digest.update(body or b"")
+    return ids.Fingerprint(digest.hexdigest())
+
+
 def _check_head(
     request: web.BaseRequest,
 ) -> result.Result[float | None, node.Reason]:
--- a/packages/node/marjoramledge_node/_headers.py
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -22,6 +22,7 @@
 ATTEMPT: typing.Final = "Marjoramledge-Attempt"
 AUTH: typing.Final = "Marjoramledge-Auth"
 STAMP: typing.Final = "Marjoramledge-Stamp"
+FINGERPRINT: typing.Final = "Marjoramledge-Fingerprint"
 LOAD: typing.Final = "Marjoramledge-Load"
 PATIENT: typing.Final = "Marjoramledge-Patient"
 
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -146,6 +146,9 @@
                     path=request.raw_path.partition("?")[0],
                     deadline_s=_read_deadline_s(request),
                     is_patient=_headers.PATIENT in request.headers,
+                    fingerprint=ids.Fingerprint(
+                        request.headers.get(_headers.FINGERPRINT, "")
+                    ),
                 )
             )
             command = await mailbox.get()
--- a/packages/node/marjoramledge_node/_refusals.py
+++ b/packages/node/marjoramledge_node/_refusals.py
@@ -27,6 +27,7 @@
     node.Reason.PEER_UNREACHABLE: 502,
     node.Reason.ANSWER_LOST: 502,
     node.Reason.ANSWER_CUT_SHORT: 502,
+    node.Reason.QUARANTINED: 503,
     node.Reason.BAD_REQUEST: 400,
     node.Reason.BODY_STALLED: 408,
     node.Reason.NOT_A_MEMBER: 403,
--- a/packages/node/marjoramledge_node/_wire.py
+++ b/packages/node/marjoramledge_node/_wire.py
@@ -44,6 +44,15 @@
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
 
+class _SuspicionStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
+    thrift_spec = {
+        1: (_STRING, "fingerprint", False),
+        2: (_LIST, "deaths", _STRING, False),
+        3: (_LIST, "excused", _STRING, False),
+    }
+    default_spec = [(field[1], None) for field in thrift_spec.values()]
+
+
 class _MessageStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
     thrift_spec = {
         1: (_I32, "kind", False),
@@ -55,6 +64,7 @@
         7: (_I64, "version", False),
         8: (_STRING, "digest", False),
         9: (_LIST, "news", (_STRUCT, _MemberStruct), False),
+        10: (_LIST, "suspicions", (_STRUCT, _SuspicionStruct), False),
     }
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
@@ -93,6 +103,14 @@
             version=message.config.version,
             digest=message.config.digest,
             news=[_to_struct(member) for member in message.news],
+            suspicions=[
+                _SuspicionStruct(
+                    fingerprint=suspicion.fingerprint,
+                    deaths=sorted(suspicion.deaths),
+                    excused=sorted(suspicion.excused),
+                )
+                for suspicion in message.suspicions
+            ],
         )
     )
 
@@ -115,6 +133,14 @@
                     digest=ids.Digest(struct.digest),
                 ),
                 news=tuple(_from_struct(entry) for entry in struct.news),
+                suspicions=tuple(
+                    node.Suspicion(
+                        fingerprint=ids.Fingerprint(entry.fingerprint),
+                        deaths=frozenset(map(ids.DeathId, entry.deaths)),
+                        excused=frozenset(map(ids.DeathId, entry.excused)),
+                    )
+                    for entry in struct.suspicions or ()
+                ),
             )
         )
     except Exception as error:  # The codec raises many kinds.
--- a/packages/standins/marjoramledge_standins/builders.py
+++ b/packages/standins/marjoramledge_standins/builders.py
@@ -143,6 +143,7 @@
                 path=path,
                 deadline_s=None,
                 is_body_held=True,
+                fingerprint=ids.Fingerprint(call),
             )
         )
 
--- a/packages/standins/marjoramledge_standins/driver.py
+++ b/packages/standins/marjoramledge_standins/driver.py
@@ -346,6 +346,7 @@
                 path=arrival.mix.path,
                 deadline_s=None,
                 is_body_held=True,
+                fingerprint=ids.Fingerprint(call),
             ),
         )
 
@@ -499,6 +500,7 @@
                     path=arrival.mix.path,
                     deadline_s=remaining_s,
                     is_patient=command.is_patient,
+                    fingerprint=ids.Fingerprint(command.call),
                 ),
             ),
         )
--- a/packages/standins/marjoramledge_standins/measure_choice.py
+++ b/packages/standins/marjoramledge_standins/measure_choice.py
@@ -114,6 +114,7 @@
             path="/k1/x",
             deadline_s=None,
             is_body_held=True,
+            fingerprint=ids.Fingerprint(call),
         )
         began_at = time.perf_counter()
         commands = node.handle(state, arrived, now, rng)
--- a/packages/standins/marjoramledge_standins/measure_control.py
+++ b/packages/standins/marjoramledge_standins/measure_control.py
@@ -140,6 +140,7 @@
                 version=ids.ConfigVersion(1), digest=ids.Digest("0" * 64)
             ),
             news=news,
+            suspicions=(),
         )
 
     def _seal(
@@ -202,6 +203,7 @@
             target=target.node,
             config=ping.config,
             news=(target,),
+            suspicions=(),
         )
         self._inbox.append((self.now + 0.002, self._seal(ack)))
 
--- a/packages/standins/marjoramledge_standins/measure_retries.py
+++ b/packages/standins/marjoramledge_standins/measure_retries.py
@@ -54,6 +54,7 @@
                 path="/k1/x",
                 deadline_s=None,
                 is_body_held=True,
+                fingerprint=ids.Fingerprint(call),
             ),
         )
         is_good = True
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -183,6 +183,7 @@
             path="/pages/1",
             deadline_s=5.0,
             is_patient=False,
+            fingerprint=ids.Fingerprint("f"),
         )
     )
     commands = driver.configure(2, closed_zone="north")
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -120,6 +120,7 @@
         call=None,
         kind=kind,
         is_patient=True,
+        fingerprint=ids.Fingerprint("f"),
         deadline_at=NOW,
         offered_at=float(number),
     )
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -56,6 +56,7 @@
         target=state.node,
         config=state.versions.ref,
         news=(state.membership.myself,),
+        suspicions=(),
     )
     stamper = _auth.Stamper(run="n0-")
     content = _gossip_port.seal_message(keys, stamper, HERE, message)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import functools
 import hashlib
 import json
 import pathlib
@@ -366,6 +367,26 @@
     asyncio.run(race())
 
 
+def test_a_request_that_crashes_servers_reaches_no_third_one() -> None:
+    async def crash() -> None:
+        async with _running_fleet() as fleet:
+            call = functools.partial(
+                fleet.call, "/kits/deadly", X_Crash="1", X_Call_Id="deadly"
+            )
+            for vm in (0, 1, 2, 0, 1):
+                status, headers, _ = await call(vm=vm)
+                assert status in (502, 503)
+            assert headers["Marjoramledge-Reason"] == "quarantined"
+            assert headers["Marjoramledge-Run"] == "not-run"
+            assert int(headers["Retry-After"]) > 200
+            assert len(fleet.runs_of("deadly", "crash")) <= 2
+            # What is alike but for its body's or target's content is served.
+            status, _, _ = await fleet.call("/kits/healthy", vm=2)
+            assert status == 200
+
+    asyncio.run(crash())
+
+
 def test_a_version_accepted_just_before_an_outage_is_in_force() -> None:
     async def accept_and_lose_store() -> None:
         async with _running_fleet() as fleet:
