Test the binaries' settings, log lines and metrics

Cause: wrong settings, JSON lines and statsd were only tried by hand.

Change: cases of wrong settings in a data file with one runner; a node run as a process is read by its log and its metrics.

--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,100 @@
+"""The binaries as processes: settings, log lines and metrics."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+import typing
+
+from marjoramledge_standins import deployment
+import pytest
+
+DATA = pathlib.Path(__file__).parent / "data" / "settings.toml"
+CASES = tomllib.loads(DATA.read_text())["cases"]
+BIN = pathlib.Path(sys.executable).parent
+
+
+def _environment() -> dict[str, str]:
+    return {
+        name: value
+        for name, value in os.environ.items()
+        if not name.startswith("MARJORAMLEDGE_")
+    }
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case["name"])
+def test_a_wrong_setting_ends_with_one_clear_line(
+    case: dict[str, typing.Any],
+) -> None:
+    done = subprocess.run(
+        [str(BIN / case["command"]), *case["flags"]],
+        env=_environment(),
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    assert done.returncode == 2
+    assert done.stderr.splitlines() == [case["line"]]
+
+
+@pytest.mark.parametrize("command", ["marjoramledge-node", "marjoramledge"])
+def test_help_needs_no_other_setting(command: str) -> None:
+    done = subprocess.run(
+        [str(BIN / command), "--help"],
+        env=_environment(),
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    assert done.returncode == 0
+    assert "Usage" in done.stdout
+
+
+def test_a_node_logs_json_and_sends_metrics() -> None:
+    host = "127.0.0.1"
+    ports = [deployment.find_free_port(host) for _ in range(3)]
+    flags = ("--listen", "--peer-listen", "--local-listen")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as statsd:
+        statsd.bind((host, 0))
+        statsd.settimeout(20)
+        process = subprocess.Popen(
+            [
+                str(BIN / "marjoramledge-node"),
+                *(
+                    part
+                    for flag, port in zip(flags, ports, strict=True)
+                    for part in (flag, f"{host}:{port}")
+                ),
+                "--statsd",
+                f"{host}:{statsd.getsockname()[1]}",
+            ],
+            env={
+                **_environment(),
+                "MARJORAMLEDGE_NODE_ID": "n0",
+                "MARJORAMLEDGE_ZONE": "north",
+                "MARJORAMLEDGE_KEYS": deployment.KEYS,
+                "MARJORAMLEDGE_LOG_FORMAT": "json",
+            },
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        try:
+            lines = statsd.recv(8192).decode().splitlines()
+            assert "marjoramledge.gate.running:0|g" in lines
+            process.send_signal(signal.SIGTERM)
+            _, errors = process.communicate(timeout=20)
+        finally:
+            process.kill()
+    assert process.returncode == 0
+    records = [json.loads(line) for line in errors.splitlines()]
+    events = [record["event"] for record in records]
+    assert "stop-begun" in events
+    assert events[-1] == "stop-finished"
+    assert {record["node"] for record in records} == {"n0"}
+    assert {record["zone"] for record in records} == {"north"}
