--- a/packages/standins/marjoramledge_standins/measure_membership.py
+++ b/packages/standins/marjoramledge_standins/measure_membership.py
@@ -26,6 +26,8 @@
 CALM_S: typing.Final = 400.0
 PAUSE_S: typing.Final = 2.0
 PAUSE_PERIOD_S: typing.Final = 20.0
+OUTAGE_SIZE: typing.Final = 16
+OUTAGE_S: typing.Final = 600.0
 DAY_S: typing.Final = 86400.0
 STEP_S: typing.Final = 0.05
 MAX_PARALLEL: typing.Final = 6
@@ -38,6 +40,7 @@
         spreads = list(pool.map(_spread_changes, *zip(*pairs, strict=True)))
         detections = list(pool.map(_detect_failures, SEEDS))
         suspicions = list(pool.map(_count_false_suspicions, SEEDS))
+        unserving = list(pool.map(_count_unserving_after_outage, SEEDS))
     largest = [
         max(
             seconds
@@ -74,6 +77,13 @@
             10.0,
             len(times),
         ),
+        measurement.make(
+            "outage_unserving_nodes",
+            sum(unserving),
+            "nodes",
+            0,
+            len(SEEDS) * OUTAGE_SIZE,
+        ),
         measurement.make(
             "false_suspicions_per_node_day",
             sum(suspicions) / node_days,
@@ -142,3 +152,28 @@
         )
     }
     return len(suspected)
+
+
+def _count_unserving_after_outage(seed: int) -> int:
+    """Count nodes that can't serve at the end of ten minutes without store.
+
+    Two nodes start again within it and have to learn all from their peers.
+    """
+    network = virtual_network.Network(
+        count=OUTAGE_SIZE, seed=seed, uses_store=False
+    )
+    network.store.accept(1)
+    network.run(JOIN_S)
+    network.link.loss = LOSS
+    network.store.is_up = False
+    for number in (3, 9):
+        network.kill(number)
+        network.run(OUTAGE_S / 4)
+        network.start(number, incarnation=2)
+    network.run(OUTAGE_S / 2)
+    members = len(network.nodes)
+    return sum(
+        state.versions.ref.version != 1
+        or state.membership.present_count != members
+        for state in network.nodes.values()
+    )
