Take bodies in at one place; grant those that are held back

Cause: a caller that sends Expect: 100-continue got no grant and waited, and both ports read bodies in their own way.

Change: one module holds small bodies and lets others flow, and grants a body when it is first read.

--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -9,7 +9,6 @@
 import functools
 import hashlib
 import itertools
-import typing
 
 from aiohttp import web
 from marjoramledge_core import ids
@@ -17,6 +16,7 @@
 from returns import result
 
 from marjoramledge_node import _auth
+from marjoramledge_node import _bodies
 from marjoramledge_node import _cancellation
 from marjoramledge_node import _engine
 from marjoramledge_node import _headers
@@ -26,8 +26,6 @@
 from marjoramledge_node import _relay
 from marjoramledge_node import _upstream
 
-BODY_TIMEOUT_S: typing.Final = 10.0
-
 
 class _Exchange:
     """One caller's request, from its arrival to the end of its answer."""
@@ -39,19 +37,14 @@
         call: ids.CallId,
         target: str,
         mailbox: _mailbox.Mailbox,
-        body: bytes | None,
+        body: _bodies.Body,
     ) -> None:
         self.request = request
         self.call = call
         self.target = target
         self.mailbox = mailbox
         self.body = body
-        self.stream = (
-            _upstream.BodyStream(reader=request.content)
-            if body is None and request.body_exists
-            else None
-        )
-        self.fingerprint = compute_fingerprint(request, body)
+        self.fingerprint = compute_fingerprint(request, body.held)
         self.answers: dict[ids.AttemptId, _upstream.Answer] = {}
         self.local_attempts: set[ids.AttemptId] = set()
         self.hedge: asyncio.Task[None] | None = None
@@ -59,7 +52,8 @@
     @property
     def is_body_gone(self) -> bool:
         """Whether the body can't be sent another time."""
-        return self.stream is not None and self.stream.is_begun
+        stream = self.body.stream
+        return stream is not None and stream.is_begun
 
     def outgoing(self, extra: dict[str, str]) -> _upstream.Outgoing:
         """Build the request to send on, with the system's headers."""
@@ -71,7 +65,6 @@
             target=self.target,
             headers=headers,
             body=self.body,
-            stream=self.stream,
         )
 
 
@@ -115,7 +108,7 @@
             return _refusals.refuse(head.failure(), node.RunState.NOT_RUN)
         deadline_s = head.unwrap()
         try:
-            body = await _read_held_body(request)
+            body = await _bodies.take_body(request)
         except TimeoutError:
             return _refusals.refuse(
                 node.Reason.BODY_STALLED, node.RunState.NOT_RUN
@@ -138,7 +131,7 @@
                 method=request.method,
                 path=exchange.target.partition("?")[0],
                 deadline_s=deadline_s,
-                is_body_held=body is not None or not request.body_exists,
+                is_body_held=body.is_at_hand,
                 fingerprint=exchange.fingerprint,
             )
         )
@@ -149,7 +142,7 @@
             raise
         finally:
             self._end(exchange)
-        if self._engine.state.stop_phase is not node.StopPhase.RUNNING:
+        if self._is_stopping():
             response.force_close()
         return response
 
@@ -388,17 +381,6 @@
     return result.Success(int(text) / 1000)
 
 
-async def _read_held_body(request: web.BaseRequest) -> bytes | None:
-    """Read a body that is small enough to hold; None when it is not."""
-    if not request.body_exists:
-        return None
-    length = request.content_length
-    if length is None or length > _options.HELD_BODY_BYTES:
-        return None
-    async with asyncio.timeout(BODY_TIMEOUT_S):
-        return await request.content.read(-1)
-
-
 def _refuse_call(
     exchange: _Exchange, command: node.RefuseCall
 ) -> web.Response:
@@ -406,7 +388,7 @@
         command.reason, command.run, retry_after_s=command.retry_after_s
     )
     response.headers[_headers.CALL] = exchange.call
-    if exchange.stream is not None:
+    if exchange.body.stream is not None:
         # The rest of the body will not be read.
         response.force_close()
     return response
--- a/packages/node/marjoramledge_node/_options.py
+++ b/packages/node/marjoramledge_node/_options.py
@@ -11,8 +11,6 @@
 from marjoramledge_node import _auth
 
 DEFAULT_STOP_LIMIT_S: typing.Final = 30.0
-# A request body up to this size is held, so that it can be sent again.
-HELD_BODY_BYTES: typing.Final = 65536
 MAX_HEAD_LINE_BYTES: typing.Final = 8190
 
 
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -16,6 +16,7 @@
 from returns import result
 
 from marjoramledge_node import _auth
+from marjoramledge_node import _bodies
 from marjoramledge_node import _cancellation
 from marjoramledge_node import _engine
 from marjoramledge_node import _headers
@@ -191,29 +192,23 @@
             head_s = answer.head_s
             response, outcome = await self._pass_on(request, answer)
             return response
+        except TimeoutError:
+            return self._refuse(
+                request, node.Reason.BODY_STALLED, node.RunState.NOT_RUN
+            )
         finally:
             self._end_work(command.attempt, outcome, head_s)
 
     async def _send(
         self, request: web.BaseRequest, command: node.StartWork
     ) -> _upstream.Exchange:
-        body = None
-        stream = None
-        if request.body_exists:
-            _grant_body(request)
-            length = request.content_length
-            if length is not None and length <= _options.HELD_BODY_BYTES:
-                body = await request.content.read(-1)
-            else:
-                stream = _upstream.BodyStream(reader=request.content)
         headers = _headers.copy_end_to_end(request.headers)
         headers[_headers.CALL] = request.headers.get(_headers.CALL, "")
         outgoing = _upstream.Outgoing(
             method=request.method,
             target=request.raw_path,
             headers=headers,
-            body=body,
-            stream=stream,
+            body=await _bodies.take_body(request),
         )
         return await self._upstream.send_to_server(
             outgoing,
@@ -288,13 +283,6 @@
     return {_headers.AUTH: keys.sign_header(content)}
 
 
-def _grant_body(request: web.BaseRequest) -> None:
-    """Ask for a body that the peer holds back until its offer is taken."""
-    is_held_back = request.headers.get("Expect", "").lower() == "100-continue"
-    if is_held_back and request.transport is not None:
-        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-
 def _read_deadline_s(request: web.BaseRequest) -> float:
     text = request.headers.get(_headers.DEADLINE, "")
     return int(text) / 1000 if text.isdigit() else 0.0
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -16,6 +16,7 @@
 from returns import result
 import yarl
 
+from marjoramledge_node import _bodies
 from marjoramledge_node import _headers
 
 # Shorter than what servers keep an idle connection for, so that a request is
@@ -34,44 +35,14 @@
 )
 
 
-class BodyStream:
-    """A body that is passed on while it comes in.
-
-    Parameters
-    ----------
-    reader
-        Where it comes in.
-    """
-
-    def __init__(self, *, reader: aiohttp.StreamReader) -> None:
-        self._reader = reader
-        self._is_begun = False
-
-    @property
-    def is_begun(self) -> bool:
-        """Whether any of the body may have been taken."""
-        return self._is_begun
-
-    async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
-        """Yield the body in pieces of bounded size."""
-        self._is_begun = True
-        async for chunk in self._reader.iter_any():
-            yield chunk
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Outgoing:
-    """A request to be sent on.
-
-    Exactly one of ``body``, which is held, and ``stream``, which can be read
-    once, is set when the request has a body.
-    """
+    """A request to be sent on."""
 
     method: str
     target: str
     headers: multidict.CIMultiDict[str]
-    body: bytes | None
-    stream: BodyStream | None
+    body: _bodies.Body
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -175,7 +146,7 @@
             outgoing,
             address.host,
             address.port,
-            expect=outgoing.stream is not None,
+            expect=outgoing.body.stream is not None,
         )
         if isinstance(exchange, result.Failure):
             return exchange.alt(_blame_peer)
@@ -241,9 +212,9 @@
     ) -> Exchange:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        data: object = outgoing.body
-        if outgoing.stream is not None:
-            data = outgoing.stream.chunks()
+        data: object = outgoing.body.held
+        if outgoing.body.stream is not None:
+            data = outgoing.body.stream.chunks()
         try:
             response = await self._session.request(
                 outgoing.method,
--- a/packages/standins/marjoramledge_standins/measurement.py
+++ b/packages/standins/marjoramledge_standins/measurement.py
@@ -79,4 +79,4 @@
 
 
 def _round(value: float | None) -> float | None:
-    return None if value is None else round(value, 4)
+    return None if value is None else round(value, 6)
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 from marjoramledge_core import _replay
+from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_node import _auth
 from marjoramledge_node import _gossip_port
@@ -56,7 +57,13 @@
         target=state.node,
         config=state.versions.ref,
         news=(state.membership.myself,),
-        suspicions=(),
+        suspicions=(
+            node.Suspicion(
+                fingerprint=ids.Fingerprint("f"),
+                deaths=frozenset({ids.DeathId("n1@1#1")}),
+                excused=frozenset(),
+            ),
+        ),
     )
     stamper = _auth.Stamper(run="n0-")
     content = _gossip_port.seal_message(keys, stamper, HERE, message)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -319,6 +319,24 @@
     assert runs == []
 
 
+@pytest.mark.parametrize("size", [5, 200_000])
+def test_a_body_that_is_held_back_is_granted(
+    shared: tuple[Run, _Fleet], size: int
+) -> None:
+    _, fleet = shared
+    vm = fleet.running.vms[0]
+    head = (
+        f"POST /orders HTTP/1.1\r\nHost: {SHOP}\r\n"
+        f"Expect: 100-continue\r\nContent-Length: {size}\r\n\r\n"
+    )
+    with socket.create_connection((vm.host, vm.caller_port), 5) as raw:
+        raw.sendall(head.encode())
+        granted = raw.recv(4096)
+        assert granted == b"HTTP/1.1 100 Continue\r\n\r\n"
+        raw.sendall(bytes(size))
+        assert raw.recv(4096).startswith(b"HTTP/1.1 200 OK")
+
+
 def test_a_node_holds_no_io_uring(shared: tuple[Run, _Fleet]) -> None:
     _, fleet = shared
     node = fleet.running.vms[0].node
