End the demonstration's callers when it is interrupted

Seen: Ctrl-C after 7 s left no process, but an unclosed session's complaint; now the callers are broken off first.

--- a/packages/standins/marjoramledge_standins/demo.py
+++ b/packages/standins/marjoramledge_standins/demo.py
@@ -120,6 +120,7 @@
             await self._play()
             return self._report()
         finally:
+            await self._callers.close()
             await self._deployment.stop()
 
     async def _play(self) -> None:
--- a/packages/standins/marjoramledge_standins/traffic.py
+++ b/packages/standins/marjoramledge_standins/traffic.py
@@ -115,6 +115,15 @@
         await asyncio.gather(*self._tasks)
         await self._session.close()
 
+    async def close(self) -> None:
+        """Break off whatever still runs."""
+        if self._arrivals is not None:
+            self._arrivals.cancel()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._session.close()
+
     async def _arrive(self) -> None:
         number = 0
         next_at = time.monotonic()
