--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -12,30 +12,22 @@
 import typing
 
 from marjoramledge_core import _commands
-from marjoramledge_core import _directory
 from marjoramledge_core import _events
-from marjoramledge_core import _gate
 from marjoramledge_core import _ids
 from marjoramledge_core import _load
 from marjoramledge_core import _losses
 from marjoramledge_core import _outcomes
+from marjoramledge_core import _placing
 from marjoramledge_core import _queue
 from marjoramledge_core import _records
-from marjoramledge_core import _routing
 from marjoramledge_core import _settings
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
 from marjoramledge_core import _work
 
-MAX_ATTEMPTS: typing.Final = 4
 # Attempts of one call that may end with a broken connection: a request that
 # kills servers must not be carried to a third.
 MAX_LOSSES: typing.Final = 2
-# The attempt, counted from one, that waits at a busy gate.
-PATIENT_ATTEMPT: typing.Final = 3
-# The own server is no longer taken unseen when calls take this many times
-# as long as usual.
-SLOW_RATIO: typing.Final = 2.0
 RETRY_AFTER_S: typing.Final = 1
 
 _WAITING: typing.Final = frozenset(
@@ -114,7 +106,8 @@
     if kind.hedging:
         hedge_at = step.now + _hedge_delay_s(step, kind)
         _set_timer(step, call, hedge_at, _timers.TimerKind.CALL_HEDGE)
-    _place(step, call)
+    if not _placing.place(step, call):
+        _refuse(step, call, call.last_reason)
 
 
 def attempt_answered(
@@ -132,7 +125,7 @@
     call.delivered = attempt
     for other in call.attempts.values():
         if other is not attempt:
-            _cancel(step, other)
+            _placing.cancel(step, other)
     step.out.append(
         _commands.DeliverAnswer(
             call=call.call, attempt=attempt.attempt, kind=call.kind
@@ -200,7 +193,7 @@
     if call is not None:
         call.advance(_state.CallPhase.ABANDONED)
         for attempt in call.attempts.values():
-            _cancel(step, attempt)
+            _placing.cancel(step, attempt)
 
 
 def deadline_passed(step: _state.Step, call_id: _ids.CallId) -> None:
@@ -209,7 +202,7 @@
     if call is None or call.phase not in _WAITING:
         return
     for attempt in call.attempts.values():
-        if attempt.is_open and not _cancel(step, attempt):
+        if attempt.is_open and not _placing.cancel(step, attempt):
             call.may_have_run = True
     _refuse(step, call, _outcomes.Reason.DEADLINE_PASSED)
 
@@ -223,7 +216,7 @@
         return
     if not step.budget_of(call.kind.service).spend():
         return
-    server = _pick(step, call)
+    server = _placing.pick(step, call)
     if server is None or server.is_local:
         return
     step.record(
@@ -232,7 +225,7 @@
         call=call.call,
         peer=server.node,
     )
-    _send(step, call, server, is_hedge=True)
+    _placing.send(step, call, server, is_hedge=True)
 
 
 def _may_send_again(
@@ -244,7 +237,10 @@
 
     ``settled`` is the attempt whose outcome has just become known.
     """
-    if len(call.attempts) >= MAX_ATTEMPTS or step.now >= call.deadline_at:
+    if (
+        len(call.attempts) >= _placing.MAX_ATTEMPTS
+        or step.now >= call.deadline_at
+    ):
         return False
     if call.is_body_gone or call.losses >= MAX_LOSSES:
         return False
@@ -277,12 +273,12 @@
         if other is not attempt
     )
     if is_other_open:
-        _close(step, attempt)
+        _placing.close(step, attempt)
         return
     is_sent_again = _may_send_again(step, call, attempt) and _pay_for_another(
         step, call, attempt, run
     )
-    _close(step, attempt)
+    _placing.close(step, attempt)
     if not is_sent_again:
         _refuse(step, call, reason)
         return
@@ -294,7 +290,8 @@
         detail=reason.value,
     )
     call.advance(_state.CallPhase.ACCEPTED)
-    _place(step, call)
+    if not _placing.place(step, call):
+        _refuse(step, call, call.last_reason)
 
 
 def _pay_for_another(
@@ -310,93 +307,6 @@
     return step.budget_of(call.kind.service).spend()
 
 
-def _place(step: _state.Step, call: _state.Call) -> None:
-    while True:
-        server = _pick(step, call)
-        if server is None:
-            _refuse(step, call, call.last_reason)
-            return
-        if _send(step, call, server):
-            return
-        call.last_reason = _outcomes.Reason.OVERLOADED
-        if len(call.attempts) >= MAX_ATTEMPTS:
-            _refuse(step, call, call.last_reason)
-            return
-
-
-def _pick(step: _state.Step, call: _state.Call) -> _load.ServerLoad | None:
-    state = step.state
-    directory = _fresh_directory(step)
-    gate = state.gate
-    local = directory.loads.get(state.node)
-    if (
-        local is not None
-        and gate.server is not None
-        and gate.server.service == call.kind.service
-        and local.node not in call.tried
-        and _work.reason_to_refuse(step) is None
-    ):
-        report = gate.report(step.now)
-        local.note_report(report, step.now)
-        is_slow = report.service_s > SLOW_RATIO * gate.usual_s
-        if gate.has_room and not is_slow and not local.is_ejected(step.now):
-            return local
-    excluded = call.tried
-    if len(call.attempts) + 1 >= PATIENT_ATTEMPT:
-        # A gate that was busy a moment ago may have the shortest wait now.
-        excluded = call.faulty
-    return _routing.choose_server(
-        directory.candidates(call.kind.service),
-        excluded,
-        step.now,
-        step.rng,
-    )
-
-
-def _send(
-    step: _state.Step,
-    call: _state.Call,
-    server: _load.ServerLoad,
-    *,
-    is_hedge: bool = False,
-) -> bool:
-    attempt_id = _ids.AttemptId(f"{call.call}.{len(call.attempts)}")
-    is_patient = _is_last_chance(step, call, server)
-    attempt = _state.Attempt(
-        attempt=attempt_id,
-        server=server,
-        sent_at=step.now,
-        service=call.kind.service,
-        has_move=not is_patient,
-    )
-    call.attempts[attempt_id] = attempt
-    call.tried.add(server.node)
-    server.start_call()
-    if not server.is_local:
-        call.advance(_state.CallPhase.SENT)
-        step.out.append(
-            _commands.SendToPeer(
-                call=call.call,
-                attempt=attempt_id,
-                node=server.node,
-                address=server.address,
-                deadline_at=call.deadline_at,
-                is_hedge=is_hedge,
-                is_patient=is_patient,
-            )
-        )
-        return True
-    admission = _work.offer_local(
-        step, call, attempt_id, is_patient=is_patient
-    )
-    if admission is _gate.Admission.REFUSED:
-        _close(step, attempt)
-        return False
-    if admission is _gate.Admission.QUEUED:
-        call.advance(_state.CallPhase.QUEUED)
-    return True
-
-
 def _set_timer(
     step: _state.Step,
     call: _state.Call,
@@ -414,49 +324,13 @@
     return call
 
 
-def _is_last_chance(
-    step: _state.Step, call: _state.Call, server: _load.ServerLoad
-) -> bool:
-    """Tell whether the next attempt should wait rather than come back.
-
-    Otherwise the move that a refusal would ask for is paid for.
-    """
-    if len(call.attempts) + 1 >= PATIENT_ATTEMPT:
-        return True
-    candidates = step.state.directory.candidates(call.kind.service)
-    if all(
-        other is server or other.node in call.tried for other in candidates
-    ):
-        return True
-    return not step.budget_of(call.kind.service).spend_move()
-
-
-def _cancel(step: _state.Step, attempt: _state.Attempt) -> bool:
-    """Break off an open attempt; tell whether it surely has not run."""
-    if not attempt.is_open:
-        return False
-    _close(step, attempt)
-    if attempt.server.is_local and step.state.gate.abandon(attempt.attempt):
-        return True
-    step.out.append(_commands.CancelAttempt(attempt=attempt.attempt))
-    return False
-
-
-def _close(step: _state.Step, attempt: _state.Attempt) -> None:
-    attempt.is_open = False
-    attempt.server.end_call()
-    if attempt.has_move:
-        attempt.has_move = False
-        step.budget_of(attempt.service).refund_move()
-
-
 def _close_attempts(step: _state.Step, call: _state.Call) -> None:
     for attempt in call.attempts.values():
         if attempt.is_open:
             if attempt is call.delivered:
-                _close(step, attempt)
+                _placing.close(step, attempt)
             else:
-                _cancel(step, attempt)
+                _placing.cancel(step, attempt)
 
 
 def _refuse(
@@ -549,15 +423,3 @@
 def _hedge_delay_s(step: _state.Step, kind: _settings.RequestKind) -> float:
     usual_s = step.latency_of(kind).value_s or kind.deadline_s
     return max(kind.hedge_after_s, usual_s)
-
-
-def _fresh_directory(step: _state.Step) -> _directory.Directory:
-    state = step.state
-    revision = (state.membership.revision, state.versions.ref.version)
-    configuration = state.versions.configuration
-    if revision != state.directory_revision and configuration is not None:
-        state.directory_revision = revision
-        state.directory.rebuild(
-            state.membership.members.values(), configuration
-        )
-    return state.directory
--- /dev/null
+++ b/packages/core/marjoramledge_core/_placing.py
@@ -0,0 +1,163 @@
+"""Where a call goes: the next server, and the sending to it.
+
+Sits between ``_calls``, which says that a call is to be sent, and the choice
+among servers.  The own server comes first when it has room and is not slow:
+it costs no second hop.  An attempt that has another place to go is refused
+early by a busy gate; the third one waits.
+"""
+
+import typing
+
+from marjoramledge_core import _commands
+from marjoramledge_core import _directory
+from marjoramledge_core import _gate
+from marjoramledge_core import _ids
+from marjoramledge_core import _load
+from marjoramledge_core import _outcomes
+from marjoramledge_core import _routing
+from marjoramledge_core import _state
+from marjoramledge_core import _work
+
+MAX_ATTEMPTS: typing.Final = 4
+# The attempt, counted from one, that waits at a busy gate.
+PATIENT_ATTEMPT: typing.Final = 3
+# The own server is no longer taken unseen when calls take this many times
+# as long as usual.
+SLOW_RATIO: typing.Final = 2.0
+
+
+def place(step: _state.Step, call: _state.Call) -> bool:
+    """Send a call to the next server; false when none is left to try."""
+    while True:
+        server = pick(step, call)
+        if server is None:
+            return False
+        if send(step, call, server):
+            return True
+        call.last_reason = _outcomes.Reason.OVERLOADED
+        if len(call.attempts) >= MAX_ATTEMPTS:
+            return False
+
+
+def pick(step: _state.Step, call: _state.Call) -> _load.ServerLoad | None:
+    """Choose the next server for a call; None when there is none."""
+    state = step.state
+    directory = _fresh_directory(step)
+    gate = state.gate
+    local = directory.loads.get(state.node)
+    if (
+        local is not None
+        and gate.server is not None
+        and gate.server.service == call.kind.service
+        and local.node not in call.tried
+        and _work.reason_to_refuse(step) is None
+    ):
+        report = gate.report(step.now)
+        local.note_report(report, step.now)
+        is_slow = report.service_s > SLOW_RATIO * gate.usual_s
+        if gate.has_room and not is_slow and not local.is_ejected(step.now):
+            return local
+    excluded = call.tried
+    if len(call.attempts) + 1 >= PATIENT_ATTEMPT:
+        # A gate that was busy a moment ago may have the shortest wait now.
+        excluded = call.faulty
+    return _routing.choose_server(
+        directory.candidates(call.kind.service),
+        excluded,
+        step.now,
+        step.rng,
+    )
+
+
+def send(
+    step: _state.Step,
+    call: _state.Call,
+    server: _load.ServerLoad,
+    *,
+    is_hedge: bool = False,
+) -> bool:
+    """Send a call to a server; false when the own gate refuses it."""
+    attempt_id = _ids.AttemptId(f"{call.call}.{len(call.attempts)}")
+    is_patient = _is_last_chance(step, call, server)
+    attempt = _state.Attempt(
+        attempt=attempt_id,
+        server=server,
+        sent_at=step.now,
+        service=call.kind.service,
+        has_move=not is_patient,
+    )
+    call.attempts[attempt_id] = attempt
+    call.tried.add(server.node)
+    server.start_call()
+    if not server.is_local:
+        call.advance(_state.CallPhase.SENT)
+        step.out.append(
+            _commands.SendToPeer(
+                call=call.call,
+                attempt=attempt_id,
+                node=server.node,
+                address=server.address,
+                deadline_at=call.deadline_at,
+                is_hedge=is_hedge,
+                is_patient=is_patient,
+            )
+        )
+        return True
+    admission = _work.offer_local(
+        step, call, attempt_id, is_patient=is_patient
+    )
+    if admission is _gate.Admission.REFUSED:
+        close(step, attempt)
+        return False
+    if admission is _gate.Admission.QUEUED:
+        call.advance(_state.CallPhase.QUEUED)
+    return True
+
+
+def cancel(step: _state.Step, attempt: _state.Attempt) -> bool:
+    """Break off an open attempt; tell whether it surely has not run."""
+    if not attempt.is_open:
+        return False
+    close(step, attempt)
+    if attempt.server.is_local and step.state.gate.abandon(attempt.attempt):
+        return True
+    step.out.append(_commands.CancelAttempt(attempt=attempt.attempt))
+    return False
+
+
+def close(step: _state.Step, attempt: _state.Attempt) -> None:
+    """Count an attempt as ended, and refund the move it did not need."""
+    attempt.is_open = False
+    attempt.server.end_call()
+    if attempt.has_move:
+        attempt.has_move = False
+        step.budget_of(attempt.service).refund_move()
+
+
+def _is_last_chance(
+    step: _state.Step, call: _state.Call, server: _load.ServerLoad
+) -> bool:
+    """Tell whether the next attempt should wait rather than come back.
+
+    Otherwise the move that a refusal would ask for is paid for.
+    """
+    if len(call.attempts) + 1 >= PATIENT_ATTEMPT:
+        return True
+    candidates = step.state.directory.candidates(call.kind.service)
+    if all(
+        other is server or other.node in call.tried for other in candidates
+    ):
+        return True
+    return not step.budget_of(call.kind.service).spend_move()
+
+
+def _fresh_directory(step: _state.Step) -> _directory.Directory:
+    state = step.state
+    revision = (state.membership.revision, state.versions.ref.version)
+    configuration = state.versions.configuration
+    if revision != state.directory_revision and configuration is not None:
+        state.directory_revision = revision
+        state.directory.rebuild(
+            state.membership.members.values(), configuration
+        )
+    return state.directory
