Recognise answers that belong to another attempt

Cause: an answer read late on a used connection would have been taken for this call's own, a refusal too, and 'not run' would have been false.

Change: a gate names the attempt in whatever it answers; an entry believes nothing that names another one, and closes the connection.

Figures: 9 combinations of a wrong or missing name with each run state all end as may-have-run; before, 6 of them would have been believed by reading the code (not run).

Conclusion: holds between nodes; a backend server names nothing.

--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -81,9 +81,15 @@
         attempt = request.headers.get(_headers.ATTEMPT)
         if attempt is None:
             return await self._serve_document(request)
-        if not self._is_new_offer(request, attempt):
-            return self._reject()
-        return await self._serve_offer(request, ids.AttemptId(attempt))
+        response: web.StreamResponse
+        if self._is_new_offer(request, attempt):
+            response = await self._serve_offer(request, ids.AttemptId(attempt))
+        else:
+            response = self._reject()
+        if not response.prepared:
+            # Whose answer this is, for an entry that reads it late.
+            response.headers[_headers.ATTEMPT] = attempt
+        return response
 
     async def _serve_document(
         self, request: web.BaseRequest
@@ -190,7 +196,9 @@
                 return self._refuse(request, fault.reason, fault.run)
             answer = exchange.unwrap()
             head_s = answer.head_s
-            response, outcome = await self._pass_on(request, answer)
+            response, outcome = await self._pass_on(
+                request, answer, command.attempt
+            )
             return response
         except TimeoutError:
             return self._refuse(
@@ -217,12 +225,16 @@
         )
 
     async def _pass_on(
-        self, request: web.BaseRequest, answer: _upstream.Answer
+        self,
+        request: web.BaseRequest,
+        answer: _upstream.Answer,
+        attempt: ids.AttemptId,
     ) -> tuple[web.StreamResponse, node.ServerOutcome]:
         extra = {
+            _headers.ATTEMPT: str(attempt),
             _headers.LOAD: _headers.format_load(
                 self._engine.state.gate.report(self._engine.now())
-            )
+            ),
         }
         if _relay.is_small(answer, request.method):
             body = await _relay.read_whole(answer, request.method)
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -76,6 +76,13 @@
 
 Exchange = result.Result[Answer, Fault]
 
+# What is left of an exchange that proves nothing.
+_LOST: typing.Final = Fault(
+    outcome=node.ServerOutcome.BROKE_OFF,
+    run=node.RunState.MAY_HAVE_RUN,
+    reason=node.Reason.ANSWER_LOST,
+)
+
 
 class Upstream:
     """Clients of the backend server on this VM and of the peers."""
@@ -151,6 +158,11 @@
         if isinstance(exchange, result.Failure):
             return exchange.alt(_blame_peer)
         answer = exchange.unwrap()
+        wanted = outgoing.headers[_headers.ATTEMPT]
+        if answer.response.headers.get(_headers.ATTEMPT) != wanted:
+            # The answer, even a refusal, belongs to another call.
+            answer.response.close()
+            return result.Failure(_LOST)
         run = _headers.parse_run(answer.response.headers.get(_headers.RUN))
         if run is None:
             return exchange
@@ -233,13 +245,7 @@
                 )
             )
         except (aiohttp.ClientError, OSError):
-            return result.Failure(
-                Fault(
-                    outcome=node.ServerOutcome.BROKE_OFF,
-                    run=node.RunState.MAY_HAVE_RUN,
-                    reason=node.Reason.ANSWER_LOST,
-                )
-            )
+            return result.Failure(_LOST)
         return result.Success(
             Answer(
                 response=response,
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,94 @@
+"""What an exchange with a peer proves, against a peer made for it."""
+
+import asyncio
+
+from aiohttp import web
+from marjoramledge_core import node
+from marjoramledge_node import _bodies
+from marjoramledge_node import _headers
+from marjoramledge_node import _upstream
+from marjoramledge_standins import deployment
+import multidict
+import pytest
+from returns import result
+
+HOST = "127.0.0.1"
+
+
+async def _exchange(answer_headers: dict[str, str]) -> _upstream.Exchange:
+    """Send an offer to a peer that answers with some headers."""
+
+    async def serve(_request: web.BaseRequest) -> web.Response:
+        return web.Response(body=b"whole", headers=answer_headers)
+
+    port = deployment.find_free_port(HOST)
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(web.Server(serve), HOST, port)
+    upstream = _upstream.Upstream()
+    try:
+        return await upstream.send_to_peer(
+            _upstream.Outgoing(
+                method="POST",
+                target="/orders",
+                headers=multidict.CIMultiDict({_headers.ATTEMPT: "c.0"}),
+                body=_bodies.Body(held=b"x"),
+            ),
+            node.Address(host=HOST, port=port),
+            5.0,
+        )
+    finally:
+        await upstream.close()
+        server.close()
+
+
+def test_an_answer_to_this_attempt_is_taken() -> None:
+    exchange = asyncio.run(_exchange({_headers.ATTEMPT: "c.0"}))
+    assert isinstance(exchange, result.Success)
+
+
+def test_a_refusal_of_this_attempt_is_believed() -> None:
+    refusal = {
+        _headers.ATTEMPT: "c.0",
+        _headers.RUN: "not-run",
+        _headers.REASON: "overloaded",
+    }
+    fault = asyncio.run(_exchange(refusal)).failure()
+    assert fault.run is node.RunState.NOT_RUN
+    assert fault.reason is node.Reason.OVERLOADED
+
+
+@pytest.mark.parametrize("run", [None, "not-run", "may-have-run"])
+@pytest.mark.parametrize("attempt", [None, "c.1", "d.0"])
+def test_what_belongs_to_another_attempt_proves_nothing(
+    attempt: str | None, run: str | None
+) -> None:
+    headers = {}
+    if attempt is not None:
+        headers[_headers.ATTEMPT] = attempt
+    if run is not None:
+        headers[_headers.RUN] = run
+    fault = asyncio.run(_exchange(headers)).failure()
+    assert fault.run is node.RunState.MAY_HAVE_RUN
+    assert fault.reason is node.Reason.ANSWER_LOST
+
+
+def test_a_peer_that_is_not_there_has_not_run_it() -> None:
+    async def send() -> _upstream.Exchange:
+        upstream = _upstream.Upstream()
+        try:
+            return await upstream.send_to_peer(
+                _upstream.Outgoing(
+                    method="GET",
+                    target="/",
+                    headers=multidict.CIMultiDict({_headers.ATTEMPT: "c.0"}),
+                    body=_bodies.Body(),
+                ),
+                node.Address(host=HOST, port=deployment.find_free_port(HOST)),
+                5.0,
+            )
+        finally:
+            await upstream.close()
+
+    fault = asyncio.run(send()).failure()
+    assert fault.run is node.RunState.NOT_RUN
+    assert fault.reason is node.Reason.PEER_UNREACHABLE
