--- a/packages/core/marjoramledge_core/_budget.py
+++ b/packages/core/marjoramledge_core/_budget.py
@@ -9,6 +9,23 @@
 """
 
 import dataclasses
+import typing
+
+# Part of the fleet's allowance that is given out: a repeated call may call
+# other services again, and those count as repeats there too.
+RATIO_PART: typing.Final = 0.2
+SLACK_PART: typing.Final = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FleetBudget:
+    """Calls that the whole fleet may repeat at one service in a window.
+
+    ``ratio`` is relative to the calls for the service, ``slack`` absolute.
+    """
+
+    ratio: float
+    slack: float
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -28,6 +45,16 @@
     move_capacity: float = 50.0
     moves: float = 50.0
 
+    def set_share(self, fleet: FleetBudget, nodes: int) -> None:
+        """Take this entry's share of what the whole fleet may repeat.
+
+        The shares add up to less than the whole however little the entries
+        hear of one another, as long as each knows about how many there are.
+        """
+        self.earned_per_call = RATIO_PART * fleet.ratio
+        self.capacity = max(1.0, SLACK_PART * fleet.slack / max(1, nodes))
+        self.tokens = min(self.tokens, self.capacity)
+
     def earn(self) -> None:
         """Credit one first attempt."""
         self.tokens = min(self.capacity, self.tokens + self.earned_per_call)
--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -25,10 +25,7 @@
 from marjoramledge_core import _timers
 from marjoramledge_core import _work
 
-# Attempts of one call that may end with a broken connection: a request that
-# kills servers must not be carried to a third.
-MAX_LOSSES: typing.Final = 2
-RETRY_AFTER_S: typing.Final = 1
+RETRY_AFTER_S: typing.Final = 1.0
 
 _WAITING: typing.Final = frozenset(
     {
@@ -69,11 +66,10 @@
     if configuration is None:
         _answer_unplaced(step, event, _outcomes.Reason.NO_CONFIGURATION)
         return
-    service = configuration.find_service(event.host)
-    if service is None:
+    kind = configuration.find_kind(event.host, event.method, event.path)
+    if kind is None:
         _answer_unplaced(step, event, _outcomes.Reason.UNKNOWN_SERVICE)
         return
-    kind = configuration.classify(service.name, event.method, event.path)
     refused_s = _work.quarantine_s(step, event.fingerprint)
     if refused_s is not None:
         _answer_unplaced(
@@ -92,6 +88,7 @@
     call = _state.Call(
         call=event.call,
         kind=kind,
+        service=kind.pick_service(step.rng.random()),
         deadline_at=step.now + deadline_s,
         is_body_held=event.is_body_held,
         attempts={},
@@ -99,9 +96,10 @@
         faulty=set(),
         timers=[],
         fingerprint=event.fingerprint,
+        request=event.request,
     )
     step.state.calls[call.call] = call
-    step.budget_of(kind.service).earn()
+    step.budget_of(call.service).earn()
     _set_timer(step, call, call.deadline_at, _timers.TimerKind.CALL_DEADLINE)
     if kind.hedging:
         hedge_at = step.now + _hedge_delay_s(step, kind)
@@ -214,14 +212,14 @@
         return
     if not call.is_body_held or not _may_send_again(step, call):
         return
-    if not step.budget_of(call.kind.service).spend():
+    if not step.budget_of(call.service).spend():
         return
     server = _placing.pick(step, call)
     if server is None or server.is_local:
         return
     step.record(
         _records.RecordKind.CALL_HEDGED,
-        service=call.kind.service,
+        service=call.service,
         call=call.call,
         peer=server.node,
     )
@@ -242,7 +240,10 @@
         or step.now >= call.deadline_at
     ):
         return False
-    if call.is_body_gone or call.losses >= MAX_LOSSES:
+    if (
+        call.is_body_gone
+        or _count_possible_runs(call, settled) >= call.kind.max_runs
+    ):
         return False
     if call.kind.idempotent:
         return True
@@ -254,6 +255,17 @@
     return not call.may_have_run and not is_any_open
 
 
+def _count_possible_runs(
+    call: _state.Call, settled: _state.Attempt | None
+) -> int:
+    """Count the backend servers that have run a call or still may."""
+    open_count = sum(
+        attempt.is_open and attempt is not settled
+        for attempt in call.attempts.values()
+    )
+    return call.losses + open_count
+
+
 def _settle_failure(
     step: _state.Step,
     call: _state.Call,
@@ -284,9 +296,10 @@
         return
     step.record(
         _records.RecordKind.CALL_RETRIED,
-        service=call.kind.service,
+        service=call.service,
         call=call.call,
         peer=attempt.server.node,
+        request=call.request,
         detail=reason.value,
     )
     call.advance(_state.CallPhase.ACCEPTED)
@@ -304,7 +317,7 @@
     if run is _outcomes.RunState.NOT_RUN and attempt.has_move:
         attempt.has_move = False
         return True
-    return step.budget_of(call.kind.service).spend()
+    return step.budget_of(call.service).spend()
 
 
 def _set_timer(
@@ -346,7 +359,11 @@
         run = _outcomes.RunState.NOT_RUN
         kind = _records.RecordKind.CALL_REFUSED
     step.record(
-        kind, service=call.kind.service, call=call.call, detail=reason.value
+        kind,
+        service=call.service,
+        call=call.call,
+        request=call.request,
+        detail=reason.value,
     )
     _answer(step, call.call, reason, run)
 
@@ -356,11 +373,12 @@
     event: _events.CallArrived,
     reason: _outcomes.Reason,
     *,
-    retry_after_s: int | None = None,
+    retry_after_s: float | None = None,
 ) -> None:
     step.record(
         _records.RecordKind.CALL_REFUSED,
         call=event.call,
+        request=event.request,
         detail=reason.value,
     )
     _answer(
@@ -378,7 +396,7 @@
     reason: _outcomes.Reason,
     run: _outcomes.RunState,
     *,
-    retry_after_s: int | None = None,
+    retry_after_s: float | None = None,
 ) -> None:
     if retry_after_s is None and reason in _RETRY_LATER:
         retry_after_s = RETRY_AFTER_S
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -23,6 +23,7 @@
     attempt: _ids.AttemptId
     server: _gate.Server
     deadline_at: float
+    is_repeatable: bool
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -37,6 +38,8 @@
     attempt: _ids.AttemptId
     node: _ids.NodeId
     address: _members.Address
+    service: _ids.ServiceName
+    kind: _settings.RequestKind
     deadline_at: float
     is_hedge: bool
     is_patient: bool
@@ -58,7 +61,7 @@
     call: _ids.CallId
     reason: _outcomes.Reason
     run: _outcomes.RunState
-    retry_after_s: int | None
+    retry_after_s: float | None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -75,6 +78,7 @@
     attempt: _ids.AttemptId
     server: _gate.Server
     deadline_at: float
+    is_repeatable: bool
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -114,7 +118,13 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ReadVersion:
-    """Read from the table which configuration is in force."""
+    """Read from the table which configuration is in force.
+
+    A store that can wait for a change may wait up to ``wait_s``; when the
+    read has ended, ``VersionReadEnded`` is expected.
+    """
+
+    wait_s: float
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -17,7 +17,8 @@
 
     ``deadline_s`` is what the caller allows, in seconds from now, and
     ``is_body_held`` tells that the whole body is at hand.  ``fingerprint``
-    is the same for the same request, wherever it comes in.
+    is the same for the same request, wherever it comes in, and ``request``
+    is the caller's own name of it.
     """
 
     call: _ids.CallId
@@ -27,6 +28,7 @@
     deadline_s: float | None
     is_body_held: bool
     fingerprint: _ids.Fingerprint
+    request: str = ""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -84,7 +86,10 @@
 class WorkOffered:
     """A peer offers a request for the backend server on this VM.
 
-    ``is_patient`` tells that it rather waits here than comes back.
+    ``is_patient`` tells that it rather waits here than comes back.  The
+    ``service`` and ``kind`` that the entry found are taken where they are
+    given, so that an entry and a gate whose configurations differ for a
+    moment agree.
     """
 
     attempt: _ids.AttemptId
@@ -94,6 +99,8 @@
     deadline_s: float
     is_patient: bool
     fingerprint: _ids.Fingerprint
+    service: _ids.ServiceName = _ids.NO_SERVICE
+    kind: _settings.RequestKind | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -124,20 +131,39 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ServerDraining:
-    """The backend server on this VM wants no new work."""
+    """The backend server on this VM wants no new work.
+
+    ``server`` names the start of it that is meant; without one, whichever
+    there is.
+    """
+
+    server: _gate.ServerStart = _gate.ANY_START
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ServerWithdrawn:
     """The backend server on this VM is gone, by its own word."""
 
+    server: _gate.ServerStart = _gate.ANY_START
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class DeparturesRead:
+    """Starts of backend servers that were acknowledged as leaving."""
+
+    servers: tuple[_gate.ServerStart, ...]
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ProbeEnded:
-    """A probe of the backend server on this VM ended, after some seconds."""
+    """A probe of the backend server on this VM ended, after some seconds.
+
+    ``cold_left_s`` is how long it stays cold, where the server tells it.
+    """
 
     is_healthy: bool
     elapsed_s: float
+    cold_left_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -168,6 +194,13 @@
     ref: _manifest.VersionRef
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class VersionReadEnded:
+    """A read of the version in force has ended, well or not."""
+
+    is_success: bool
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ManifestFetched:
     """A configuration was fetched and is valid."""
@@ -218,11 +251,13 @@
     | ServerAnnounced
     | ServerDraining
     | ServerWithdrawn
+    | DeparturesRead
     | ProbeEnded
     | MessageReceived
     | MembersReceived
     | SeedsFound
     | VersionRead
+    | VersionReadEnded
     | ManifestFetched
     | ManifestFailed
     | DrainOrdered
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -11,6 +11,7 @@
 import enum
 import typing
 
+from marjoramledge_core import _cold
 from marjoramledge_core import _ids
 from marjoramledge_core import _limit
 from marjoramledge_core import _load
@@ -32,15 +33,38 @@
 # Calls that broke off this long before a server was found dead ran on it.
 DEATH_WINDOW_S: typing.Final = 2.0
 MAX_BROKEN: typing.Final = 256
+# Departed starts that are remembered; late announcements of them are few.
+MAX_DEPARTED: typing.Final = 256
+# A wait below this would be lost in the rounding of the clock.
+MIN_START_WAIT_S: typing.Final = 0.001
 
 _FAILURES: typing.Final = frozenset(
     {_outcomes.ServerOutcome.SHED, _outcomes.ServerOutcome.BROKE_OFF}
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerStart:
+    """One start of a backend server.
+
+    The same ``server`` may start again; ``born`` tells the starts apart and
+    grows from one to the next.  Both are empty where servers have no names.
+    """
+
+    server: _ids.ServerId = _ids.NO_SERVER_ID
+    born: int = 0
+
+
+ANY_START: typing.Final = ServerStart()
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Server:
-    """A backend server as it announced itself."""
+    """A backend server as it announced itself.
+
+    ``start`` and ``sequence`` tell a late announcement from a new one, and
+    ``cold_left_s`` is how long the server will go on being cold.
+    """
 
     service: _ids.ServiceName
     host: str
@@ -50,6 +74,9 @@
     cold_concurrency: int
     is_cold: bool
     health_path: str
+    start: ServerStart = ANY_START
+    sequence: int = 0
+    cold_left_s: float = 0.0
 
 
 class Admission(enum.Enum):
@@ -92,8 +119,13 @@
         self._waiting: dict[_ids.AttemptId, _queue.Work] = {}
         self._running_by_kind: dict[_ids.KindName, int] = {}
         self._heard_at = 0.0
+        self._now = 0.0
         self._speed = _speed.SpeedEstimate()
         self._probe_s = 0.0
+        self._cold_rate = _cold.ColdRate()
+        self._cold_until = 0.0
+        self._service: _settings.Service | None = None
+        self._departed: dict[_ids.ServerId, int] = {}
         self._broken: collections.deque[tuple[float, _ids.Fingerprint]] = (
             collections.deque(maxlen=MAX_BROKEN)
         )
@@ -145,10 +177,12 @@
             self._state in _members.ACCEPTING_STATES
             and not self._waiting
             and len(self._running) < self._limit.current
+            and self._cold_wait_s() <= 0.0
         )
 
     def report(self, now: float) -> _load.LoadReport:
         """Describe the load at this moment."""
+        self._now = now
         service_s = self._speed.service_s(len(self._running), now)
         return _load.LoadReport(
             in_flight=len(self._running) + len(self._waiting),
@@ -163,12 +197,15 @@
         and warm; calls that run are kept.
         """
         same = self._server is not None and (
-            self._server.port == server.port
+            self._server.start == server.start
+            and self._server.port == server.port
             and self._server.slots == server.slots
             and self._server.is_cold == server.is_cold
         )
         self._server = server
         self._heard_at = now
+        self._now = now
+        self._cold_until = now + server.cold_left_s
         if same and self.accepts_work:
             return
         self._limit = _limit.ConcurrencyLimit(
@@ -183,9 +220,66 @@
         )
         self._queue.resize(max(MIN_QUEUE, QUEUE_PER_SLOT * server.slots))
 
-    def restart_ramp(self) -> None:
-        """Give the backend server only what a cold one bears, for a start."""
+    def is_news(self, server: Server) -> bool:
+        """Tell whether an announcement is newer than what is known.
+
+        One that was held up on its way may be of an earlier start, or of a
+        start that has been acknowledged as leaving since.
+        """
+        start = server.start
+        if start == ANY_START:
+            return True
+        if self._departed.get(start.server, -1) >= start.born:
+            return False
+        known = self._server
+        if known is None or start.server != known.start.server:
+            return known is None or start.born >= known.start.born
+        if start.born != known.start.born:
+            return start.born > known.start.born
+        return server.sequence > known.sequence
+
+    def is_start(self, start: ServerStart) -> bool:
+        """Tell whether the backend server here is of the start named."""
+        if start == ANY_START:
+            return True
+        return self._server is not None and (
+            self._server.start.server == start.server
+            and start.born in (0, self._server.start.born)
+        )
+
+    def note_departure(self, start: ServerStart) -> None:
+        """Remember that a start of a backend server is leaving for good."""
+        if start == ANY_START:
+            return
+        born = start.born
+        if self._server is not None and self.is_start(start):
+            born = self._server.start.born
+        known = self._departed.pop(start.server, -1)
+        self._departed[start.server] = max(known, born)
+        while len(self._departed) > MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
+
+    def set_service(self, service: _settings.Service) -> None:
+        """Take in what the configuration says of the server's service."""
+        self._service = service
+
+    def distrust_warmth(self, now: float) -> None:
+        """Take the backend server as cold until it says otherwise."""
         self._limit.restart_ramp()
+        if self._service is not None:
+            self._cold_until = now + self._service.cold_s
+
+    def next_start_at(self, now: float) -> float | None:
+        """Tell when a call that waits for a cold server may start."""
+        self._now = now
+        if not self._waiting or len(self._running) >= self._limit.current:
+            return None
+        return now + max(MIN_START_WAIT_S, self._cold_wait_s())
+
+    def start_waiting(self, now: float) -> list[_queue.Work]:
+        """Start the calls that wait, as far as there is room."""
+        self._now = now
+        return self._start_waiting(now) if self.accepts_work else []
 
     def drain(self) -> list[_queue.Work]:
         """Take no new work; return the calls that waited."""
@@ -201,9 +295,10 @@
 
     def offer(self, work: _queue.Work, now: float) -> Offer:
         """Decide on a new call."""
+        self._now = now
         if not self.accepts_work or self._is_over_share(work):
             return Offer(admission=Admission.REFUSED)
-        if not self._waiting and len(self._running) < self._limit.current:
+        if self.has_room:
             self._start(work, now)
             return Offer(admission=Admission.STARTED)
         if not work.is_patient and self._is_queue_long():
@@ -243,6 +338,7 @@
         now
             Monotonic time in seconds.
         """
+        self._now = now
         self._speed.note_change(len(self._running), now)
         work = self._running.pop(attempt, None)
         if work is None:
@@ -275,16 +371,24 @@
         return max(1.0 / measuring.calls_per_s, by_share_s)
 
     def note_probe(
-        self, is_healthy: bool, elapsed_s: float, now: float
+        self,
+        is_healthy: bool,
+        elapsed_s: float,
+        cold_left_s: float | None,
+        now: float,
     ) -> bool:
         """Take in a probe; tell whether the server came back or went."""
         self._probe_s = elapsed_s
+        self._now = now
+        if is_healthy and self._state is _members.ServerState.UNREACHABLE:
+            self.distrust_warmth(now)
+        if is_healthy and cold_left_s is not None:
+            self._cold_until = now + cold_left_s
         if is_healthy:
             self._heard_at = now
             if self._state is not _members.ServerState.UNREACHABLE:
                 return False
             self._state = _members.ServerState.WARM
-            self._limit.restart_ramp()
             return True
         if not self.accepts_work:
             return False
@@ -338,6 +442,7 @@
 
     def _start(self, work: _queue.Work, now: float) -> None:
         work.started_at = now
+        self._cold_rate.note_start(now)
         self._speed.note_change(len(self._running), now)
         self._running[work.attempt] = work
         name = work.kind.name
@@ -349,7 +454,11 @@
 
     def _start_waiting(self, now: float) -> list[_queue.Work]:
         started = []
-        while self._waiting and len(self._running) < self._limit.current:
+        while (
+            self._waiting
+            and len(self._running) < self._limit.current
+            and self._cold_wait_s() <= 0.0
+        ):
             work = self._queue.take()
             if work is None:
                 raise AssertionError("the queue lost a waiting call")
@@ -358,6 +467,16 @@
             started.append(work)
         return started
 
+    def _cold_wait_s(self) -> float:
+        """Seconds until a cold server may be given the next call."""
+        service = self._service
+        if service is None or service.cold_rate_per_s is None:
+            return 0.0
+        if self._now >= self._cold_until:
+            return 0.0
+        wait_s = self._cold_rate.wait_s(service.cold_rate_per_s, self._now)
+        return min(wait_s, self._cold_until - self._now)
+
     def _is_over_share(self, work: _queue.Work) -> bool:
         share = work.kind.max_slot_share
         if share >= 1.0 or self._server is None:
--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -46,7 +46,8 @@
 # nodes that start together do not remain apart in groups.
 FIRST_SYNC_PERIOD_S: typing.Final = 0.5
 REGISTER_PERIOD_S: typing.Final = 300.0
-FIRST_REGISTER_PERIOD_S: typing.Final = 5.0
+# A node that has found nobody looks again this soon.
+FIRST_REGISTER_PERIOD_S: typing.Final = 2.0
 # How long a departed member is remembered, so that old news of it is known
 # to be old and a partition can be healed through it.
 REMEMBER_DEPARTED_S: typing.Final = 600.0
@@ -119,6 +120,7 @@
         self._sync_period_s = FIRST_SYNC_PERIOD_S
         self._register_period_s = FIRST_REGISTER_PERIOD_S
         self._revision = 0
+        self._most_present = 1
 
     @property
     def myself(self) -> _members.Member:
@@ -142,6 +144,11 @@
         """Members that have not departed, this one included."""
         return len(self._members) - len(self._departed_at)
 
+    @property
+    def most_present(self) -> int:
+        """Most members that have been present at once."""
+        return self._most_present
+
     @property
     def suspicion_s(self) -> float:
         """Seconds that a suspected member has to refute."""
@@ -382,9 +389,8 @@
             now + self._register_period_s * rng.uniform(0.8, 1.2),
             _timers.TimerKind.MEMBER_REGISTER,
         )
-        self._register_period_s = min(
-            REGISTER_PERIOD_S, 2 * self._register_period_s
-        )
+        if self.present_count > 1:
+            self._register_period_s = REGISTER_PERIOD_S
 
     def leave(
         self, now: float, rng: random.Random, out: list[_commands.Command]
@@ -446,6 +452,7 @@
             self._departed_at[member.node] = now
         else:
             self._departed_at.pop(member.node, None)
+        self._most_present = max(self._most_present, self.present_count)
         if member.status is _members.MemberStatus.SUSPECT:
             self._set_suspicion_timer(member, now)
         if known is None or known.status is not member.status:
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -28,13 +28,9 @@
 from marjoramledge_core import _versions
 from marjoramledge_core import _work
 
-# How long a stopping node goes on serving callers, so that the news of its
-# leaving reaches every entry and each caller's connection is told to close.
-STOP_SPREAD_S: typing.Final = 1.5
 STOP_CHECK_S: typing.Final = 0.05
 # How long a node lives on after its last word, so that the word gets out.
 STOP_FAREWELL_S: typing.Final = 0.2
-MAX_FETCH_SOURCES: typing.Final = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,7 +51,7 @@
     *,
     identity: Identity,
     seeds: collections.abc.Iterable[_members.Address],
-    stop_limit_s: float,
+    options: _state.Options,
     now: float,
 ) -> _state.NodeState:
     """Make the state of a node that starts.
@@ -66,8 +62,8 @@
         Who the node is.
     seeds
         Peer addresses at which to look for the fleet.
-    stop_limit_s
-        Seconds that a planned stop waits for running calls.
+    options
+        Options of the decisions.
     now
         Monotonic time in seconds.
     """
@@ -85,13 +81,15 @@
     state = _state.NodeState(
         node=identity.node,
         zone=identity.zone,
-        options=_state.Options(stop_limit_s=stop_limit_s),
+        options=options,
         timers=timers,
         gate=_gate.Gate(),
         membership=_membership.Membership(
             myself=myself, seeds=seeds, timers=timers
         ),
-        versions=_versions.Versions(timers=timers),
+        versions=_versions.Versions(
+            timers=timers, waits_for_change=options.waits_for_version
+        ),
         directory=_directory.Directory(node=identity.node, zone=identity.zone),
         calls={},
         quarantine=_quarantine.Quarantine(),
@@ -176,13 +174,14 @@
         _records.RecordKind.CONFIG_ADOPTED,
         detail=f"version {event.ref.version}",
     )
+    _work.apply_service(step)
     is_open = step.is_zone_open()
     if was_open and not is_open:
         step.record(_records.RecordKind.ZONE_CLOSED, detail=state.zone)
         _work.refuse_waiting(step, _outcomes.Reason.ZONE_CLOSED)
     elif is_open and not was_open:
         step.record(_records.RecordKind.ZONE_OPENED, detail=state.zone)
-        state.gate.restart_ramp()
+        _work.distrust_warmth(step)
 
 
 def _fail_manifest(step: _state.Step, event: _events.ManifestFailed) -> None:
@@ -200,15 +199,19 @@
     state.stop_phase = _state.StopPhase.DRAINING
     state.stop_begun_at = step.now
     step.record(_records.RecordKind.STOP_BEGUN)
-    _work.drain_server(step)
+    _work.refuse_waiting(step, _outcomes.Reason.NODE_STOPPING)
+    step.publish_server()
     state.membership.tell_now(step.rng, step.out)
-    state.timers.set(step.now + STOP_SPREAD_S, _timers.TimerKind.STOP_STEP)
+    state.timers.set(
+        step.now + state.options.stop_spread_s, _timers.TimerKind.STOP_STEP
+    )
 
 
 def _step_stop(step: _state.Step) -> None:
     state = step.state
     if state.stop_phase is _state.StopPhase.DRAINING:
         state.stop_phase = _state.StopPhase.CLOSED
+        _work.refuse_waiting(step, _outcomes.Reason.NODE_STOPPING)
         step.out.append(_commands.StopAccepting())
     if state.stop_phase is _state.StopPhase.LEFT:
         _finish_stop(step)
@@ -268,13 +271,17 @@
     _events.WorkEnded: _work.end_work,
     _events.WorkAbandoned: _work.abandon_work,
     _events.ServerAnnounced: _work.announce_server,
-    _events.ServerDraining: lambda step, event: _work.drain_server(step),
-    _events.ServerWithdrawn: lambda step, event: _work.withdraw_server(step),
+    _events.ServerDraining: _work.drain_server,
+    _events.ServerWithdrawn: _work.withdraw_server,
+    _events.DeparturesRead: _work.note_departures,
     _events.ProbeEnded: _work.end_probe,
     _events.MessageReceived: _take_message,
     _events.MembersReceived: _take_members,
     _events.SeedsFound: _take_seeds,
     _events.VersionRead: _take_version,
+    _events.VersionReadEnded: lambda step, event: (
+        step.state.versions.read_ended(event.is_success, step.now, step.rng)
+    ),
     _events.ManifestFetched: _take_manifest,
     _events.ManifestFailed: _fail_manifest,
     _events.DrainOrdered: _work.order_drain,
@@ -292,6 +299,9 @@
     _timers.TimerKind.QUEUE_WAIT: lambda step, timer: _work.queue_wait_ended(
         step, _ids.AttemptId(timer.subject)
     ),
+    _timers.TimerKind.COLD_START: lambda step, timer: _work.start_waiting(
+        step
+    ),
     _timers.TimerKind.SERVER_PROBE: lambda step, timer: _work.probe_server(
         step
     ),
--- a/packages/core/marjoramledge_core/_placing.py
+++ b/packages/core/marjoramledge_core/_placing.py
@@ -48,7 +48,7 @@
     if (
         local is not None
         and gate.server is not None
-        and gate.server.service == call.kind.service
+        and gate.server.service == call.service
         and local.node not in call.tried
         and _work.reason_to_refuse(step) is None
     ):
@@ -62,7 +62,7 @@
         # A gate that was busy a moment ago may have the shortest wait now.
         excluded = call.faulty
     return _routing.choose_server(
-        directory.candidates(call.kind.service),
+        directory.candidates(call.service),
         excluded,
         step.now,
         step.rng,
@@ -83,7 +83,7 @@
         attempt=attempt_id,
         server=server,
         sent_at=step.now,
-        service=call.kind.service,
+        service=call.service,
         has_move=not is_patient,
     )
     call.attempts[attempt_id] = attempt
@@ -97,6 +97,8 @@
                 attempt=attempt_id,
                 node=server.node,
                 address=server.address,
+                service=call.service,
+                kind=call.kind,
                 deadline_at=call.deadline_at,
                 is_hedge=is_hedge,
                 is_patient=is_patient,
@@ -143,12 +145,12 @@
     """
     if len(call.attempts) + 1 >= PATIENT_ATTEMPT:
         return True
-    candidates = step.state.directory.candidates(call.kind.service)
+    candidates = step.state.directory.candidates(call.service)
     if all(
         other is server or other.node in call.tried for other in candidates
     ):
         return True
-    return not step.budget_of(call.kind.service).spend_move()
+    return not step.budget_of(call.service).spend_move()
 
 
 def _fresh_directory(step: _state.Step) -> _directory.Directory:
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -50,4 +50,5 @@
     service: _ids.ServiceName = _ids.NO_SERVICE
     call: _ids.CallId = _ids.NO_CALL
     peer: _ids.NodeId = _ids.NO_NODE
+    request: str = ""
     detail: str = ""
--- a/packages/core/marjoramledge_core/_settings.py
+++ b/packages/core/marjoramledge_core/_settings.py
@@ -11,11 +11,14 @@
 import typing
 
 from marjoramledge_core import _ids
+from marjoramledge_core import _routes
 
 DEFAULT_DEADLINE_S: typing.Final = 5.0
 DEFAULT_PROBES_PER_S: typing.Final = 1.0
 DEFAULT_PROBE_SLOT_SHARE: typing.Final = 0.001
 DEFAULT_COLD_CONCURRENCY: typing.Final = 1
+# Backend servers that may run one call, the first included.
+DEFAULT_MAX_RUNS: typing.Final = 2
 
 
 class Priority(enum.IntEnum):
@@ -27,6 +30,14 @@
     BACKGROUND = 3
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceShare:
+    """A service's part of the calls of a kind; ``weight`` is relative."""
+
+    service: _ids.ServiceName
+    weight: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RequestKind:
     """What the rules say of one kind of request.
@@ -34,7 +45,10 @@
     ``hedging`` lets a call that is slow for its kind, and slower than
     ``hedge_after_s`` seconds, be sent to a second server as well.
     ``max_slot_share`` is the share (0 to 1) of a backend server's slots that
-    calls of this kind may hold at once.
+    calls of this kind may hold at once.  ``shares`` splits the calls among
+    services by weight; without them all go to ``service``.  ``max_runs``
+    bounds the backend servers that may run one call, and ``target_s`` is the
+    time within which an answer is worth its full value.
     """
 
     name: _ids.KindName
@@ -47,6 +61,18 @@
     hedging: bool
     hedge_after_s: float
     max_slot_share: float
+    shares: tuple[ServiceShare, ...] = ()
+    max_runs: int = DEFAULT_MAX_RUNS
+    target_s: float | None = None
+
+    def pick_service(self, draw: float) -> _ids.ServiceName:
+        """Pick the service of one call; ``draw`` is uniform in [0, 1)."""
+        left = draw * sum(share.weight for share in self.shares)
+        for share in self.shares:
+            left -= share.weight
+            if left < 0.0:
+                return share.service
+        return self.service
 
     def matches_path(self, path: str) -> bool:
         """Tell whether a request path, without its query, is of this kind."""
@@ -57,7 +83,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Service:
-    """A service and the backend servers that operators expect for it."""
+    """A service and the backend servers that operators expect for it.
+
+    ``cold_rate_per_s`` bounds the calls that a cold backend server is given
+    in a second, and ``cold_s`` is how long one stays cold after a start.
+    """
 
     name: _ids.ServiceName
     hosts: tuple[str, ...]
@@ -65,6 +95,9 @@
     slots: int
     connections: int
     cold_concurrency: int
+    cold_rate_per_s: float | None = None
+    cold_s: float = 0.0
+    health_path: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -98,6 +131,8 @@
         Probe budget of each gate.
     default_deadline_s
         Seconds that a call of no declared kind may take.
+    routes
+        Kinds that are found by host and path alone.
     """
 
     def __init__(
@@ -109,7 +144,9 @@
         kinds: tuple[RequestKind, ...],
         measuring: Measuring,
         default_deadline_s: float,
+        routes: _routes.RouteTable[RequestKind] | None = None,
     ) -> None:
+        self._routes = _routes.RouteTable(()) if routes is None else routes
         self._organisation = organisation
         self._measuring = measuring
         self._default_deadline_s = default_deadline_s
@@ -157,6 +194,17 @@
         """Kinds of request in the order in which they are tried."""
         return self._kinds
 
+    def find_kind(
+        self, host: str, method: str, path: str
+    ) -> RequestKind | None:
+        """Find the kind of a request; None when nothing serves it."""
+        if self._routes.has_host(host):
+            return self._routes.find(host, path)
+        service = self.find_service(host)
+        if service is None:
+            return None
+        return self.classify(service.name, method, path)
+
     def find_service(self, host: str) -> Service | None:
         """Find the service that a Host header, with or without port, names."""
         name = self._service_of_host.get(host)
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -73,6 +73,11 @@
 }
 
 
+# How long a stopping node goes on serving, so that the news of its leaving
+# reaches every entry and each caller's connection is told to close.
+DEFAULT_STOP_SPREAD_S: typing.Final = 1.5
+
+
 class StopPhase(enum.IntEnum):
     """How far a planned stop has come."""
 
@@ -105,6 +110,7 @@
 
     call: _ids.CallId
     kind: _settings.RequestKind
+    service: _ids.ServiceName
     deadline_at: float
     is_body_held: bool
     is_body_gone: bool = False
@@ -114,6 +120,7 @@
     faulty: set[_ids.NodeId]
     timers: list[_timers.Timer]
     fingerprint: _ids.Fingerprint
+    request: str = ""
     delivered: Attempt | None = None
     may_have_run: bool = False
     losses: int = 0
@@ -137,9 +144,17 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Options:
-    """Options of the decisions."""
+    """Options of the decisions.
+
+    A planned stop goes on serving for ``stop_spread_s`` and waits until
+    ``stop_limit_s`` for running calls.  ``repeats`` is what the whole fleet
+    may repeat; without it each entry has the usual budget.
+    """
 
     stop_limit_s: float
+    stop_spread_s: float = DEFAULT_STOP_SPREAD_S
+    repeats: _budget.FleetBudget | None = None
+    waits_for_version: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -165,6 +180,7 @@
     deaths: int = 0
     presumed_death: _ids.DeathId | None = None
     is_drained_by_order: bool = False
+    cold_start_timer: _timers.Timer | None = None
     stop_phase: StopPhase = StopPhase.RUNNING
     stop_begun_at: float = 0.0
 
@@ -190,11 +206,17 @@
         service: _ids.ServiceName = _ids.NO_SERVICE,
         call: _ids.CallId = _ids.NO_CALL,
         peer: _ids.NodeId = _ids.NO_NODE,
+        request: str = "",
         detail: str = "",
     ) -> None:
         """Add an event to the time line."""
         record = _records.Record(
-            kind=kind, service=service, call=call, peer=peer, detail=detail
+            kind=kind,
+            service=service,
+            call=call,
+            peer=peer,
+            request=request,
+            detail=detail,
         )
         self.out.append(_commands.WriteRecord(record=record))
 
@@ -203,7 +225,11 @@
         gate = self.state.gate
         server = gate.server
         standing = gate.state
-        if self.state.is_drained_by_order and gate.accepts_work:
+        is_leaving = (
+            self.state.is_drained_by_order
+            or self.state.stop_phase is not StopPhase.RUNNING
+        )
+        if is_leaving and gate.accepts_work:
             standing = _members.ServerState.DRAINING
         myself = self.state.membership.myself
         self.state.membership.update_myself(
@@ -219,6 +245,9 @@
         if budget is None:
             budget = _budget.RetryBudget()
             self.state.budgets[service] = budget
+        repeats = self.state.options.repeats
+        if repeats is not None:
+            budget.set_share(repeats, self.state.membership.most_present)
         return budget
 
     def latency_of(
--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -6,6 +6,7 @@
 adopts a version lower than the one it has.
 """
 
+import dataclasses
 import random
 import typing
 
@@ -21,13 +22,24 @@
 FLEET_READS_PER_S: typing.Final = 10.0
 FIRST_FETCH_RETRY_S: typing.Final = 0.2
 MAX_FETCH_RETRY_S: typing.Final = 5.0
+# Bounds of a read that waits for a change.  The lower one lets a node notice
+# a wait that an outage has left without an answer before the change that
+# follows must be in force; a large fleet notices through its first member.
+MIN_WAIT_S: typing.Final = 4.0
+MAX_WAIT_S: typing.Final = 20.0
+WAIT_PER_MEMBER_S: typing.Final = 0.4
+# Pause after a read that failed.
+READ_RETRY_S: typing.Final = 0.5
 
 
 class Versions:
     """State of the configuration at one node."""
 
-    def __init__(self, *, timers: _timers.TimerQueue) -> None:
+    def __init__(
+        self, *, timers: _timers.TimerQueue, waits_for_change: bool = False
+    ) -> None:
         self._timers = timers
+        self._waits_for_change = waits_for_change
         self._configuration: _settings.Configuration | None = None
         self._ref = _manifest.NO_VERSION
         self._wanted = _manifest.NO_VERSION
@@ -56,13 +68,27 @@
         out: list[_commands.Command],
     ) -> None:
         """Ask the table for the version in force."""
-        out.append(_commands.ReadVersion())
+        wait_s = min(
+            MAX_WAIT_S, max(MIN_WAIT_S, WAIT_PER_MEMBER_S * member_count)
+        )
+        out.append(_commands.ReadVersion(wait_s=wait_s))
+        if self._waits_for_change:
+            return
         period = max(MIN_READ_PERIOD_S, member_count / FLEET_READS_PER_S)
         self._timers.set(
             now + period * rng.uniform(0.5, 1.5),
             _timers.TimerKind.CONFIG_READ,
         )
 
+    def read_ended(
+        self, is_success: bool, now: float, rng: random.Random
+    ) -> None:
+        """Plan the next read of a store that waits for a change."""
+        if not self._waits_for_change:
+            return
+        pause_s = 0.0 if is_success else READ_RETRY_S * rng.uniform(0.5, 1.5)
+        self._timers.set(now + pause_s, _timers.TimerKind.CONFIG_READ)
+
     def note_version(
         self,
         ref: _manifest.VersionRef,
@@ -70,6 +96,11 @@
         out: list[_commands.Command],
     ) -> None:
         """Take in that a version exists; fetch it when it is newer."""
+        if ref.digest == self._ref.digest:
+            # The same content, as of a later moment.
+            newest = max(ref.version, self._ref.version)
+            self._ref = dataclasses.replace(ref, version=newest)
+            return
         if ref.version <= max(self._ref.version, self._wanted.version):
             return
         self._wanted = ref
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -31,7 +31,7 @@
 
 def reason_to_refuse(step: _state.Step) -> _outcomes.Reason | None:
     """Tell why no new work may be given to the backend server here."""
-    if step.state.stop_phase is not _state.StopPhase.RUNNING:
+    if step.state.stop_phase >= _state.StopPhase.CLOSED:
         return _outcomes.Reason.NODE_STOPPING
     if not step.state.gate.accepts_work:
         return _outcomes.Reason.SERVER_LEAVING
@@ -70,14 +70,13 @@
     """Decide on a request that a peer offers."""
     reason = reason_to_refuse(step)
     kind = None if reason else _find_kind(step, event)
-    if event.deadline_s <= 0.0:
-        reason = _outcomes.Reason.DEADLINE_PASSED
-    elif quarantine_s(step, event.fingerprint) is not None:
-        reason = _outcomes.Reason.QUARANTINED
-    elif kind is None and reason is None:
-        reason = _outcomes.Reason.UNKNOWN_SERVICE
+    reason = reason or _reason_of_expiry(step, event)
     if reason is not None or kind is None:
-        _refuse(step, event.attempt, reason or _outcomes.Reason.OVERLOADED)
+        _refuse(
+            step,
+            event.attempt,
+            reason or _outcomes.Reason.UNKNOWN_SERVICE,
+        )
         return
     work = _queue.Work(
         attempt=event.attempt,
@@ -110,6 +109,7 @@
     ending = gate.end(event.attempt, event.outcome, event.head_s, step.now)
     for work in ending.started:
         start_work(step, work)
+    _plan_cold_start(step)
     for work in ending.refused:
         hand_back(step, work, _outcomes.Reason.SERVER_UNREACHABLE)
     if ending.became_unreachable:
@@ -152,6 +152,7 @@
                 attempt=work.attempt,
                 server=server,
                 deadline_at=work.deadline_at,
+                is_repeatable=work.kind.idempotent,
             )
         )
         return
@@ -163,6 +164,7 @@
             attempt=work.attempt,
             server=server,
             deadline_at=work.deadline_at,
+            is_repeatable=work.kind.idempotent,
         )
     )
 
@@ -181,10 +183,13 @@
     """Take in the announcement of the backend server on this VM."""
     gate = step.state.gate
     before = (gate.server, gate.state)
+    if not gate.is_news(event.server):
+        return
     if event.server.is_cold and gate.state is _members.ServerState.WARM:
         # The process was replaced before its death was noticed.
         _deaths.confirm(step)
     gate.announce(event.server, step.now)
+    apply_service(step)
     if before == (gate.server, gate.state):
         return
     step.record(
@@ -195,16 +200,62 @@
     step.publish_server()
 
 
-def drain_server(step: _state.Step) -> None:
+def apply_service(step: _state.Step) -> None:
+    """Give the gate what the configuration says of its service."""
+    configuration = step.state.versions.configuration
+    server = step.state.gate.server
+    if configuration is None or server is None:
+        return
+    service = configuration.services.get(server.service)
+    if service is not None:
+        step.state.gate.set_service(service)
+
+
+def distrust_warmth(step: _state.Step) -> None:
+    """Take the backend server as cold until it says otherwise."""
+    gate = step.state.gate
+    gate.distrust_warmth(step.now)
+    if gate.server is not None:
+        step.out.append(_commands.ProbeServer(server=gate.server))
+
+
+def start_waiting(step: _state.Step) -> None:
+    """Start the calls that wait, as far as the gate has room again."""
+    step.state.cold_start_timer = None
+    for work in step.state.gate.start_waiting(step.now):
+        start_work(step, work)
+    _plan_cold_start(step)
+
+
+def note_departures(step: _state.Step, event: _events.DeparturesRead) -> None:
+    """Take in which starts of backend servers have been told to be leaving."""
+    for server in event.servers:
+        step.state.gate.note_departure(server)
+        if step.state.gate.is_start(server):
+            _leave(step)
+
+
+def drain_server(step: _state.Step, event: _events.ServerDraining) -> None:
     """Take no new work for the backend server; running calls finish."""
+    step.state.gate.note_departure(event.server)
+    if step.state.gate.is_start(event.server):
+        _leave(step)
+
+
+def _leave(step: _state.Step) -> None:
+    if step.state.gate.state is _members.ServerState.DRAINING:
+        return
     for work in step.state.gate.drain():
         hand_back(step, work, _outcomes.Reason.SERVER_LEAVING)
     step.record(_records.RecordKind.SERVER_DRAINING)
     step.publish_server()
 
 
-def withdraw_server(step: _state.Step) -> None:
+def withdraw_server(step: _state.Step, event: _events.ServerWithdrawn) -> None:
     """Forget the backend server."""
+    step.state.gate.note_departure(event.server)
+    if not step.state.gate.is_start(event.server):
+        return
     for work in step.state.gate.withdraw():
         hand_back(step, work, _outcomes.Reason.SERVER_LEAVING)
     step.record(_records.RecordKind.SERVER_WITHDRAWN)
@@ -226,7 +277,7 @@
         refuse_waiting(step, _outcomes.Reason.DRAINED_BY_ORDER)
         step.record(_records.RecordKind.DRAIN_ORDERED)
     else:
-        step.state.gate.restart_ramp()
+        distrust_warmth(step)
         step.record(_records.RecordKind.DRAIN_ENDED)
     step.publish_server()
 
@@ -254,7 +305,7 @@
     if event.is_healthy:
         _deaths.withdraw(step)
     changed = step.state.gate.note_probe(
-        event.is_healthy, event.elapsed_s, step.now
+        event.is_healthy, event.elapsed_s, event.cold_left_s, step.now
     )
     if not changed:
         return
@@ -282,6 +333,7 @@
     if offer.admission is _gate.Admission.STARTED:
         start_work(step, work)
     elif offer.admission is _gate.Admission.QUEUED:
+        _plan_cold_start(step)
         step.state.timers.set(
             min(
                 work.deadline_at,
@@ -293,6 +345,27 @@
     return offer.admission
 
 
+def _plan_cold_start(step: _state.Step) -> None:
+    """Wake up when a call that waits for a cold server may start."""
+    if step.state.cold_start_timer is not None:
+        return
+    at = step.state.gate.next_start_at(step.now)
+    if at is not None:
+        step.state.cold_start_timer = step.state.timers.set(
+            at, _timers.TimerKind.COLD_START
+        )
+
+
+def _reason_of_expiry(
+    step: _state.Step, event: _events.WorkOffered
+) -> _outcomes.Reason | None:
+    if event.deadline_s <= 0.0:
+        return _outcomes.Reason.DEADLINE_PASSED
+    if quarantine_s(step, event.fingerprint) is not None:
+        return _outcomes.Reason.QUARANTINED
+    return None
+
+
 def _find_kind(
     step: _state.Step, event: _events.WorkOffered
 ) -> _settings.RequestKind | None:
@@ -300,10 +373,12 @@
     server = step.state.gate.server
     if configuration is None or server is None:
         return None
-    service = configuration.find_service(event.host)
-    if service is None or service.name != server.service:
+    if event.kind is not None:
+        return event.kind if event.service == server.service else None
+    kind = configuration.find_kind(event.host, event.method, event.path)
+    if kind is None or kind.service != server.service:
         return None
-    return configuration.classify(service.name, event.method, event.path)
+    return kind
 
 
 def _refuse(
--- a/packages/core/marjoramledge_core/configuration.py
+++ b/packages/core/marjoramledge_core/configuration.py
@@ -3,6 +3,7 @@
 from marjoramledge_core import _document
 from marjoramledge_core import _manifest
 from marjoramledge_core import _plan
+from marjoramledge_core import _routes
 from marjoramledge_core import _settings
 
 FILE_NAMES = _document.FILE_NAMES
@@ -19,6 +20,10 @@
 Priority = _settings.Priority
 Problem = _document.Problem
 RequestKind = _settings.RequestKind
+Route = _routes.Route
+RouteTable = _routes.RouteTable
+ServiceShare = _settings.ServiceShare
+DEFAULT_DEADLINE_S = _settings.DEFAULT_DEADLINE_S
 Service = _settings.Service
 VersionRef = _manifest.VersionRef
 Zone = _settings.Zone
--- a/packages/core/marjoramledge_core/ids.py
+++ b/packages/core/marjoramledge_core/ids.py
@@ -11,7 +11,10 @@
 KindName = _ids.KindName
 NodeId = _ids.NodeId
 RegionName = _ids.RegionName
+ServerId = _ids.ServerId
 ServiceName = _ids.ServiceName
 ZoneName = _ids.ZoneName
 
 NO_CONFIGURATION = _ids.NO_CONFIGURATION
+NO_SERVICE = _ids.NO_SERVICE
+NO_SERVER_ID = _ids.NO_SERVER_ID
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -1,5 +1,6 @@
 """The state machine of one node, and the values that it speaks in."""
 
+from marjoramledge_core import _budget
 from marjoramledge_core import _commands
 from marjoramledge_core import _events
 from marjoramledge_core import _gate
@@ -15,6 +16,8 @@
 Identity = _node.Identity
 NodeState = _state.NodeState
 StopPhase = _state.StopPhase
+FleetBudget = _budget.FleetBudget
+Options = _state.Options
 create_state = _node.create_state
 handle = _node.handle
 next_wakeup = _node.next_wakeup
@@ -32,6 +35,7 @@
 Suspicion = _quarantine.Suspicion
 RunState = _outcomes.RunState
 Server = _gate.Server
+ServerStart = _gate.ServerStart
 ServerOutcome = _outcomes.ServerOutcome
 ServerState = _members.ServerState
 
@@ -52,6 +56,8 @@
 ServerAnnounced = _events.ServerAnnounced
 ServerDraining = _events.ServerDraining
 ServerWithdrawn = _events.ServerWithdrawn
+DeparturesRead = _events.DeparturesRead
+VersionReadEnded = _events.VersionReadEnded
 StopRequested = _events.StopRequested
 TimePassed = _events.TimePassed
 VersionRead = _events.VersionRead
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -18,6 +18,7 @@
 from marjoramledge_node import _auth
 from marjoramledge_node import _bodies
 from marjoramledge_node import _cancellation
+from marjoramledge_node import _dialect
 from marjoramledge_node import _engine
 from marjoramledge_node import _headers
 from marjoramledge_node import _mailbox
@@ -55,18 +56,6 @@
         stream = self.body.stream
         return stream is not None and stream.is_begun
 
-    def outgoing(self, extra: dict[str, str]) -> _upstream.Outgoing:
-        """Build the request to send on, with the system's headers."""
-        headers = _headers.copy_end_to_end(self.request.headers)
-        headers[_headers.CALL] = self.call
-        headers.update(extra)
-        return _upstream.Outgoing(
-            method=self.request.method,
-            target=self.target,
-            headers=headers,
-            body=self.body,
-        )
-
 
 class CallerPort:
     """Handler of callers' requests.
@@ -83,6 +72,10 @@
         Numbers what is sent to peers.
     call_prefix
         Start of the ids of this node's calls, unique to this run of it.
+    dialect
+        Names of the headers that callers and backend servers use.
+    caller_service
+        Service of this VM, on whose behalf its callers are served.
     """
 
     def __init__(
@@ -93,7 +86,11 @@
         keys: _auth.KeyRing,
         stamper: _auth.Stamper,
         call_prefix: str,
+        dialect: _dialect.Dialect,
+        caller_service: str,
     ) -> None:
+        self._dialect = dialect
+        self._caller_service = caller_service
         self._engine = engine
         self._upstream = upstream
         self._keys = keys
@@ -103,7 +100,7 @@
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
-        head = _check_head(request)
+        head = _check_head(request, self._dialect.deadline)
         if isinstance(head, result.Failure):
             return _refusals.refuse(head.failure(), node.RunState.NOT_RUN)
         deadline_s = head.unwrap()
@@ -133,6 +130,7 @@
                 deadline_s=deadline_s,
                 is_body_held=body.is_at_hand,
                 fingerprint=exchange.fingerprint,
+                request=self._read_request_id(request),
             )
         )
         try:
@@ -146,6 +144,26 @@
             response.force_close()
         return response
 
+    def _read_request_id(self, request: web.BaseRequest) -> str:
+        name = self._dialect.request_id
+        return "" if name is None else request.headers.get(name, "")
+
+    def _outgoing(
+        self, exchange: _Exchange, *, is_repeatable: bool
+    ) -> _upstream.Outgoing:
+        """Build the request to send on, with the system's headers."""
+        headers = _headers.copy_end_to_end(exchange.request.headers)
+        headers[_headers.CALL] = exchange.call
+        if self._dialect.caller_service is not None:
+            headers[self._dialect.caller_service] = self._caller_service
+        return _upstream.Outgoing(
+            method=exchange.request.method,
+            target=exchange.target,
+            headers=headers,
+            body=exchange.body,
+            is_repeatable=is_repeatable,
+        )
+
     def _start_hedge(
         self, exchange: _Exchange, command: node.SendToPeer
     ) -> None:
@@ -167,7 +185,7 @@
                     if response is not None:
                         return response
                 case node.RefuseCall():
-                    return _refuse_call(exchange, command)
+                    return self._refuse_call(exchange, command)
                 case _:
                     raise AssertionError(f"unexpected command {command}")
 
@@ -181,7 +199,9 @@
                 self._engine,
                 attempt,
                 self._upstream.send_to_server(
-                    exchange.outgoing({}),
+                    self._outgoing(
+                        exchange, is_repeatable=command.is_repeatable
+                    ),
                     command.server,
                     command.deadline_at - self._engine.now(),
                 ),
@@ -203,18 +223,24 @@
     ) -> None:
         attempt = command.attempt
         stamp = self._stamper.stamp()
+        kind = _headers.format_kind(command.service, command.kind)
         signed = _auth.stamped_content(
             stamp,
             command.address,
             _auth.request_content(
-                exchange.request.method, exchange.target, attempt, b""
+                exchange.request.method,
+                exchange.target,
+                f"{attempt} {kind}",
+                b"",
             ),
         )
-        outgoing = exchange.outgoing(
+        outgoing = self._outgoing(exchange, is_repeatable=True)
+        outgoing.headers.update(
             {
                 _headers.ATTEMPT: attempt,
                 _headers.STAMP: str(stamp),
                 _headers.FINGERPRINT: exchange.fingerprint,
+                _headers.KIND: kind,
                 _headers.AUTH: self._keys.sign_header(signed),
             }
         )
@@ -345,6 +371,26 @@
                 )
         self._engine.close_mailbox(exchange.call)
 
+    def _refuse_call(
+        self, exchange: _Exchange, command: node.RefuseCall
+    ) -> web.Response:
+        retry_after = None
+        if command.retry_after_s is not None:
+            retry_after = self._dialect.format_retry_after(
+                command.retry_after_s
+            )
+        response = _refusals.refuse(
+            command.reason, command.run, retry_after=retry_after
+        )
+        response.headers[_headers.CALL] = exchange.call
+        name = self._dialect.request_id
+        if name is not None and name in exchange.request.headers:
+            response.headers[name] = exchange.request.headers[name]
+        if exchange.body.stream is not None:
+            # The rest of the body will not be read.
+            response.force_close()
+        return response
+
     def _is_stopping(self) -> bool:
         return self._engine.state.stop_phase is not node.StopPhase.RUNNING
 
@@ -365,15 +411,18 @@
 
 
 def _check_head(
-    request: web.BaseRequest,
+    request: web.BaseRequest, deadline: str
 ) -> result.Result[float | None, node.Reason]:
-    """Check what the parser lets pass; return the caller's deadline."""
+    """Check what the parser lets pass; return the caller's deadline.
+
+    ``deadline`` names the header that carries it, in milliseconds.
+    """
     bad = result.Failure(node.Reason.BAD_REQUEST)
     if len(request.headers.getall("Host", ())) != 1:
         return bad
     if not request.raw_path.startswith("/") or request.method == "CONNECT":
         return bad
-    text = request.headers.get(_headers.DEADLINE)
+    text = request.headers.get(deadline)
     if text is None:
         return result.Success(None)
     if not text.isascii() or not text.isdigit() or len(text) > 9:
@@ -381,19 +430,6 @@
     return result.Success(int(text) / 1000)
 
 
-def _refuse_call(
-    exchange: _Exchange, command: node.RefuseCall
-) -> web.Response:
-    response = _refusals.refuse(
-        command.reason, command.run, retry_after_s=command.retry_after_s
-    )
-    response.headers[_headers.CALL] = exchange.call
-    if exchange.body.stream is not None:
-        # The rest of the body will not be read.
-        response.force_close()
-    return response
-
-
 def _outcome_of(
     answer: _upstream.Answer, end: _relay.RelayEnd
 ) -> node.ServerOutcome:
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -17,15 +17,16 @@
 from returns import result
 
 from marjoramledge_node import _engine
+from marjoramledge_node import _manifests
 from marjoramledge_node import _options
 from marjoramledge_node import _peer_port
+from marjoramledge_node import _surroundings
 from marjoramledge_node import _timeline
 from marjoramledge_node import _upstream
 from marjoramledge_node import _wire
 
 PEER_TIMEOUT_S: typing.Final = 2.0
 PROBE_TIMEOUT_S: typing.Final = 1.0
-MAX_PROBE_BYTES: typing.Final = 65536
 SEED_ROWS: typing.Final = 16
 
 
@@ -44,6 +45,8 @@
         The node's settings.
     timeline
         Where changes of the store's standing are recorded.
+    surroundings
+        Reads configurations.
     """
 
     def __init__(
@@ -51,17 +54,20 @@
         *,
         engine: _engine.Engine,
         upstream: _upstream.Upstream,
-        store: client.StoreClient | None,
+        store: client.NodeStore | None,
         options: _options.Options,
         timeline: _timeline.Timeline,
+        surroundings: _surroundings.Surroundings,
     ) -> None:
         self._engine = engine
+        self._read_configuration = surroundings.read_configuration
         self._upstream = upstream
         self._store = store
         self._options = options
         self._timeline = timeline
         self._manifest = b""
         self._is_store_up = True
+        self._has_read_departures = False
         self._tasks: set[asyncio.Task[None]] = set()
         consumers: dict[type, typing.Any] = {
             node.SyncMembers: self._sync_members,
@@ -102,10 +108,10 @@
         """Take in a version that an operator's command has had accepted."""
         digest = ids.Digest(target.removeprefix(_peer_port.MANIFEST_TARGET))
         manifest = configuration.decode_manifest(content, digest)
-        parsed = parse_manifest(content, digest)
-        if isinstance(manifest, result.Failure) or isinstance(
-            parsed, result.Failure
-        ):
+        if isinstance(manifest, result.Failure):
+            return None
+        parsed = _manifests.read_documents(manifest.unwrap())
+        if isinstance(parsed, result.Failure):
             return None
         ref = configuration.VersionRef(
             version=manifest.unwrap().version, digest=digest
@@ -162,6 +168,7 @@
     async def _register(self, _command: node.RegisterMember) -> None:
         if self._store is None:
             return
+        await self._read_departures()
         myself = self._engine.state.membership.myself
         await self._store.put_member(
             member=myself.node, address=myself.address, zone=myself.zone
@@ -171,16 +178,36 @@
         if isinstance(found, result.Success):
             self._engine.submit(node.SeedsFound(addresses=found.unwrap()))
 
-    async def _read_version(self, _command: node.ReadVersion) -> None:
-        if self._store is None:
+    async def keep_departure(self, server: node.ServerStart) -> bool:
+        """Keep that a start of a backend server is leaving for good."""
+        if self._store is None or not server.server:
+            return True
+        kept = await self._store.put_departure(server)
+        return isinstance(kept, result.Success)
+
+    async def _read_departures(self) -> None:
+        if self._store is None or self._has_read_departures:
             return
-        found = await self._store.read_version()
-        self._note_store(isinstance(found, result.Success))
-        if isinstance(found, result.Failure):
+        found = await self._store.list_departures()
+        if isinstance(found, result.Success):
+            self._has_read_departures = True
+            self._engine.submit(node.DeparturesRead(servers=found.unwrap()))
+
+    async def _read_version(self, command: node.ReadVersion) -> None:
+        if self._store is None:
             return
-        row = found.unwrap()
-        if row is not None:
-            self._engine.submit(node.VersionRead(ref=row.ref))
+        found = await self._store.wait_version(
+            self._engine.state.versions.ref, command.wait_s
+        )
+        is_success = isinstance(found, result.Success)
+        self._note_store(is_success)
+        if is_success:
+            row = found.unwrap()
+            if row is not None:
+                self._engine.submit(node.VersionRead(ref=row.ref))
+            # An outage may have hidden them when this node started.
+            await self._read_departures()
+        self._engine.submit(node.VersionReadEnded(is_success=is_success))
 
     async def _fetch_manifest(self, command: node.FetchManifest) -> None:
         ref = command.ref
@@ -200,7 +227,7 @@
         else:
             fetched = result.Failure("no store is set")
         parsed = fetched.bind(
-            lambda content: parse_manifest(content, ref.digest)
+            lambda content: self._read_configuration(content, ref.digest)
         )
         if isinstance(parsed, result.Failure):
             self._engine.submit(
@@ -212,18 +239,14 @@
     async def _probe_server(self, command: node.ProbeServer) -> None:
         server = command.server
         began_at = self._engine.now()
-        probed = await self._upstream.fetch(
-            "GET",
-            node.Address(host=server.host, port=server.port),
-            server.health_path,
-            headers={},
-            timeout_s=PROBE_TIMEOUT_S,
-            max_bytes=MAX_PROBE_BYTES,
-        )
-        is_healthy = isinstance(probed, result.Success)
+        probed = await self._upstream.probe(server, PROBE_TIMEOUT_S)
         elapsed_s = self._engine.now() - began_at
         self._engine.submit(
-            node.ProbeEnded(is_healthy=is_healthy, elapsed_s=elapsed_s)
+            node.ProbeEnded(
+                is_healthy=probed.is_alive,
+                elapsed_s=elapsed_s,
+                cold_left_s=probed.cold_left_s,
+            )
         )
 
     async def _ask_peer(
@@ -282,17 +305,6 @@
         }
 
 
-def parse_manifest(
-    content: bytes, digest: ids.Digest
-) -> result.Result[configuration.Configuration, str]:
-    """Read the configuration out of a manifest, or tell what is wrong."""
-    manifest = configuration.decode_manifest(content, digest)
-    if isinstance(manifest, result.Failure):
-        return manifest
-    parsed = configuration.parse_documents(manifest.unwrap().files)
-    return parsed.alt(lambda problems: "; ".join(map(str, problems)))
-
-
 def _describe_member(member: node.Member) -> dict[str, object]:
     return {
         "node": member.node,
--- a/packages/node/marjoramledge_node/_headers.py
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -8,6 +8,8 @@
 import collections.abc
 import typing
 
+from marjoramledge_core import configuration
+from marjoramledge_core import ids
 from marjoramledge_core import node
 import multidict
 
@@ -25,6 +27,7 @@
 FINGERPRINT: typing.Final = "Marjoramledge-Fingerprint"
 LOAD: typing.Final = "Marjoramledge-Load"
 PATIENT: typing.Final = "Marjoramledge-Patient"
+KIND: typing.Final = "Marjoramledge-Kind"
 
 _SYSTEM_PREFIX: typing.Final = "marjoramledge-"
 # RFC 9110, section 7.6.1: these concern one connection only.
@@ -59,6 +62,41 @@
     return copied
 
 
+def format_kind(
+    service: ids.ServiceName, kind: configuration.RequestKind
+) -> str:
+    """Render what a gate needs to know of a call's kind."""
+    return ";".join(
+        (
+            service,
+            str(kind.priority.value),
+            "1" if kind.idempotent else "0",
+            f"{kind.max_slot_share:g}",
+            kind.name,
+        )
+    )
+
+
+def parse_kind(text: str | None) -> configuration.RequestKind | None:
+    """Read the kind of an offered call; None when it makes no sense."""
+    try:
+        service, rank, repeatable, share, name = (text or "").split(";", 4)
+        return configuration.RequestKind(
+            name=ids.KindName(name),
+            service=ids.ServiceName(service),
+            methods=frozenset(),
+            path="/*",
+            priority=configuration.Priority(int(rank)),
+            idempotent=repeatable == "1",
+            deadline_s=0.0,
+            hedging=False,
+            hedge_after_s=0.0,
+            max_slot_share=float(share),
+        )
+    except ValueError:
+        return None
+
+
 def format_load(report: node.LoadReport) -> str:
     """Render a load report as the value of a header."""
     return f"{report.in_flight};{report.limit};{round(report.service_s * 1e6)}"
--- a/packages/node/marjoramledge_node/_logs.py
+++ b/packages/node/marjoramledge_node/_logs.py
@@ -16,7 +16,7 @@
 
 
 def configure_logs(options: _options.Options) -> None:
-    """Send this process's log lines to standard error."""
+    """Send this process's log lines to standard output."""
     loguru.logger.remove()
     loguru.logger.configure(
         extra={
@@ -28,7 +28,7 @@
     )
     is_json = options.log_format is _options.LogFormat.JSON
     loguru.logger.add(
-        sys.stderr,
+        sys.stdout,
         level=options.log_level.value.upper(),
         format=_format_json if is_json else _format_text,
         colorize=False,
--- a/packages/node/marjoramledge_node/_main.py
+++ b/packages/node/marjoramledge_node/_main.py
@@ -6,13 +6,14 @@
 
 from marjoramledge_core import ids
 from marjoramledge_core import node
+from marjoramledge_store import client
 from returns import result
 import typer
 
 from marjoramledge_node import _auth
-from marjoramledge_node import _logs
 from marjoramledge_node import _options
 from marjoramledge_node import _process
+from marjoramledge_node import _surroundings
 
 T = typing.TypeVar("T")
 
@@ -143,6 +144,15 @@
             help="Least severe level that is written.",
         ),
     ] = _options.LogLevel.INFO,
+    ready_listen: typing.Annotated[
+        str,
+        typer.Option(
+            "--ready-listen",
+            envvar="MARJORAMLEDGE_READY_LISTEN",
+            help="IP:PORT where GET /ready tells whether callers may be "
+            "sent here; empty for none.",
+        ),
+    ] = "",
     statsd: typing.Annotated[
         str,
         typer.Option(
@@ -174,22 +184,27 @@
         peer_address=_parse_with(address, peer_listen, "--peer-listen"),
         local_address=_parse_with(address, local_listen, "--local-listen"),
         seeds=_parse_addresses(seed, "--seeds"),
-        store_url=(
-            _parse_with(_parse_url, store_url, "--store-url")
-            if store_url
-            else None
-        ),
         keys=_parse_with(_auth.parse_keys, keys, "--keys"),
-        stop_limit_s=stop_limit_s,
+        decisions=node.Options(stop_limit_s=stop_limit_s),
         log_format=log_format,
         log_level=log_level,
         statsd_address=(
             _parse_with(address, statsd, "--statsd") if statsd else None
         ),
         statsd_prefix=statsd_prefix,
+        ready_address=(
+            _parse_with(address, ready_listen, "--ready-listen")
+            if ready_listen
+            else None
+        ),
     )
-    _logs.configure_logs(options)
-    raise typer.Exit(_process.run_node(options))
+    surroundings = _surroundings.Surroundings()
+    if store_url:
+        base_url = _parse_with(_parse_url, store_url, "--store-url")
+        surroundings = _surroundings.Surroundings(
+            open_store=lambda: client.StoreClient(base_url=base_url)
+        )
+    raise typer.Exit(_process.run_node(options, surroundings))
 
 
 def _parse_addresses(text: str, flag: str) -> tuple[node.Address, ...]:
--- a/packages/node/marjoramledge_node/_options.py
+++ b/packages/node/marjoramledge_node/_options.py
@@ -10,6 +10,9 @@
 
 from marjoramledge_node import _auth
 
+# Shorter than what servers keep an idle connection for, so that a request is
+# not written to one that is being closed.
+DEFAULT_IDLE_CONNECTION_S: typing.Final = 15.0
 DEFAULT_STOP_LIMIT_S: typing.Final = 30.0
 MAX_HEAD_LINE_BYTES: typing.Final = 8190
 
@@ -32,7 +35,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Options:
-    """Settings of one node."""
+    """Settings of one node.
+
+    ``caller_service`` is the service of this VM, told to backend servers
+    where the dialect has a header for it.
+    """
 
     node_id: ids.NodeId
     zone: ids.ZoneName
@@ -40,13 +47,15 @@
     peer_address: node.Address
     local_address: node.Address
     seeds: tuple[node.Address, ...]
-    store_url: str | None
     keys: _auth.KeyRing
-    stop_limit_s: float
+    decisions: node.Options
     log_format: LogFormat
     log_level: LogLevel
     statsd_address: node.Address | None
     statsd_prefix: str
+    ready_address: node.Address | None = None
+    caller_service: str = ""
+    idle_connection_s: float = DEFAULT_IDLE_CONNECTION_S
 
 
 def parse_address(text: str) -> result.Result[node.Address, str]:
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -115,7 +115,10 @@
         if stamp is None:
             return False
         content = _auth.request_content(
-            request.method, request.raw_path, attempt, b""
+            request.method,
+            request.raw_path,
+            f"{attempt} {request.headers.get(_headers.KIND, '')}",
+            b"",
         )
         signed = _auth.stamped_content(stamp, self._address, content)
         return self._keys.verify_header(
@@ -144,6 +147,7 @@
         self, request: web.BaseRequest, attempt: ids.AttemptId
     ) -> web.StreamResponse:
         mailbox = self._engine.open_mailbox(attempt)
+        kind = _headers.parse_kind(request.headers.get(_headers.KIND))
         try:
             self._engine.submit(
                 node.WorkOffered(
@@ -156,6 +160,8 @@
                     fingerprint=ids.Fingerprint(
                         request.headers.get(_headers.FINGERPRINT, "")
                     ),
+                    service=ids.NO_SERVICE if kind is None else kind.service,
+                    kind=kind,
                 )
             )
             command = await mailbox.get()
@@ -217,6 +223,7 @@
             target=request.raw_path,
             headers=headers,
             body=await _bodies.take_body(request),
+            is_repeatable=command.is_repeatable,
         )
         return await self._upstream.send_to_server(
             outgoing,
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -11,7 +11,6 @@
 from aiohttp import web
 import loguru
 from marjoramledge_core import node
-from marjoramledge_store import client
 import uvloop
 
 from marjoramledge_node import _auth
@@ -20,9 +19,12 @@
 from marjoramledge_node import _fleet
 from marjoramledge_node import _gossip_port
 from marjoramledge_node import _local_port
+from marjoramledge_node import _logs
 from marjoramledge_node import _metrics
 from marjoramledge_node import _options
 from marjoramledge_node import _peer_port
+from marjoramledge_node import _ready_port
+from marjoramledge_node import _surroundings
 from marjoramledge_node import _timeline
 from marjoramledge_node import _upstream
 
@@ -35,7 +37,12 @@
 class _Process:
     """The parts of a running node."""
 
-    def __init__(self, *, options: _options.Options) -> None:
+    def __init__(
+        self,
+        *,
+        options: _options.Options,
+        surroundings: _surroundings.Surroundings,
+    ) -> None:
         loop = asyncio.get_running_loop()
         self._options = options
         self._timeline = _timeline.Timeline()
@@ -50,7 +57,7 @@
                     incarnation=time.time_ns() // 1_000_000,
                 ),
                 seeds=options.seeds,
-                stop_limit_s=options.stop_limit_s,
+                options=options.decisions,
                 now=loop.time(),
             ),
             rng=self._rng,
@@ -59,18 +66,18 @@
         self._engine.connect(node.WriteRecord, self._write_record)
         self._engine.connect(node.StopAccepting, self._stop_accepting)
         self._engine.connect(node.StopNode, self._stop_node)
-        self._upstream = _upstream.Upstream()
-        self._store = (
-            None
-            if options.store_url is None
-            else client.StoreClient(base_url=options.store_url)
+        self._upstream = _upstream.Upstream(
+            dialect=surroundings.dialect,
+            idle_connection_s=options.idle_connection_s,
         )
+        self._store = surroundings.open_store()
         self._fleet = _fleet.Fleet(
             engine=self._engine,
             upstream=self._upstream,
             store=self._store,
             options=options,
             timeline=self._timeline,
+            surroundings=surroundings,
         )
         run = f"{options.node_id}-{os.urandom(4).hex()}-"
         stamper = _auth.Stamper(run=run)
@@ -88,6 +95,8 @@
                 keys=options.keys,
                 stamper=stamper,
                 call_prefix=run,
+                dialect=surroundings.dialect,
+                caller_service=options.caller_service,
             )
         )
         self._peers = _peer_port.make_server(
@@ -103,6 +112,13 @@
             _local_port.LocalPort(
                 engine=self._engine,
                 default_host=options.local_address.host,
+                read=surroundings.read_announcement,
+                keep_departure=self._fleet.keep_departure,
+            )
+        )
+        self._ready = _ready_port.make_server(
+            _ready_port.ReadyPort(
+                engine=self._engine, target=surroundings.dialect.ready_target
             )
         )
         self._listeners: list[asyncio.Server] = []
@@ -116,6 +132,8 @@
         options = self._options
         await self._listen(self._local, options.local_address)
         await self._listen(self._peers, options.peer_address)
+        if options.ready_address is not None:
+            await self._listen(self._ready, options.ready_address)
         await loop.create_datagram_endpoint(
             lambda: self._gossip,
             local_addr=(options.peer_address.host, options.peer_address.port),
@@ -185,25 +203,35 @@
         self._engine.stop()
         self._gossip.close()
         await self._fleet.close()
-        for server in (self._callers, self._peers, self._local):
+        for server in (
+            self._callers,
+            self._peers,
+            self._local,
+            self._ready,
+        ):
             await server.shutdown(timeout=0.5)
         await self._upstream.close()
         if self._store is not None:
             await self._store.close()
 
 
-async def _run(options: _options.Options) -> int:
-    process = _Process(options=options)
+async def _run(
+    options: _options.Options, surroundings: _surroundings.Surroundings
+) -> int:
+    process = _Process(options=options, surroundings=surroundings)
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     return await process.run()
 
 
-def run_node(options: _options.Options) -> int:
+def run_node(
+    options: _options.Options, surroundings: _surroundings.Surroundings
+) -> int:
     """Run a node until it is stopped; return its exit status."""
+    _logs.configure_logs(options)
     # libuv would otherwise be free to use io_uring.
     os.environ["UV_USE_IO_URING"] = "0"
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        cut_calls = runner.run(_run(options))
+        cut_calls = runner.run(_run(options, surroundings))
     return 0 if cut_calls == 0 else 1
--- /dev/null
+++ b/packages/node/marjoramledge_node/_ready_port.py
@@ -0,0 +1,42 @@
+"""The port that tells whether callers may be sent to this node.
+
+A node that has no configuration yet, or that is stopping, is not ready; it
+serves whatever still comes.
+"""
+
+from aiohttp import web
+from marjoramledge_core import node
+
+from marjoramledge_node import _engine
+
+
+class ReadyPort:
+    """Handler of questions for readiness.
+
+    Parameters
+    ----------
+    engine
+        The node's engine.
+    target
+        Where readiness is asked for.
+    """
+
+    def __init__(self, *, engine: _engine.Engine, target: str) -> None:
+        self._engine = engine
+        self._target = target
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request."""
+        if request.raw_path.partition("?")[0] != self._target:
+            return web.Response(status=404)
+        state = self._engine.state
+        is_ready = (
+            state.versions.configuration is not None
+            and state.stop_phase is node.StopPhase.RUNNING
+        )
+        return web.Response(status=200 if is_ready else 503)
+
+
+def make_server(port: ReadyPort) -> web.Server:
+    """Make the HTTP server of the readiness port."""
+    return web.Server(port.serve, access_log=None)
--- a/packages/node/marjoramledge_node/_refusals.py
+++ b/packages/node/marjoramledge_node/_refusals.py
@@ -34,11 +34,16 @@
 }
 
 
+# These leave open whether a request has run; it is not left open here.
+_SAYS_NOTHING: typing.Final = frozenset({502, 504})
+_NOT_RUN_STATUS: typing.Final = 503
+
+
 def refuse(
     reason: node.Reason,
     run: node.RunState,
     *,
-    retry_after_s: int | None = None,
+    retry_after: str | None = None,
     load: node.LoadReport | None = None,
 ) -> web.Response:
     """Build an answer in the system's own name.
@@ -49,8 +54,8 @@
         Why there is no other answer.
     run
         Whether a backend server may have run the request.
-    retry_after_s
-        Seconds after which another try makes sense.
+    retry_after
+        When another try makes sense, as callers read it.
     load
         The gate's load, when a peer is answered.
     """
@@ -58,17 +63,20 @@
         _headers.RUN: run.value,
         _headers.REASON: reason.value,
     }
-    if retry_after_s is not None:
-        headers["Retry-After"] = str(retry_after_s)
+    if retry_after is not None:
+        headers["Retry-After"] = retry_after
     if load is not None:
         headers[_headers.LOAD] = _headers.format_load(load)
+    status = _STATUS[reason]
+    if run is node.RunState.NOT_RUN and status in _SAYS_NOTHING:
+        status = _NOT_RUN_STATUS
     document = {
         "title": reason.value,
-        "status": _STATUS[reason],
+        "status": status,
         "run": run.value,
     }
     return web.Response(
-        status=_STATUS[reason],
+        status=status,
         headers=headers,
         body=json.dumps(document).encode(),
         content_type="application/problem+json",
--- a/packages/node/marjoramledge_node/_relay.py
+++ b/packages/node/marjoramledge_node/_relay.py
@@ -40,7 +40,10 @@
         answer.response.release()
         return b""
     try:
-        return await answer.response.read()
+        body = await answer.response.read()
+        if answer.closed is not None:
+            await answer.closed
+        return body
     except (aiohttp.ClientError, OSError):
         return None
 
@@ -55,7 +58,9 @@
     if is_bodiless(answer, method):
         return True
     length = answer.response.content_length
-    return length is not None and length <= WHOLE_ANSWER_BYTES
+    if length is None:
+        return answer.closed is not None
+    return length <= WHOLE_ANSWER_BYTES
 
 
 def build_whole(
--- a/packages/node/marjoramledge_node/_timeline.py
+++ b/packages/node/marjoramledge_node/_timeline.py
@@ -30,13 +30,6 @@
         node.RecordKind.STORE_FAILED,
     }
 )
-_QUIET: typing.Final = frozenset(
-    {
-        node.RecordKind.CALL_RETRIED,
-        node.RecordKind.CALL_HEDGED,
-        node.RecordKind.CALL_REFUSED,
-    }
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -119,13 +112,12 @@
     level = "INFO"
     if record.kind in _WARNINGS:
         level = "WARNING"
-    elif record.kind in _QUIET:
-        level = "DEBUG"
     fields = {
         name: value
         for name, value in (
             ("service", record.service),
             ("call", record.call),
+            ("request", record.request),
             ("peer", record.peer),
         )
         if value
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -8,21 +8,25 @@
 import asyncio
 import collections.abc
 import dataclasses
+import socket
 import typing
 
 import aiohttp
+from aiohttp import connector
+import loguru
 from marjoramledge_core import node
 import multidict
 from returns import result
 import yarl
 
 from marjoramledge_node import _bodies
+from marjoramledge_node import _dialect
 from marjoramledge_node import _headers
 
-# Shorter than what servers keep an idle connection for, so that a request is
-# not written to one that is being closed.
-KEEPALIVE_S: typing.Final = 15.0
-CONNECT_TIMEOUT_S: typing.Final = 1.0
+CONNECT_TIMEOUT_S: typing.Final = 0.5
+# A peer or server that has acknowledged nothing for so long is gone: links
+# lose packets, but not for several times the usual time of a resend.
+UNACKNOWLEDGED_S: typing.Final = 1.0
 BODY_IDLE_TIMEOUT_S: typing.Final = 60.0
 
 _SERVER_FAULT_STATUSES: typing.Final = frozenset({500, 502, 504})
@@ -43,6 +47,19 @@
     target: str
     headers: multidict.CIMultiDict[str]
     body: _bodies.Body
+    is_repeatable: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Probe:
+    """What a probe of a backend server found.
+
+    ``is_alive`` says that the server answered at all: what its health page
+    says lags behind and may be false.
+    """
+
+    is_alive: bool
+    cold_left_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,11 +74,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Answer:
-    """The head of an answer; its body is still to be read."""
+    """The head of an answer; its body is still to be read.
+
+    ``closed`` is set where the answer ends with its connection, and then
+    tells whether that was closed or reset.
+    """
 
     response: aiohttp.ClientResponse
     load: node.LoadReport | None
     head_s: float
+    closed: asyncio.Future[None] | None = None
 
     @property
     def outcome(self) -> node.ServerOutcome:
@@ -84,34 +106,122 @@
 )
 
 
-class Upstream:
-    """Clients of the backend server on this VM and of the peers."""
+class _CleanConnector(aiohttp.TCPConnector):
+    """Keeps connections, but gives out none that brought stray bytes."""
 
-    def __init__(self) -> None:
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[typing.Any],
+        timeout: aiohttp.ClientTimeout,  # noqa: ASYNC109
+    ) -> connector.Connection:
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            if protocol is None or not protocol.should_close:
+                return connection
+            connection.close()
+
+
+def _open_session(
+    connections: aiohttp.TCPConnector,
+) -> aiohttp.ClientSession:
+    session = aiohttp.ClientSession(
+        connector=connections,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=BODY_IDLE_TIMEOUT_S,
+        ),
+        auto_decompress=False,
+        skip_auto_headers=_AUTO_HEADERS,
+        max_line_size=16384,
+        max_field_size=16384,
+    )
+    # The client would silently send a GET or PUT again after a lost
+    # connection, but only the rules know what may run twice.
+    session._retry_connection = False
+    return session
+
+
+def _open_socket(
+    address: tuple[
+        int | socket.AddressFamily,
+        int | socket.SocketKind,
+        int,
+        str,
+        tuple[typing.Any, ...],
+    ],
+) -> socket.socket:
+    family, kind, protocol, _name, _where = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    opened.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        round(UNACKNOWLEDGED_S * 1000),
+    )
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    return opened
+
+
+def _closing_of(
+    response: aiohttp.ClientResponse,
+) -> asyncio.Future[None] | None:
+    """Find what tells how an answer without a length ends."""
+    headers = response.headers
+    if "Content-Length" in headers or "Transfer-Encoding" in headers:
+        return None
+    connection = response.connection
+    if connection is None or connection.protocol is None:
+        return None
+    closed = connection.protocol.closed
+    if closed is not None:
+        # An answer that is given up leaves this unread.
+        closed.add_done_callback(lambda done: done.exception())
+    return closed
+
+
+class Upstream:
+    """Clients of the backend server on this VM and of the peers.
+
+    Parameters
+    ----------
+    dialect
+        Names of the headers that backend servers read and write.
+    idle_connection_s
+        Seconds for which an idle connection is kept for another request;
+        shorter than backend servers keep theirs.
+    """
+
+    def __init__(
+        self, *, dialect: _dialect.Dialect, idle_connection_s: float
+    ) -> None:
+        self._dialect = dialect
+        self._session = _open_session(
+            _CleanConnector(
                 limit=0,
-                keepalive_timeout=KEEPALIVE_S,
-                enable_cleanup_closed=False,
-            ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(
-                total=None,
-                sock_connect=CONNECT_TIMEOUT_S,
-                sock_read=BODY_IDLE_TIMEOUT_S,
-            ),
-            auto_decompress=False,
-            skip_auto_headers=_AUTO_HEADERS,
-            max_line_size=16384,
-            max_field_size=16384,
+                keepalive_timeout=idle_connection_s,
+                socket_factory=_open_socket,
+            )
+        )
+        # A reused connection may be closed, or bring a stray answer, just
+        # when a request is written to it; what may run only once gets a
+        # connection of its own.
+        self._fresh_session = _open_session(
+            aiohttp.TCPConnector(
+                limit=0, force_close=True, socket_factory=_open_socket
+            )
         )
-        # The client would silently send a GET or PUT again after a lost
-        # connection, but only the rules know what may run twice.
-        self._session._retry_connection = False
 
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
+        await self._fresh_session.close()
 
     async def send_to_server(
         self,
@@ -120,16 +230,26 @@
         remaining_s: float,
     ) -> Exchange:
         """Send a request to the backend server on this VM."""
-        outgoing.headers[_headers.DEADLINE] = _format_ms(remaining_s)
+        dialect = self._dialect
+        outgoing.headers[dialect.deadline] = _format_ms(remaining_s)
+        if dialect.expected_server is not None and server.start.server:
+            outgoing.headers[dialect.expected_server] = server.start.server
         exchange = await self._send(
-            outgoing, server.host, server.port, expect=False
+            outgoing,
+            server.host,
+            server.port,
+            expect=False,
+            is_fresh=not outgoing.is_repeatable,
         )
         if isinstance(exchange, result.Failure):
             return exchange
         answer = exchange.unwrap()
-        run = answer.response.headers.get(_headers.RUN)
-        is_shed = answer.outcome is node.ServerOutcome.SHED
-        if is_shed and run == node.RunState.NOT_RUN.value:
+        if self._is_of_another_request(outgoing, answer):
+            answer.response.close()
+            return result.Failure(_LOST)
+        if dialect.says_not_run(
+            answer.response.status, answer.response.headers
+        ):
             answer.response.release()
             return result.Failure(
                 Fault(
@@ -140,6 +260,44 @@
             )
         return exchange
 
+    def _is_of_another_request(
+        self, outgoing: Outgoing, answer: Answer
+    ) -> bool:
+        name = self._dialect.request_id
+        if name is None or name not in outgoing.headers:
+            return False
+        return answer.response.headers.get(name) != outgoing.headers[name]
+
+    async def probe(self, server: node.Server, timeout_s: float) -> Probe:
+        """Ask a backend server for a sign of life."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self._session.get(
+                    _build_url(server.host, server.port, server.health_path),
+                    allow_redirects=False,
+                ) as response:
+                    await response.read()
+                    return self._read_probe(server, response)
+        except (aiohttp.ClientError, OSError) as error:
+            loguru.logger.bind(event="probe-failed").debug(
+                "no answer of the backend server to a probe: {!r}", error
+            )
+            return Probe(is_alive=False)
+
+    def _read_probe(
+        self, server: node.Server, response: aiohttp.ClientResponse
+    ) -> Probe:
+        dialect = self._dialect
+        if dialect.server_id is not None and server.start.server:
+            told = response.headers.get(dialect.server_id)
+            if told is not None and told != server.start.server:
+                return Probe(is_alive=False)
+        cold_left_s = None
+        if dialect.cold_left is not None:
+            text = response.headers.get(dialect.cold_left, "0")
+            cold_left_s = int(text) / 1000 if text.isdigit() else None
+        return Probe(is_alive=True, cold_left_s=cold_left_s)
+
     async def send_to_peer(
         self,
         outgoing: Outgoing,
@@ -154,6 +312,7 @@
             address.host,
             address.port,
             expect=outgoing.body.stream is not None,
+            is_fresh=False,
         )
         if isinstance(exchange, result.Failure):
             return exchange.alt(_blame_peer)
@@ -220,15 +379,22 @@
             return result.Failure(repr(error))
 
     async def _send(
-        self, outgoing: Outgoing, host: str, port: int, *, expect: bool
+        self,
+        outgoing: Outgoing,
+        host: str,
+        port: int,
+        *,
+        expect: bool,
+        is_fresh: bool,
     ) -> Exchange:
+        session = self._fresh_session if is_fresh else self._session
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         data: object = outgoing.body.held
         if outgoing.body.stream is not None:
             data = outgoing.body.stream.chunks()
         try:
-            response = await self._session.request(
+            response = await session.request(
                 outgoing.method,
                 _build_url(host, port, outgoing.target),
                 headers=outgoing.headers,
@@ -249,6 +415,7 @@
         return result.Success(
             Answer(
                 response=response,
+                closed=_closing_of(response),
                 load=_headers.parse_load(response.headers.get(_headers.LOAD)),
                 head_s=loop.time() - started_at,
             )
--- /dev/null
+++ b/packages/node/marjoramledge_node/process.py
@@ -0,0 +1,19 @@
+"""What a deployment's adapter needs to run a node in its surroundings."""
+
+from marjoramledge_node import _auth
+from marjoramledge_node import _dialect
+from marjoramledge_node import _options
+from marjoramledge_node import _process
+from marjoramledge_node import _surroundings
+
+Dialect = _dialect.Dialect
+HeaderMap = _dialect.HeaderMap
+KeyRing = _auth.KeyRing
+LogFormat = _options.LogFormat
+LogLevel = _options.LogLevel
+Options = _options.Options
+Surroundings = _surroundings.Surroundings
+
+parse_address = _options.parse_address
+parse_keys = _auth.parse_keys
+run_node = _process.run_node
--- a/packages/standins/marjoramledge_standins/builders.py
+++ b/packages/standins/marjoramledge_standins/builders.py
@@ -97,7 +97,7 @@
                 incarnation=1,
             ),
             seeds=(),
-            stop_limit_s=30.0,
+            options=node.Options(stop_limit_s=30.0),
             now=self.now,
         )
 
--- a/packages/standins/marjoramledge_standins/driver.py
+++ b/packages/standins/marjoramledge_standins/driver.py
@@ -367,7 +367,7 @@
                 incarnation=1,
             ),
             seeds=(),
-            stop_limit_s=30.0,
+            options=node.Options(stop_limit_s=30.0),
             now=0.0,
         )
 
--- a/packages/standins/marjoramledge_standins/measure_choice.py
+++ b/packages/standins/marjoramledge_standins/measure_choice.py
@@ -86,7 +86,7 @@
             incarnation=1,
         ),
         seeds=(),
-        stop_limit_s=30.0,
+        options=node.Options(stop_limit_s=30.0),
         now=0.0,
     )
     ref = configuration.VersionRef(
--- a/packages/standins/marjoramledge_standins/virtual_network.py
+++ b/packages/standins/marjoramledge_standins/virtual_network.py
@@ -101,7 +101,7 @@
                 incarnation=incarnation,
             ),
             seeds=seeds,
-            stop_limit_s=30.0,
+            options=node.Options(stop_limit_s=30.0),
             now=self.now,
         )
         self.submit(
--- a/packages/store/marjoramledge_store/_client.py
+++ b/packages/store/marjoramledge_store/_client.py
@@ -23,29 +23,15 @@
 
 from marjoramledge_store import _errors
 from marjoramledge_store import _guard
+from marjoramledge_store import _ports
 
 DEFAULT_TIMEOUT_S: typing.Final = 2.0
 CONFIG_TABLE: typing.Final = "configuration"
 MEMBERS_TABLE: typing.Final = "members"
+DEPARTURES_TABLE: typing.Final = "departures"
 MANIFESTS_CONTAINER: typing.Final = "manifests"
 _CURRENT_KEY: typing.Final = "current"
 
-T = typing.TypeVar("T")
-Outcome = result.Result[T, _errors.StoreError]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class VersionRow:
-    """The row that names the configuration in force.
-
-    ``change_id`` tells a writer whose answer was lost whether the row is its
-    own; ``etag`` is the condition of the next write.
-    """
-
-    ref: configuration.VersionRef
-    change_id: str
-    etag: str
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Reply:
@@ -79,7 +65,7 @@
         if self._session is not None:
             await self._session.close()
 
-    async def read_version(self) -> Outcome[VersionRow | None]:
+    async def read_version(self) -> _ports.Outcome[_ports.VersionRow | None]:
         """Read which configuration is in force; None before the first."""
         replied = await self._request(
             "GET", _entity_path(CONFIG_TABLE, "configuration", _CURRENT_KEY)
@@ -94,7 +80,7 @@
         try:
             entity = json.loads(reply.body)
             return result.Success(
-                VersionRow(
+                _ports.VersionRow(
                     ref=configuration.VersionRef(
                         version=ids.ConfigVersion(int(entity["Version"])),
                         digest=ids.Digest(str(entity["Digest"])),
@@ -106,13 +92,20 @@
         except (ValueError, KeyError, TypeError):
             return result.Failure(_errors.StoreError.REJECTED)
 
+    async def wait_version(
+        self, known: configuration.VersionRef, wait_s: float
+    ) -> _ports.Outcome[_ports.VersionRow | None]:
+        """Read the version in force; this store can't wait for a change."""
+        del known, wait_s
+        return await self.read_version()
+
     async def write_version(
         self,
         *,
         ref: configuration.VersionRef,
         change_id: str,
         expected_etag: str | None,
-    ) -> Outcome[None]:
+    ) -> _ports.Outcome[None]:
         """Put a version in force if the row is still as it was read.
 
         Parameters
@@ -146,7 +139,7 @@
 
     async def put_manifest(
         self, digest: ids.Digest, content: bytes
-    ) -> Outcome[None]:
+    ) -> _ports.Outcome[None]:
         """Write a manifest under its digest; writing it again is harmless."""
         replied = await self._request(
             "PUT",
@@ -156,7 +149,7 @@
         )
         return replied.bind(_check_written)
 
-    async def get_manifest(self, digest: ids.Digest) -> Outcome[bytes]:
+    async def get_manifest(self, digest: ids.Digest) -> _ports.Outcome[bytes]:
         """Read a manifest by its digest."""
         replied = await self._request(
             "GET", f"/objects/{MANIFESTS_CONTAINER}/{digest}"
@@ -176,7 +169,7 @@
         member: ids.NodeId,
         address: node.Address,
         zone: ids.ZoneName,
-    ) -> Outcome[None]:
+    ) -> _ports.Outcome[None]:
         """Write where a node can be reached."""
         replied = await self._request(
             "PUT",
@@ -193,7 +186,7 @@
 
     async def list_members(
         self, count: int
-    ) -> Outcome[tuple[node.Address, ...]]:
+    ) -> _ports.Outcome[tuple[node.Address, ...]]:
         """Read where some nodes can be reached."""
         replied = await self._request(
             "GET", f"/tables/{MEMBERS_TABLE}()?$top={count}"
@@ -212,6 +205,44 @@
         except (ValueError, KeyError, TypeError):
             return result.Failure(_errors.StoreError.REJECTED)
 
+    async def put_departure(
+        self, server: node.ServerStart
+    ) -> _ports.Outcome[None]:
+        """Keep that a start of a backend server is leaving."""
+        replied = await self._request(
+            "PUT",
+            _entity_path(DEPARTURES_TABLE, "departures", server.server),
+            entity={
+                "PartitionKey": "departures",
+                "RowKey": server.server,
+                "Born": server.born,
+            },
+        )
+        return replied.bind(_check_written)
+
+    async def list_departures(
+        self,
+    ) -> _ports.Outcome[tuple[node.ServerStart, ...]]:
+        """Read which starts of backend servers are leaving or gone."""
+        replied = await self._request("GET", f"/tables/{DEPARTURES_TABLE}()")
+        if isinstance(replied, result.Failure):
+            return replied
+        reply = replied.unwrap()
+        if reply.status == 404:
+            return result.Success(())
+        try:
+            return result.Success(
+                tuple(
+                    node.ServerStart(
+                        server=ids.ServerId(str(row["RowKey"])),
+                        born=int(row["Born"]),
+                    )
+                    for row in json.loads(reply.body)["value"]
+                )
+            )
+        except (ValueError, KeyError, TypeError):
+            return result.Failure(_errors.StoreError.REJECTED)
+
     async def _request(
         self,
         method: str,
@@ -220,7 +251,7 @@
         entity: dict[str, object] | None = None,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
-    ) -> Outcome[_Reply]:
+    ) -> _ports.Outcome[_Reply]:
         now = asyncio.get_running_loop().time()
         if not self._budget.spend(now) or not self._breaker.allows(now):
             return result.Failure(_errors.StoreError.UNREACHABLE)
@@ -239,7 +270,7 @@
         entity: dict[str, object] | None,
         body: bytes | None,
         headers: dict[str, str] | None,
-    ) -> Outcome[_Reply]:
+    ) -> _ports.Outcome[_Reply]:
         if self._session is None:
             self._session = aiohttp.ClientSession()
         content = body if entity is None else json.dumps(entity).encode()
@@ -269,7 +300,7 @@
         return result.Success(reply)
 
 
-def _check_written(reply: _Reply) -> Outcome[None]:
+def _check_written(reply: _Reply) -> _ports.Outcome[None]:
     if reply.status in (200, 201, 204):
         return result.Success(None)
     if reply.status in (409, 412):
--- a/packages/store/marjoramledge_store/_errors.py
+++ b/packages/store/marjoramledge_store/_errors.py
@@ -15,3 +15,4 @@
     CONFLICT = "somebody else wrote first"
     NOT_FOUND = "not found"
     REJECTED = "the store rejected the request"
+    HISTORY_GONE = "the store no longer knows the changes since then"
--- /dev/null
+++ b/packages/store/marjoramledge_store/_followed.py
@@ -0,0 +1,231 @@
+"""The node's store over tables of rows that can be followed.
+
+The operator's documents are the rows of one table.  A node reads them whole
+once and then follows the changes; what it holds is the content of a version,
+numbered by the store's own counter, so that of two versions the later one is
+known without asking anybody.  A read that is older than what is held already
+changes nothing.
+"""
+
+import asyncio
+import json
+import random
+import typing
+
+from marjoramledge_core import configuration
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from returns import result
+
+from marjoramledge_store import _errors
+from marjoramledge_store import _ports
+
+MEMBERS_TABLE: typing.Final = "members"
+DEPARTURES_TABLE: typing.Final = "departures"
+# Of so many contents the later ones can still be asked for by their digest.
+KEPT_CONTENTS: typing.Final = 4
+# Time allowed to a call beyond what it may wait for.
+CALL_TIMEOUT_S: typing.Final = 1.5
+
+
+class FollowedStore:
+    """Store of a node that follows the operator's table.
+
+    Parameters
+    ----------
+    tables
+        The store's tables.
+    operator_table
+        Table of the operator's documents.
+    """
+
+    def __init__(
+        self, *, tables: _ports.RowTables, operator_table: str
+    ) -> None:
+        self._tables = tables
+        self._operator_table = operator_table
+        self._rows: dict[str, bytes] = {}
+        self._version = 0
+        self._ref = configuration.NO_VERSION
+        self._contents: dict[ids.Digest, bytes] = {}
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._tables.close()
+
+    async def wait_version(
+        self, known: configuration.VersionRef, wait_s: float
+    ) -> _ports.Outcome[_ports.VersionRow | None]:
+        """Read the version in force; wait while it is the known one."""
+        is_behind = known.version > self._ref.version
+        if not self._version or is_behind:
+            read = await self._read_whole()
+        else:
+            read = await self._follow(wait_s)
+        if isinstance(read, result.Failure):
+            return read
+        self._take(read.unwrap())
+        if known.version > self._version:
+            # An answer from before what the fleet knows already.
+            return result.Failure(_errors.StoreError.REJECTED)
+        if not self._rows:
+            return result.Success(None)
+        return result.Success(
+            _ports.VersionRow(ref=self._ref, change_id="", etag="")
+        )
+
+    async def get_manifest(self, digest: ids.Digest) -> _ports.Outcome[bytes]:
+        """Return the content that a version was read with."""
+        content = self._contents.get(digest)
+        if content is None:
+            return result.Failure(_errors.StoreError.NOT_FOUND)
+        return result.Success(content)
+
+    async def put_member(
+        self,
+        *,
+        member: ids.NodeId,
+        address: node.Address,
+        zone: ids.ZoneName,
+    ) -> _ports.Outcome[None]:
+        """Write where a node can be reached."""
+        fields = {"host": address.host, "port": address.port, "zone": zone}
+        return await self._put(MEMBERS_TABLE, member, fields)
+
+    async def list_members(
+        self, count: int
+    ) -> _ports.Outcome[tuple[node.Address, ...]]:
+        """Read where some nodes can be reached, picked at random."""
+        listed = await self._list(MEMBERS_TABLE)
+        if isinstance(listed, result.Failure):
+            return listed
+        addresses = [
+            node.Address(host=str(fields["host"]), port=int(fields["port"]))
+            for fields in listed.unwrap().values()
+        ]
+        random.shuffle(addresses)
+        return result.Success(tuple(addresses[:count]))
+
+    async def put_departure(
+        self, server: node.ServerStart
+    ) -> _ports.Outcome[None]:
+        """Keep that a start of a backend server is leaving."""
+        return await self._put(
+            DEPARTURES_TABLE, server.server, {"born": server.born}
+        )
+
+    async def list_departures(
+        self,
+    ) -> _ports.Outcome[tuple[node.ServerStart, ...]]:
+        """Read which starts of backend servers are leaving or gone."""
+        listed = await self._list(DEPARTURES_TABLE)
+        if isinstance(listed, result.Failure):
+            return listed
+        return result.Success(
+            tuple(
+                node.ServerStart(
+                    server=ids.ServerId(server), born=int(fields["born"])
+                )
+                for server, fields in listed.unwrap().items()
+            )
+        )
+
+    async def _read_whole(self) -> _ports.Outcome[_ports.Rows]:
+        return await _limit_time(
+            self._tables.list_rows(self._operator_table), CALL_TIMEOUT_S
+        )
+
+    async def _follow(self, wait_s: float) -> _ports.Outcome[_ports.Rows]:
+        read = await _limit_time(
+            self._tables.wait_rows(
+                self._operator_table, self._version, wait_s
+            ),
+            wait_s + CALL_TIMEOUT_S,
+        )
+        if isinstance(read, result.Failure):
+            if read.failure() is _errors.StoreError.HISTORY_GONE:
+                return await self._read_whole()
+            return read
+        changed = read.unwrap()
+        merged = {
+            key: value
+            for key, value in self._rows.items()
+            if key not in changed.removed
+        }
+        merged.update(changed.rows)
+        return result.Success(
+            _ports.Rows(
+                rows=merged,
+                removed=frozenset(),
+                version=max(changed.version, self._version),
+            )
+        )
+
+    def _take(self, read: _ports.Rows) -> None:
+        if read.version < self._version:
+            return
+        self._version = read.version
+        self._rows = dict(read.rows)
+        content = _encode_rows(self._rows)
+        digest = configuration.digest_of(content)
+        self._ref = configuration.VersionRef(
+            version=ids.ConfigVersion(read.version), digest=digest
+        )
+        self._contents[digest] = content
+        while len(self._contents) > KEPT_CONTENTS:
+            del self._contents[next(iter(self._contents))]
+
+    async def _put(
+        self, table: str, key: str, fields: dict[str, object]
+    ) -> _ports.Outcome[None]:
+        return await _limit_time(
+            self._tables.put_row(table, key, json.dumps(fields).encode()),
+            CALL_TIMEOUT_S,
+        )
+
+    async def _list(
+        self, table: str
+    ) -> _ports.Outcome[dict[str, dict[str, typing.Any]]]:
+        read = await _limit_time(self._tables.list_rows(table), CALL_TIMEOUT_S)
+        if isinstance(read, result.Failure):
+            return read
+        try:
+            return result.Success(
+                {
+                    key: json.loads(value)
+                    for key, value in read.unwrap().rows.items()
+                }
+            )
+        except ValueError:
+            return result.Failure(_errors.StoreError.REJECTED)
+
+
+async def _limit_time(
+    operation: typing.Awaitable[_ports.Outcome[_ports.T]], limit_s: float
+) -> _ports.Outcome[_ports.T]:
+    try:
+        async with asyncio.timeout(limit_s):
+            return await operation
+    except TimeoutError:
+        return result.Failure(_errors.StoreError.NO_ANSWER)
+
+
+def _encode_rows(rows: typing.Mapping[str, bytes]) -> bytes:
+    texts = {
+        key: value.decode("utf-8", "replace") for key, value in rows.items()
+    }
+    return json.dumps(texts, sort_keys=True).encode()
+
+
+def decode_rows(content: bytes) -> dict[str, str]:
+    """Read the rows, by key, out of the content of a version.
+
+    Raises
+    ------
+    ValueError
+        The content is not of this form.
+    """
+    rows = json.loads(content)
+    if not isinstance(rows, dict):
+        raise ValueError("not an object of rows")
+    return {str(key): str(text) for key, text in rows.items()}
--- a/packages/store/marjoramledge_store/client.py
+++ b/packages/store/marjoramledge_store/client.py
@@ -2,7 +2,9 @@
 
 from marjoramledge_store import _client
 from marjoramledge_store import _errors
+from marjoramledge_store import _ports
 
+NodeStore = _ports.NodeStore
 StoreClient = _client.StoreClient
 StoreError = _errors.StoreError
-VersionRow = _client.VersionRow
+VersionRow = _ports.VersionRow
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -6,6 +6,7 @@
 from marjoramledge_core import node
 from marjoramledge_node import _bodies
 from marjoramledge_node import _headers
+from marjoramledge_node import _dialect
 from marjoramledge_node import _upstream
 from marjoramledge_standins import deployment
 import multidict
@@ -24,7 +25,9 @@
     port = deployment.find_free_port(HOST)
     loop = asyncio.get_running_loop()
     server = await loop.create_server(web.Server(serve), HOST, port)
-    upstream = _upstream.Upstream()
+    upstream = _upstream.Upstream(
+        dialect=_dialect.OWN_DIALECT, idle_connection_s=15.0
+    )
     try:
         return await upstream.send_to_peer(
             _upstream.Outgoing(
@@ -74,7 +77,9 @@
 
 def test_a_peer_that_is_not_there_has_not_run_it() -> None:
     async def send() -> _upstream.Exchange:
-        upstream = _upstream.Upstream()
+        upstream = _upstream.Upstream(
+        dialect=_dialect.OWN_DIALECT, idle_connection_s=15.0
+    )
         try:
             return await upstream.send_to_peer(
                 _upstream.Outgoing(
