--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -40,6 +40,7 @@
         _outcomes.Reason.NO_SERVER,
         _outcomes.Reason.OVERLOADED,
         _outcomes.Reason.SERVER_LEAVING,
+        _outcomes.Reason.OTHER_SERVICE,
         _outcomes.Reason.ZONE_CLOSED,
         _outcomes.Reason.DRAINED_BY_ORDER,
         _outcomes.Reason.NODE_STOPPING,
@@ -314,7 +315,9 @@
     run: _outcomes.RunState,
 ) -> bool:
     """Pay for an attempt after one that failed; false when that can't be."""
-    if run is _outcomes.RunState.NOT_RUN and attempt.has_move:
+    # A refusal by the server itself has cost it work, unlike a gate's.
+    is_free = call.last_reason is not _outcomes.Reason.SERVER_REFUSED
+    if run is _outcomes.RunState.NOT_RUN and is_free and attempt.has_move:
         attempt.has_move = False
         return True
     return step.budget_of(call.service).spend()
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -208,17 +208,34 @@
 
 
 def _step_stop(step: _state.Step) -> None:
+    """Go on with a planned stop.
+
+    Callers are served until nothing runs any more, since some still come
+    while the news spreads; only then are their connections closed.
+    """
     state = step.state
+    if state.stop_phase is _state.StopPhase.LEFT:
+        _finish_stop(step)
+        return
     if state.stop_phase is _state.StopPhase.DRAINING:
         state.stop_phase = _state.StopPhase.CLOSED
         _work.refuse_waiting(step, _outcomes.Reason.NODE_STOPPING)
+        step.publish_server()
+    is_idle = not state.calls and not state.gate.running
+    elapsed_s = step.now - state.stop_begun_at
+    limit_s = state.options.stop_limit_s
+    if state.stop_phase is _state.StopPhase.CLOSED and (
+        is_idle or elapsed_s >= state.options.stop_accept_s
+    ):
+        state.stop_phase = _state.StopPhase.NOT_ACCEPTING
         step.out.append(_commands.StopAccepting())
-    if state.stop_phase is _state.StopPhase.LEFT:
-        _finish_stop(step)
+        state.timers.set(
+            step.now + STOP_FAREWELL_S, _timers.TimerKind.STOP_STEP
+        )
         return
-    is_idle = not state.calls and not state.gate.running
-    is_over = step.now - state.stop_begun_at > state.options.stop_limit_s
-    if not is_idle and not is_over:
+    if state.stop_phase is _state.StopPhase.CLOSED or (
+        not is_idle and elapsed_s <= limit_s
+    ):
         state.timers.set(step.now + STOP_CHECK_S, _timers.TimerKind.STOP_STEP)
         return
     state.stop_phase = _state.StopPhase.LEFT
--- a/packages/core/marjoramledge_core/_outcomes.py
+++ b/packages/core/marjoramledge_core/_outcomes.py
@@ -23,6 +23,7 @@
     OVERLOADED = "overloaded"
     DEADLINE_PASSED = "deadline-passed"
     SERVER_LEAVING = "server-leaving"
+    OTHER_SERVICE = "other-service"
     ZONE_CLOSED = "zone-closed"
     DRAINED_BY_ORDER = "drained-by-order"
     NODE_STOPPING = "node-stopping"
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -84,8 +84,9 @@
     RUNNING = 0
     DRAINING = 1
     CLOSED = 2
-    LEFT = 3
-    STOPPED = 4
+    NOT_ACCEPTING = 3
+    LEFT = 4
+    STOPPED = 5
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -146,13 +147,19 @@
 class Options:
     """Options of the decisions.
 
-    A planned stop goes on serving for ``stop_spread_s`` and waits until
-    ``stop_limit_s`` for running calls.  ``repeats`` is what the whole fleet
+    A planned stop goes on serving for ``stop_spread_s``, takes new requests
+    until nothing runs but at most for ``stop_accept_s``, and waits until
+    ``stop_limit_s`` for running calls; where ``stop_keeps_server`` holds,
+    the backend server goes on being used until the spread is over, since it
+    outlives its node.  ``waits_for_version`` tells that the store can wait
+    for a change.  ``repeats`` is what the whole fleet
     may repeat; without it each entry has the usual budget.
     """
 
     stop_limit_s: float
     stop_spread_s: float = DEFAULT_STOP_SPREAD_S
+    stop_accept_s: float = DEFAULT_STOP_SPREAD_S
+    stop_keeps_server: bool = False
     repeats: _budget.FleetBudget | None = None
     waits_for_version: bool = False
 
@@ -184,6 +191,13 @@
     stop_phase: StopPhase = StopPhase.RUNNING
     stop_begun_at: float = 0.0
 
+    @property
+    def is_server_left(self) -> bool:
+        """Whether a planned stop has ended the use of the backend server."""
+        if self.options.stop_keeps_server:
+            return self.stop_phase >= StopPhase.CLOSED
+        return self.stop_phase is not StopPhase.RUNNING
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Step:
@@ -226,8 +240,7 @@
         server = gate.server
         standing = gate.state
         is_leaving = (
-            self.state.is_drained_by_order
-            or self.state.stop_phase is not StopPhase.RUNNING
+            self.state.is_drained_by_order or self.state.is_server_left
         )
         if is_leaving and gate.accepts_work:
             standing = _members.ServerState.DRAINING
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -31,7 +31,7 @@
 
 def reason_to_refuse(step: _state.Step) -> _outcomes.Reason | None:
     """Tell why no new work may be given to the backend server here."""
-    if step.state.stop_phase >= _state.StopPhase.CLOSED:
+    if step.state.is_server_left:
         return _outcomes.Reason.NODE_STOPPING
     if not step.state.gate.accepts_work:
         return _outcomes.Reason.SERVER_LEAVING
@@ -75,7 +75,7 @@
         _refuse(
             step,
             event.attempt,
-            reason or _outcomes.Reason.UNKNOWN_SERVICE,
+            reason or _outcomes.Reason.OTHER_SERVICE,
         )
         return
     work = _queue.Work(
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import functools
 import hashlib
 import itertools
@@ -97,9 +98,24 @@
         self._stamper = stamper
         self._call_prefix = call_prefix
         self._numbers = itertools.count()
+        self._busy: collections.Counter[object] = collections.Counter()
+
+    def is_busy(self, connection: object) -> bool:
+        """Tell whether a request of a connection is being served."""
+        return self._busy[connection] > 0
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
+        connection = request.protocol
+        self._busy[connection] += 1
+        try:
+            return await self._serve(request)
+        finally:
+            self._busy[connection] -= 1
+            if not self._busy[connection]:
+                del self._busy[connection]
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         head = _check_head(request, self._dialect.deadline)
         if isinstance(head, result.Failure):
             return _refusals.refuse(head.failure(), node.RunState.NOT_RUN)
@@ -380,7 +396,10 @@
                 command.retry_after_s
             )
         response = _refusals.refuse(
-            command.reason, command.run, retry_after=retry_after
+            command.reason,
+            command.run,
+            retry_after=retry_after,
+            choose_status=self._dialect.choose_status,
         )
         response.headers[_headers.CALL] = exchange.call
         name = self._dialect.request_id
@@ -448,3 +467,16 @@
         max_line_size=_options.MAX_HEAD_LINE_BYTES,
         max_field_size=_options.MAX_HEAD_LINE_BYTES,
     )
+
+
+def close_idle(server: web.Server, port: CallerPort) -> None:
+    """End the connections that serve nothing; the others after their answer.
+
+    A connection that is only told to close would still take a request in,
+    and never answer it.
+    """
+    for connection in server.connections:
+        if port.is_busy(connection):
+            connection.close()
+        else:
+            connection.force_close()
--- a/packages/node/marjoramledge_node/_dialect.py
+++ b/packages/node/marjoramledge_node/_dialect.py
@@ -27,8 +27,9 @@
     behalf it is called, and ``expected_server`` which server is meant.
     ``cold_left`` carries the milliseconds that a server stays cold, and
     ``server_id`` its name.  ``says_not_run`` tells whether an answer promises
-    that the request has not run.  ``ready_target`` is where readiness is
-    asked for.
+    that the request has not run, and ``choose_status`` turns the status of a
+    refusal into one that callers read rightly.  ``ready_target`` is where
+    readiness is asked for.
     """
 
     deadline: str
@@ -41,6 +42,7 @@
     says_not_run: collections.abc.Callable[[int, HeaderMap], bool]
     read_slowdown: collections.abc.Callable[[HeaderMap], float | None]
     format_retry_after: collections.abc.Callable[[float], str]
+    choose_status: collections.abc.Callable[[int, node.RunState], int]
 
 
 def _says_not_run(status: int, headers: HeaderMap) -> bool:
@@ -61,4 +63,5 @@
     says_not_run=_says_not_run,
     read_slowdown=lambda headers: None,
     format_retry_after=lambda seconds: str(math.ceil(seconds)),
+    choose_status=lambda status, run: status,
 )
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -88,17 +88,16 @@
             stamper=stamper,
             guard=guard,
         )
-        self._callers = _caller_port.make_server(
-            _caller_port.CallerPort(
-                engine=self._engine,
-                upstream=self._upstream,
-                keys=options.keys,
-                stamper=stamper,
-                call_prefix=run,
-                dialect=surroundings.dialect,
-                caller_service=options.caller_service,
-            )
+        self._caller_port = _caller_port.CallerPort(
+            engine=self._engine,
+            upstream=self._upstream,
+            keys=options.keys,
+            stamper=stamper,
+            call_prefix=run,
+            dialect=surroundings.dialect,
+            caller_service=options.caller_service,
         )
+        self._callers = _caller_port.make_server(self._caller_port)
         self._peers = _peer_port.make_server(
             _peer_port.PeerPort(
                 engine=self._engine,
@@ -191,8 +190,7 @@
             self._configured.set_result(None)
         for listener in self._listeners:
             listener.close()
-        # Connections that serve a request stay until it is answered.
-        self._callers.pre_shutdown()
+        _caller_port.close_idle(self._callers, self._caller_port)
         self._peers.pre_shutdown()
 
     def _stop_node(self, command: node.StopNode) -> None:
--- a/packages/node/marjoramledge_node/_refusals.py
+++ b/packages/node/marjoramledge_node/_refusals.py
@@ -4,6 +4,7 @@
 request was run.
 """
 
+import collections.abc
 import json
 import typing
 
@@ -19,6 +20,7 @@
     node.Reason.OVERLOADED: 503,
     node.Reason.DEADLINE_PASSED: 504,
     node.Reason.SERVER_LEAVING: 503,
+    node.Reason.OTHER_SERVICE: 503,
     node.Reason.ZONE_CLOSED: 503,
     node.Reason.DRAINED_BY_ORDER: 503,
     node.Reason.NODE_STOPPING: 503,
@@ -34,9 +36,12 @@
 }
 
 
-# These leave open whether a request has run; it is not left open here.
-_SAYS_NOTHING: typing.Final = frozenset({502, 504})
-_NOT_RUN_STATUS: typing.Final = 503
+StatusChoice = collections.abc.Callable[[int, node.RunState], int]
+
+
+def _keep_status(status: int, run: node.RunState) -> int:
+    del run
+    return status
 
 
 def refuse(
@@ -45,6 +50,7 @@
     *,
     retry_after: str | None = None,
     load: node.LoadReport | None = None,
+    choose_status: StatusChoice = _keep_status,
 ) -> web.Response:
     """Build an answer in the system's own name.
 
@@ -58,6 +64,8 @@
         When another try makes sense, as callers read it.
     load
         The gate's load, when a peer is answered.
+    choose_status
+        Turns the usual status into what callers take for a promise.
     """
     headers = {
         _headers.RUN: run.value,
@@ -67,9 +75,7 @@
         headers["Retry-After"] = retry_after
     if load is not None:
         headers[_headers.LOAD] = _headers.format_load(load)
-    status = _STATUS[reason]
-    if run is node.RunState.NOT_RUN and status in _SAYS_NOTHING:
-        status = _NOT_RUN_STATUS
+    status = choose_status(_STATUS[reason], run)
     document = {
         "title": reason.value,
         "status": status,
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -7,11 +7,14 @@
 
 import asyncio
 import collections.abc
+import contextvars
 import dataclasses
 import socket
 import typing
+import weakref
 
 import aiohttp
+from aiohttp import client_proto
 from aiohttp import connector
 import loguru
 from marjoramledge_core import node
@@ -106,8 +109,32 @@
 )
 
 
-class _CleanConnector(aiohttp.TCPConnector):
-    """Keeps connections, but gives out none that brought stray bytes."""
+# How the connection that the present task was last given will have ended.
+_closing: typing.Final[contextvars.ContextVar[asyncio.Future[None] | None]] = (
+    contextvars.ContextVar("closing", default=None)
+)
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Gives out no connection that brought stray bytes.
+
+    Of each it knows how it will have ended, which an answer that ends with
+    its connection needs, also when the end has come before the answer is
+    looked at.
+    """
+
+    def __init__(
+        self, *, keepalive_timeout: float = 0.0, force_close: bool = False
+    ) -> None:
+        super().__init__(
+            limit=0,
+            keepalive_timeout=None if force_close else keepalive_timeout,
+            force_close=force_close,
+            socket_factory=_open_socket,
+        )
+        self._closings: weakref.WeakKeyDictionary[
+            client_proto.ResponseHandler, asyncio.Future[None]
+        ] = weakref.WeakKeyDictionary()
 
     async def connect(
         self,
@@ -118,9 +145,24 @@
         while True:
             connection = await super().connect(req, traces, timeout)
             protocol = connection.protocol
-            if protocol is None or not protocol.should_close:
+            if protocol is None:
                 return connection
-            connection.close()
+            if protocol.should_close:
+                connection.close()
+                continue
+            _closing.set(self._closing_of(protocol))
+            return connection
+
+    def _closing_of(
+        self, protocol: client_proto.ResponseHandler
+    ) -> asyncio.Future[None] | None:
+        known = self._closings.get(protocol)
+        closed = protocol.closed if known is None else known
+        if known is None and closed is not None:
+            # Hardly anybody asks how a connection ended.
+            closed.add_done_callback(lambda done: done.exception())
+            self._closings[protocol] = closed
+        return closed
 
 
 def _open_session(
@@ -176,14 +218,7 @@
     headers = response.headers
     if "Content-Length" in headers or "Transfer-Encoding" in headers:
         return None
-    connection = response.connection
-    if connection is None or connection.protocol is None:
-        return None
-    closed = connection.protocol.closed
-    if closed is not None:
-        # An answer that is given up leaves this unread.
-        closed.add_done_callback(lambda done: done.exception())
-    return closed
+    return _closing.get()
 
 
 class Upstream:
@@ -203,20 +238,12 @@
     ) -> None:
         self._dialect = dialect
         self._session = _open_session(
-            _CleanConnector(
-                limit=0,
-                keepalive_timeout=idle_connection_s,
-                socket_factory=_open_socket,
-            )
+            _Connector(keepalive_timeout=idle_connection_s)
         )
         # A reused connection may be closed, or bring a stray answer, just
         # when a request is written to it; what may run only once gets a
         # connection of its own.
-        self._fresh_session = _open_session(
-            aiohttp.TCPConnector(
-                limit=0, force_close=True, socket_factory=_open_socket
-            )
-        )
+        self._fresh_session = _open_session(_Connector(force_close=True))
 
     async def close(self) -> None:
         """Close all connections."""
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -81,18 +81,18 @@
                 "MARJORAMLEDGE_KEYS": deployment.KEYS,
                 "MARJORAMLEDGE_LOG_FORMAT": "json",
             },
-            stderr=subprocess.PIPE,
+            stdout=subprocess.PIPE,
             text=True,
         )
         try:
             lines = statsd.recv(8192).decode().splitlines()
             assert "marjoramledge.gate.running:0|g" in lines
             process.send_signal(signal.SIGTERM)
-            _, errors = process.communicate(timeout=20)
+            output, _ = process.communicate(timeout=20)
         finally:
             process.kill()
     assert process.returncode == 0
-    records = [json.loads(line) for line in errors.splitlines()]
+    records = [json.loads(line) for line in output.splitlines()]
     events = [record["event"] for record in records]
     assert "stop-begun" in events
     assert events[-1] == "stop-finished"
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -78,8 +78,8 @@
 def test_a_peer_that_is_not_there_has_not_run_it() -> None:
     async def send() -> _upstream.Exchange:
         upstream = _upstream.Upstream(
-        dialect=_dialect.OWN_DIALECT, idle_connection_s=15.0
-    )
+            dialect=_dialect.OWN_DIALECT, idle_connection_s=15.0
+        )
         try:
             return await upstream.send_to_peer(
                 _upstream.Outgoing(
