--- a/packages/core/marjoramledge_core/_budget.py
+++ b/packages/core/marjoramledge_core/_budget.py
@@ -13,7 +13,7 @@
 
 # Part of the fleet's allowance that is given out: a repeated call may call
 # other services again, and those count as repeats there too.
-RATIO_PART: typing.Final = 0.2
+RATIO_PART: typing.Final = 0.4
 SLACK_PART: typing.Final = 0.4
 
 
--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -20,6 +20,7 @@
 from marjoramledge_core import _placing
 from marjoramledge_core import _queue
 from marjoramledge_core import _records
+from marjoramledge_core import _reports
 from marjoramledge_core import _settings
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
@@ -413,7 +414,7 @@
 def _note_answer(
     step: _state.Step,
     server: _load.ServerLoad,
-    report: _load.LoadReport | None,
+    report: _reports.LoadReport | None,
     is_error: bool,
 ) -> None:
     _note_report(step, server, report)
@@ -426,7 +427,7 @@
 def _note_report(
     step: _state.Step,
     server: _load.ServerLoad,
-    report: _load.LoadReport | None,
+    report: _reports.LoadReport | None,
 ) -> None:
     if report is not None:
         server.note_report(report, step.now)
--- a/packages/core/marjoramledge_core/_directory.py
+++ b/packages/core/marjoramledge_core/_directory.py
@@ -17,7 +17,6 @@
 from marjoramledge_core import _settings
 
 MAX_SUBSET: typing.Final = 24
-OTHER_ZONE_COST_S: typing.Final = 0.0025
 OTHER_REGION_COST_S: typing.Final = 0.025
 
 
@@ -28,9 +27,18 @@
     ----------
     node, zone
         The entry's own.
+    other_zone_cost_s
+        Seconds that a call may wait longer rather than leave the zone.
     """
 
-    def __init__(self, *, node: _ids.NodeId, zone: _ids.ZoneName) -> None:
+    def __init__(
+        self,
+        *,
+        node: _ids.NodeId,
+        zone: _ids.ZoneName,
+        other_zone_cost_s: float,
+    ) -> None:
+        self._other_zone_cost_s = other_zone_cost_s
         self._node = node
         self._zone = zone
         self._loads: dict[_ids.NodeId, _load.ServerLoad] = {}
@@ -119,7 +127,7 @@
         if member.zone == self._zone:
             load.zone_cost_s = 0.0
         elif _region_of(member.zone, configuration) == region:
-            load.zone_cost_s = OTHER_ZONE_COST_S
+            load.zone_cost_s = self._other_zone_cost_s
         else:
             load.zone_cost_s = OTHER_REGION_COST_S
         return load
--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -4,10 +4,10 @@
 
 from marjoramledge_core import _gate
 from marjoramledge_core import _ids
-from marjoramledge_core import _load
 from marjoramledge_core import _manifest
 from marjoramledge_core import _members
 from marjoramledge_core import _outcomes
+from marjoramledge_core import _reports
 from marjoramledge_core import _settings
 
 
@@ -41,7 +41,7 @@
     call: _ids.CallId
     attempt: _ids.AttemptId
     is_error: bool
-    load: _load.LoadReport | None
+    load: _reports.LoadReport | None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -56,7 +56,7 @@
     attempt: _ids.AttemptId
     run: _outcomes.RunState
     reason: _outcomes.Reason
-    load: _load.LoadReport | None
+    load: _reports.LoadReport | None
     is_body_gone: bool
 
 
@@ -107,12 +107,14 @@
 class WorkEnded:
     """The backend server is done with a request, for good or ill.
 
-    ``head_s`` is the time from sending it to the head of the answer.
+    ``head_s`` is the time from sending it to the head of the answer, and
+    ``slowdown`` how slow the VM is, where the server tells it.
     """
 
     attempt: _ids.AttemptId
     outcome: _outcomes.ServerOutcome
     head_s: float
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -164,6 +166,7 @@
     is_healthy: bool
     elapsed_s: float
     cold_left_s: float | None = None
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -18,6 +18,7 @@
 from marjoramledge_core import _members
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _queue
+from marjoramledge_core import _reports
 from marjoramledge_core import _settings
 from marjoramledge_core import _speed
 
@@ -34,8 +35,13 @@
 DEATH_WINDOW_S: typing.Final = 2.0
 MAX_BROKEN: typing.Final = 256
 # Departed starts that are remembered; late announcements of them are few.
+# A change of speed by this factor is told to the other nodes at once.
+NEWS_RATIO: typing.Final = 1.6
 MAX_DEPARTED: typing.Final = 256
 # A wait below this would be lost in the rounding of the clock.
+# Age at which a figure of how slow a VM is no longer helps: such states last
+# some tenths of a second.
+SLOWDOWN_PROBE_S: typing.Final = 0.1
 MIN_START_WAIT_S: typing.Final = 0.001
 
 _FAILURES: typing.Final = frozenset(
@@ -122,6 +128,7 @@
         self._now = 0.0
         self._speed = _speed.SpeedEstimate()
         self._probe_s = 0.0
+        self._told_service_s = 0.0
         self._cold_rate = _cold.ColdRate()
         self._cold_until = 0.0
         self._service: _settings.Service | None = None
@@ -180,11 +187,11 @@
             and self._cold_wait_s() <= 0.0
         )
 
-    def report(self, now: float) -> _load.LoadReport:
+    def report(self, now: float) -> _reports.LoadReport:
         """Describe the load at this moment."""
         self._now = now
         service_s = self._speed.service_s(len(self._running), now)
-        return _load.LoadReport(
+        return _reports.LoadReport(
             in_flight=len(self._running) + len(self._waiting),
             limit=self._limit.current,
             service_s=service_s or _load.INITIAL_LATENCY_S,
@@ -365,11 +372,32 @@
         return self._running.get(attempt) or self._waiting.get(attempt)
 
     def probe_interval_s(self, measuring: _settings.Measuring) -> float:
-        """Seconds between probes that the budget allows."""
+        """Seconds between probes that the budget allows.
+
+        A server that tells how slow its VM is answers probes at once, at no
+        cost to a slot, and is asked whenever its answers do not tell it.
+        """
+        if self._speed.slowdown_at is not None:
+            return SLOWDOWN_PROBE_S
         slots = 1 if self._server is None else self._server.slots
         by_share_s = self._probe_s / (slots * measuring.slot_share)
         return max(1.0 / measuring.calls_per_s, by_share_s)
 
+    def note_slowdown(self, slowdown: float, now: float) -> bool:
+        """Take in how slow the VM is; tell whether that is news to others."""
+        self._speed.note_slowdown(slowdown, now)
+        service_s = self._speed.service_s(len(self._running), now)
+        told_s = self._told_service_s
+        if told_s / NEWS_RATIO < service_s < told_s * NEWS_RATIO:
+            return False
+        self._told_service_s = service_s
+        return service_s > 0.0
+
+    @property
+    def slowdown_at(self) -> float | None:
+        """When the server last told how slow its VM is; None if never."""
+        return self._speed.slowdown_at
+
     def note_probe(
         self,
         is_healthy: bool,
--- a/packages/core/marjoramledge_core/_load.py
+++ b/packages/core/marjoramledge_core/_load.py
@@ -11,10 +11,10 @@
 
 from marjoramledge_core import _ids
 from marjoramledge_core import _members
+from marjoramledge_core import _reports
 
 # A report says little about a queue that turns over within milliseconds.
 REPORT_HALF_LIFE_S: typing.Final = 0.05
-LATENCY_WEIGHT: typing.Final = 0.2
 INITIAL_LATENCY_S: typing.Final = 0.005
 
 # Failures in a row after which a server is put aside.
@@ -25,20 +25,6 @@
 READMISSION_RAMP_S: typing.Final = 5.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class LoadReport:
-    """A gate's own view, carried on its answers.
-
-    ``in_flight`` counts running and queued calls, ``limit`` is the gate's
-    concurrency limit, ``service_s`` the recent mean time of a call at the
-    backend server in seconds.
-    """
-
-    in_flight: int
-    limit: int
-    service_s: float
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ServerLoad:
     """Running estimate of one backend server, as one entry sees it."""
@@ -69,7 +55,7 @@
             raise AssertionError("a call ended that was not counted")
         self.own_in_flight -= 1
 
-    def note_report(self, report: LoadReport, now: float) -> None:
+    def note_report(self, report: _reports.LoadReport, now: float) -> None:
         """Take in a gate's report of its own load."""
         self.others = max(0.0, report.in_flight - self.own_in_flight)
         self.limit = max(1.0, report.limit)
@@ -104,5 +90,7 @@
     def estimate_in_flight(self, now: float) -> float:
         """Estimate the calls at the server, running and queued."""
         age = now - self.reported_at
-        fade = REPORT_HALF_LIFE_S / (REPORT_HALF_LIFE_S + age)
+        # A queue of slow calls turns over slowly.
+        half_life_s = max(REPORT_HALF_LIFE_S, self.latency_s)
+        fade = half_life_s / (half_life_s + age)
         return self.own_in_flight + self.others * fade
--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -10,6 +10,7 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _manifest
 from marjoramledge_core import _quarantine
+from marjoramledge_core import _reports
 
 
 class MemberStatus(enum.IntEnum):
@@ -82,6 +83,7 @@
     ACK = 2
     PING_REQUEST = 3
     NEWS = 4
+    LOAD = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -90,7 +92,8 @@
 
     ``target`` is the member to probe in a PING_REQUEST, and the member that
     answered in an ACK.  ``sequence`` pairs an ACK with its PING.  Every
-    message carries the sender's configuration version.
+    message carries the sender's configuration version, and some the load of
+    its gate.
     """
 
     kind: MessageKind
@@ -101,3 +104,4 @@
     config: _manifest.VersionRef
     news: tuple[Member, ...]
     suspicions: tuple[_quarantine.Suspicion, ...]
+    load: _reports.LoadReport | None = None
--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -27,6 +27,7 @@
 from marjoramledge_core import _members
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _records
+from marjoramledge_core import _reports
 from marjoramledge_core import _timers
 
 PROBE_PERIOD_S: typing.Final = 1.0
@@ -171,6 +172,32 @@
         for member in self._pick_present(NEWS_FANOUT, rng):
             self._send(_members.MessageKind.NEWS, member.address, out)
 
+    def tell_load(
+        self,
+        load: _reports.LoadReport,
+        out: list[_commands.Command],
+    ) -> None:
+        """Tell the present members how the load here has changed."""
+        for member in self._members.values():
+            if member.node == self._myself.node:
+                continue
+            if member.status in _DEPARTED:
+                continue
+            message = _members.Message(
+                kind=_members.MessageKind.LOAD,
+                sender=self._myself.node,
+                sender_address=self._myself.address,
+                sequence=0,
+                target=member.node,
+                config=self._config,
+                news=(),
+                suspicions=(),
+                load=load,
+            )
+            out.append(
+                _commands.SendMessage(address=member.address, message=message)
+            )
+
     def tell_suspicions(
         self,
         suspicions: collections.abc.Iterable[_quarantine.Suspicion],
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -90,7 +90,11 @@
         versions=_versions.Versions(
             timers=timers, waits_for_change=options.waits_for_version
         ),
-        directory=_directory.Directory(node=identity.node, zone=identity.zone),
+        directory=_directory.Directory(
+            node=identity.node,
+            zone=identity.zone,
+            other_zone_cost_s=options.other_zone_cost_s,
+        ),
         calls={},
         quarantine=_quarantine.Quarantine(),
         losses={},
@@ -146,6 +150,9 @@
     step.tell_suspicions(
         step.state.quarantine.take(message.suspicions, step.now)
     )
+    server = step.state.directory.loads.get(message.sender)
+    if server is not None and message.load is not None:
+        server.note_report(message.load, step.now)
     step.state.versions.note_version(
         message.config, message.sender_address, step.out
     )
--- a/packages/core/marjoramledge_core/_speed.py
+++ b/packages/core/marjoramledge_core/_speed.py
@@ -27,12 +27,32 @@
         self._mean_s = 0.0
         self._count = 0
         self._finished_at = 0.0
+        self._slowdown = 0.0
+        self._usual_slowdown = 0.0
+        self._slowdown_at = 0.0
+
+    @property
+    def slowdown_at(self) -> float | None:
+        """When the server last told how slow its VM is; None if never."""
+        return self._slowdown_at if self._usual_slowdown else None
 
     @property
     def mean_s(self) -> float:
         """Mean time of a call over the long window, in seconds."""
         return self._mean_s
 
+    def note_slowdown(self, slowdown: float, now: float) -> None:
+        """Take in how slow the VM is, as its backend server measures it.
+
+        Only the ratio to the usual value is used, so its unit is free.
+        """
+        since_s = now - self._slowdown_at if self._usual_slowdown else 0.0
+        weight = min(1.0, since_s / LONG_WINDOW_S)
+        usual = self._usual_slowdown or slowdown
+        self._usual_slowdown = usual + weight * (slowdown - usual)
+        self._slowdown = slowdown
+        self._slowdown_at = now
+
     def note_change(self, running: int, now: float) -> None:
         """Take in that ``running`` calls have run since the last change."""
         elapsed_s = now - self._at
@@ -58,6 +78,9 @@
         """Seconds that a call takes; 0 when none has finished yet."""
         if not self._mean_s:
             return 0.0
+        if self._usual_slowdown:
+            # The server's own figure is fresher than any finished call.
+            return self._mean_s * self._slowdown / self._usual_slowdown
         self.note_change(running, now)
         return (self._busy_s + PRIOR_CALLS * self._mean_s) / (
             self._finished + PRIOR_CALLS
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -73,6 +73,8 @@
 }
 
 
+# About the way there and back.
+DEFAULT_OTHER_ZONE_COST_S: typing.Final = 0.0025
 # How long a stopping node goes on serving, so that the news of its leaving
 # reaches every entry and each caller's connection is told to close.
 DEFAULT_STOP_SPREAD_S: typing.Final = 1.5
@@ -154,6 +156,8 @@
     outlives its node.  ``waits_for_version`` tells that the store can wait
     for a change.  ``repeats`` is what the whole fleet
     may repeat; without it each entry has the usual budget.
+    ``other_zone_cost_s`` is how long a call may wait rather than go to
+    another zone of the region.
     """
 
     stop_limit_s: float
@@ -162,6 +166,7 @@
     stop_keeps_server: bool = False
     repeats: _budget.FleetBudget | None = None
     waits_for_version: bool = False
+    other_zone_cost_s: float = DEFAULT_OTHER_ZONE_COST_S
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -101,6 +101,7 @@
 def end_work(step: _state.Step, event: _events.WorkEnded) -> None:
     """Take in how the backend server ended a request."""
     gate = step.state.gate
+    _note_slowdown(step, event.slowdown)
     ended = gate.find(event.attempt)
     if ended is not None and event.outcome in _ANSWERS:
         step.tell_suspicions(
@@ -295,13 +296,17 @@
     step.state.timers.set(
         step.now + interval_s, _timers.TimerKind.SERVER_PROBE
     )
-    is_quiet = step.now - gate.heard_at >= interval_s
+    heard_at = gate.heard_at
+    if gate.slowdown_at is not None:
+        heard_at = gate.slowdown_at
+    is_quiet = step.now - heard_at >= interval_s
     if gate.server is not None and is_quiet:
         step.out.append(_commands.ProbeServer(server=gate.server))
 
 
 def end_probe(step: _state.Step, event: _events.ProbeEnded) -> None:
     """Take in the outcome of a probe."""
+    _note_slowdown(step, event.slowdown)
     if event.is_healthy:
         _deaths.withdraw(step)
     changed = step.state.gate.note_probe(
@@ -320,6 +325,13 @@
     step.publish_server()
 
 
+def _note_slowdown(step: _state.Step, slowdown: float | None) -> None:
+    gate = step.state.gate
+    if slowdown is None or not gate.note_slowdown(slowdown, step.now):
+        return
+    step.state.membership.tell_load(gate.report(step.now), step.out)
+
+
 def _offer(step: _state.Step, work: _queue.Work) -> _gate.Admission:
     work.is_suspect = step.state.quarantine.is_suspect(
         work.fingerprint, step.now
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -4,13 +4,13 @@
 from marjoramledge_core import _commands
 from marjoramledge_core import _events
 from marjoramledge_core import _gate
-from marjoramledge_core import _load
 from marjoramledge_core import _members
 from marjoramledge_core import _node
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _records
 from marjoramledge_core import _replay
+from marjoramledge_core import _reports
 from marjoramledge_core import _state
 
 Identity = _node.Identity
@@ -23,7 +23,7 @@
 next_wakeup = _node.next_wakeup
 
 Address = _members.Address
-LoadReport = _load.LoadReport
+LoadReport = _reports.LoadReport
 Member = _members.Member
 MemberStatus = _members.MemberStatus
 Message = _members.Message
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -338,7 +338,7 @@
         finally:
             if outcome is node.ServerOutcome.CANCELLED:
                 answer.response.close()
-            self._end_work(exchange, command.attempt, outcome, answer.head_s)
+            self._end_work(exchange, command.attempt, outcome, answer)
         if body is not None:
             return _relay.build_whole(answer, request.method, body, extra)
         self._engine.submit(
@@ -364,14 +364,12 @@
         exchange: _Exchange,
         attempt: ids.AttemptId,
         outcome: node.ServerOutcome,
-        head_s: float = 0.0,
+        answer: _upstream.Answer | None = None,
     ) -> None:
         if attempt not in exchange.local_attempts:
             return
         exchange.local_attempts.discard(attempt)
-        self._engine.submit(
-            node.WorkEnded(attempt=attempt, outcome=outcome, head_s=head_s)
-        )
+        self._engine.submit(_upstream.work_ended(attempt, outcome, answer))
 
     def _end(self, exchange: _Exchange) -> None:
         if exchange.hedge is not None:
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -246,6 +246,7 @@
                 is_healthy=probed.is_alive,
                 elapsed_s=elapsed_s,
                 cold_left_s=probed.cold_left_s,
+                slowdown=probed.slowdown,
             )
         )
 
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -183,7 +183,7 @@
         self, request: web.BaseRequest, command: node.StartWork
     ) -> web.StreamResponse:
         outcome = node.ServerOutcome.CANCELLED
-        head_s = 0.0
+        answer = None
         try:
             exchange = await _cancellation.run_cancellable(
                 self._engine,
@@ -201,7 +201,6 @@
                 outcome = fault.outcome
                 return self._refuse(request, fault.reason, fault.run)
             answer = exchange.unwrap()
-            head_s = answer.head_s
             response, outcome = await self._pass_on(
                 request, answer, command.attempt
             )
@@ -211,7 +210,7 @@
                 request, node.Reason.BODY_STALLED, node.RunState.NOT_RUN
             )
         finally:
-            self._end_work(command.attempt, outcome, head_s)
+            self._end_work(command.attempt, outcome, answer)
 
     async def _send(
         self, request: web.BaseRequest, command: node.StartWork
@@ -282,11 +281,9 @@
         self,
         attempt: ids.AttemptId,
         outcome: node.ServerOutcome,
-        head_s: float = 0.0,
+        answer: _upstream.Answer | None = None,
     ) -> None:
-        self._engine.submit(
-            node.WorkEnded(attempt=attempt, outcome=outcome, head_s=head_s)
-        )
+        self._engine.submit(_upstream.work_ended(attempt, outcome, answer))
 
 
 def manifest_target(digest: ids.Digest) -> str:
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -17,6 +17,7 @@
 from aiohttp import client_proto
 from aiohttp import connector
 import loguru
+from marjoramledge_core import ids
 from marjoramledge_core import node
 import multidict
 from returns import result
@@ -63,6 +64,7 @@
 
     is_alive: bool
     cold_left_s: float | None = None
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -80,13 +82,15 @@
     """The head of an answer; its body is still to be read.
 
     ``closed`` is set where the answer ends with its connection, and then
-    tells whether that was closed or reset.
+    tells whether that was closed or reset.  ``slowdown`` is how slow the
+    backend server's VM is, where it tells that.
     """
 
     response: aiohttp.ClientResponse
     load: node.LoadReport | None
     head_s: float
     closed: asyncio.Future[None] | None = None
+    slowdown: float | None = None
 
     @property
     def outcome(self) -> node.ServerOutcome:
@@ -101,6 +105,21 @@
 
 Exchange = result.Result[Answer, Fault]
 
+
+def work_ended(
+    attempt: ids.AttemptId,
+    outcome: node.ServerOutcome,
+    answer: Answer | None,
+) -> node.WorkEnded:
+    """Say how a backend server ended a request, and what its answer told."""
+    return node.WorkEnded(
+        attempt=attempt,
+        outcome=outcome,
+        head_s=0.0 if answer is None else answer.head_s,
+        slowdown=None if answer is None else answer.slowdown,
+    )
+
+
 # What is left of an exchange that proves nothing.
 _LOST: typing.Final = Fault(
     outcome=node.ServerOutcome.BROKE_OFF,
@@ -323,7 +342,11 @@
         if dialect.cold_left is not None:
             text = response.headers.get(dialect.cold_left, "0")
             cold_left_s = int(text) / 1000 if text.isdigit() else None
-        return Probe(is_alive=True, cold_left_s=cold_left_s)
+        return Probe(
+            is_alive=True,
+            cold_left_s=cold_left_s,
+            slowdown=dialect.read_slowdown(response.headers),
+        )
 
     async def send_to_peer(
         self,
@@ -443,6 +466,7 @@
             Answer(
                 response=response,
                 closed=_closing_of(response),
+                slowdown=self._dialect.read_slowdown(response.headers),
                 load=_headers.parse_load(response.headers.get(_headers.LOAD)),
                 head_s=loop.time() - started_at,
             )
--- a/packages/node/marjoramledge_node/_wire.py
+++ b/packages/node/marjoramledge_node/_wire.py
@@ -53,6 +53,15 @@
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
 
+class _LoadStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
+    thrift_spec = {
+        1: (_I32, "in_flight", False),
+        2: (_I32, "limit", False),
+        3: (_I64, "service_us", False),
+    }
+    default_spec = [(field[1], None) for field in thrift_spec.values()]
+
+
 class _MessageStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
     thrift_spec = {
         1: (_I32, "kind", False),
@@ -65,6 +74,7 @@
         8: (_STRING, "digest", False),
         9: (_LIST, "news", (_STRUCT, _MemberStruct), False),
         10: (_LIST, "suspicions", (_STRUCT, _SuspicionStruct), False),
+        11: (_STRUCT, "load", _LoadStruct, False),
     }
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
@@ -111,6 +121,7 @@
                 )
                 for suspicion in message.suspicions
             ],
+            load=None if message.load is None else _to_load(message.load),
         )
     )
 
@@ -141,6 +152,7 @@
                     )
                     for entry in struct.suspicions or ()
                 ),
+                load=None if struct.load is None else _from_load(struct.load),
             )
         )
     except Exception as error:  # The codec raises many kinds.
@@ -214,6 +226,22 @@
     return bytes(utils.serialize(struct, _PROTOCOL))
 
 
+def _to_load(load: node.LoadReport) -> _LoadStruct:
+    return _LoadStruct(
+        in_flight=load.in_flight,
+        limit=load.limit,
+        service_us=round(load.service_s * 1e6),
+    )
+
+
+def _from_load(struct: _LoadStruct) -> node.LoadReport:
+    return node.LoadReport(
+        in_flight=struct.in_flight,
+        limit=struct.limit,
+        service_s=struct.service_us / 1e6,
+    )
+
+
 def _to_struct(member: node.Member) -> _MemberStruct:
     return _MemberStruct(
         node=member.node,
