Read a reset that comes with the last bytes from the socket

When bytes and reset come in one poll, libuv reports a plain end of input. Ruled out: the order of head and end (the first try, which kept the connection's end, changed nothing).

--- /dev/null
+++ b/packages/node/marjoramledge_node/_connections.py
@@ -0,0 +1,134 @@
+"""Connections to backend servers and peers: opened, reused and ended.
+
+What an exchange proves depends on how its connection ended, so this module
+sees to it that an end is known for what it was, that a connection that showed
+a fault is not used again, and that one that went silent does not hang.
+"""
+
+import asyncio
+import contextvars
+import functools
+import socket
+import typing
+import weakref
+
+import aiohttp
+from aiohttp import client_proto
+from aiohttp import connector
+
+# A peer or server that has acknowledged nothing for so long is gone: links
+# lose packets, but not for several times the usual time of a resend.
+UNACKNOWLEDGED_S: typing.Final = 1.0
+
+
+class _Protocol(client_proto.ResponseHandler):
+    """Tells a reset from a close where the event loop does not.
+
+    When the last bytes and the reset come together, libuv reports a plain
+    end of input; the socket still holds the error then.
+    """
+
+    _reset: OSError | None = None
+
+    def eof_received(self) -> None:
+        transport = self.transport
+        opened: socket.socket | None = None
+        if transport is not None:
+            opened = transport.get_extra_info("socket")
+        if opened is not None:
+            error = opened.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                self._reset = ConnectionResetError(error, "reset by server")
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        super().connection_lost(exc or self._reset)
+
+
+# How the connection that the present task was last given will have ended.
+_closing: typing.Final[contextvars.ContextVar[asyncio.Future[None] | None]] = (
+    contextvars.ContextVar("closing", default=None)
+)
+
+
+class Connector(aiohttp.TCPConnector):
+    """Gives out no connection that brought stray bytes.
+
+    Of each it knows how it will have ended, which an answer that ends with
+    its connection needs, also when the end has come before the answer is
+    looked at.
+    """
+
+    def __init__(
+        self, *, keepalive_timeout: float = 0.0, force_close: bool = False
+    ) -> None:
+        super().__init__(
+            limit=0,
+            keepalive_timeout=None if force_close else keepalive_timeout,
+            force_close=force_close,
+            socket_factory=_open_socket,
+        )
+        # The class of its protocols is no public option of the library.
+        self._factory = functools.partial(  # type: ignore[assignment]
+            _Protocol, loop=asyncio.get_running_loop()
+        )
+        self._closings: weakref.WeakKeyDictionary[
+            client_proto.ResponseHandler, asyncio.Future[None]
+        ] = weakref.WeakKeyDictionary()
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[typing.Any],
+        timeout: aiohttp.ClientTimeout,  # noqa: ASYNC109
+    ) -> connector.Connection:
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            if protocol is None:
+                return connection
+            if protocol.should_close:
+                connection.close()
+                continue
+            _closing.set(self._closing_of(protocol))
+            return connection
+
+    def _closing_of(
+        self, protocol: client_proto.ResponseHandler
+    ) -> asyncio.Future[None] | None:
+        known = self._closings.get(protocol)
+        closed = protocol.closed if known is None else known
+        if known is None and closed is not None:
+            # Hardly anybody asks how a connection ended.
+            closed.add_done_callback(lambda done: done.exception())
+            self._closings[protocol] = closed
+        return closed
+
+
+def latest_closing() -> asyncio.Future[None] | None:
+    """Return the end of the connection that this task was last given."""
+    return _closing.get()
+
+
+def _open_socket(
+    address: tuple[
+        int | socket.AddressFamily,
+        int | socket.SocketKind,
+        int,
+        str,
+        tuple[typing.Any, ...],
+    ],
+) -> socket.socket:
+    family, kind, protocol, _name, _where = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    opened.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        round(UNACKNOWLEDGED_S * 1000),
+    )
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    return opened
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -7,15 +7,10 @@
 
 import asyncio
 import collections.abc
-import contextvars
 import dataclasses
-import socket
 import typing
-import weakref
 
 import aiohttp
-from aiohttp import client_proto
-from aiohttp import connector
 import loguru
 from marjoramledge_core import ids
 from marjoramledge_core import node
@@ -24,13 +19,11 @@
 import yarl
 
 from marjoramledge_node import _bodies
+from marjoramledge_node import _connections
 from marjoramledge_node import _dialect
 from marjoramledge_node import _headers
 
 CONNECT_TIMEOUT_S: typing.Final = 0.5
-# A peer or server that has acknowledged nothing for so long is gone: links
-# lose packets, but not for several times the usual time of a resend.
-UNACKNOWLEDGED_S: typing.Final = 1.0
 BODY_IDLE_TIMEOUT_S: typing.Final = 60.0
 
 _SERVER_FAULT_STATUSES: typing.Final = frozenset({500, 502, 504})
@@ -128,67 +121,11 @@
 )
 
 
-# How the connection that the present task was last given will have ended.
-_closing: typing.Final[contextvars.ContextVar[asyncio.Future[None] | None]] = (
-    contextvars.ContextVar("closing", default=None)
-)
-
-
-class _Connector(aiohttp.TCPConnector):
-    """Gives out no connection that brought stray bytes.
-
-    Of each it knows how it will have ended, which an answer that ends with
-    its connection needs, also when the end has come before the answer is
-    looked at.
-    """
-
-    def __init__(
-        self, *, keepalive_timeout: float = 0.0, force_close: bool = False
-    ) -> None:
-        super().__init__(
-            limit=0,
-            keepalive_timeout=None if force_close else keepalive_timeout,
-            force_close=force_close,
-            socket_factory=_open_socket,
-        )
-        self._closings: weakref.WeakKeyDictionary[
-            client_proto.ResponseHandler, asyncio.Future[None]
-        ] = weakref.WeakKeyDictionary()
-
-    async def connect(
-        self,
-        req: aiohttp.ClientRequest,
-        traces: list[typing.Any],
-        timeout: aiohttp.ClientTimeout,  # noqa: ASYNC109
-    ) -> connector.Connection:
-        while True:
-            connection = await super().connect(req, traces, timeout)
-            protocol = connection.protocol
-            if protocol is None:
-                return connection
-            if protocol.should_close:
-                connection.close()
-                continue
-            _closing.set(self._closing_of(protocol))
-            return connection
-
-    def _closing_of(
-        self, protocol: client_proto.ResponseHandler
-    ) -> asyncio.Future[None] | None:
-        known = self._closings.get(protocol)
-        closed = protocol.closed if known is None else known
-        if known is None and closed is not None:
-            # Hardly anybody asks how a connection ended.
-            closed.add_done_callback(lambda done: done.exception())
-            self._closings[protocol] = closed
-        return closed
-
-
 def _open_session(
-    connections: aiohttp.TCPConnector,
+    connector: _connections.Connector,
 ) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
-        connector=connections,
+        connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(
             total=None,
@@ -206,30 +143,6 @@
     return session
 
 
-def _open_socket(
-    address: tuple[
-        int | socket.AddressFamily,
-        int | socket.SocketKind,
-        int,
-        str,
-        tuple[typing.Any, ...],
-    ],
-) -> socket.socket:
-    family, kind, protocol, _name, _where = address
-    opened = socket.socket(family, kind, protocol)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    opened.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        round(UNACKNOWLEDGED_S * 1000),
-    )
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-    return opened
-
-
 def _closing_of(
     response: aiohttp.ClientResponse,
 ) -> asyncio.Future[None] | None:
@@ -237,7 +150,7 @@
     headers = response.headers
     if "Content-Length" in headers or "Transfer-Encoding" in headers:
         return None
-    return _closing.get()
+    return _connections.latest_closing()
 
 
 class Upstream:
@@ -257,12 +170,14 @@
     ) -> None:
         self._dialect = dialect
         self._session = _open_session(
-            _Connector(keepalive_timeout=idle_connection_s)
+            _connections.Connector(keepalive_timeout=idle_connection_s)
         )
         # A reused connection may be closed, or bring a stray answer, just
         # when a request is written to it; what may run only once gets a
         # connection of its own.
-        self._fresh_session = _open_session(_Connector(force_close=True))
+        self._fresh_session = _open_session(
+            _connections.Connector(force_close=True)
+        )
 
     async def close(self) -> None:
         """Close all connections."""
