Come back faster after a restart; read settings again on SIGHUP

The node now probes the server that its settings name, and reads settings again on SIGHUP and every five seconds.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -14,4 +14,5 @@
     rm -rf "$deps/$(basename "$package")"
     cp -R "$package" "$deps/"
 done
-python3 -m compileall -q "$deps"
+# Copies of the tree may get other times; the code in it stays the same.
+python3 -m compileall -q --invalidation-mode unchecked-hash "$deps"
--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -6,6 +6,7 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _manifest
 from marjoramledge_core import _members
+from marjoramledge_core import _options
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _reports
 from marjoramledge_core import _settings
@@ -231,6 +232,13 @@
     is_drained: bool
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class OptionsChanged:
+    """The settings were read again and are valid."""
+
+    options: _options.Options
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class StopRequested:
     """The node is to stop, without cutting a call."""
@@ -264,6 +272,7 @@
     | ManifestFetched
     | ManifestFailed
     | DrainOrdered
+    | OptionsChanged
     | StopRequested
     | TimePassed
 )
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -249,10 +249,12 @@
         """Tell whether the backend server here is of the start named."""
         if start == ANY_START:
             return True
-        return self._server is not None and (
-            self._server.start.server == start.server
-            and start.born in (0, self._server.start.born)
-        )
+        if self._server is None or self._server.start.server != start.server:
+            return False
+        known = self._server.start.born
+        # A start without a time of birth was named by somebody who did not
+        # know it.
+        return start.born == known or 0 in (start.born, known)
 
     def note_departure(self, start: ServerStart) -> None:
         """Remember that a start of a backend server is leaving for good."""
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -20,6 +20,7 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _members
 from marjoramledge_core import _membership
+from marjoramledge_core import _options
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _records
@@ -51,7 +52,7 @@
     *,
     identity: Identity,
     seeds: collections.abc.Iterable[_members.Address],
-    options: _state.Options,
+    options: _options.Options,
     now: float,
 ) -> _state.NodeState:
     """Make the state of a node that starts.
@@ -199,6 +200,15 @@
     step.state.versions.fetch_failed(event.ref, step.now, step.rng)
 
 
+def _change_options(step: _state.Step, event: _events.OptionsChanged) -> None:
+    if event.options == step.state.options:
+        return
+    step.state.options = event.options
+    step.record(
+        _records.RecordKind.OPTIONS_CHANGED, detail=repr(event.options)
+    )
+
+
 def _request_stop(step: _state.Step, _event: _events.StopRequested) -> None:
     state = step.state
     if state.stop_phase is not _state.StopPhase.RUNNING:
@@ -309,6 +319,7 @@
     _events.ManifestFetched: _take_manifest,
     _events.ManifestFailed: _fail_manifest,
     _events.DrainOrdered: _work.order_drain,
+    _events.OptionsChanged: _change_options,
     _events.StopRequested: _request_stop,
     _events.TimePassed: _pass_time,
 }
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -38,6 +38,7 @@
     ZONE_OPENED = "zone-opened"
     STORE_FAILED = "store-failed"
     STORE_RECOVERED = "store-recovered"
+    OPTIONS_CHANGED = "options-changed"
     STOP_BEGUN = "stop-begun"
     STOP_FINISHED = "stop-finished"
 
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -14,6 +14,7 @@
 from marjoramledge_core import _load
 from marjoramledge_core import _members
 from marjoramledge_core import _membership
+from marjoramledge_core import _options
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _queue
@@ -73,13 +74,6 @@
 }
 
 
-# About the way there and back.
-DEFAULT_OTHER_ZONE_COST_S: typing.Final = 0.0025
-# How long a stopping node goes on serving, so that the news of its leaving
-# reaches every entry and each caller's connection is told to close.
-DEFAULT_STOP_SPREAD_S: typing.Final = 1.5
-
-
 class StopPhase(enum.IntEnum):
     """How far a planned stop has come."""
 
@@ -145,37 +139,13 @@
     fingerprint: _ids.Fingerprint
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Options:
-    """Options of the decisions.
-
-    A planned stop goes on serving for ``stop_spread_s``, takes new requests
-    until nothing runs but at most for ``stop_accept_s``, and waits until
-    ``stop_limit_s`` for running calls; where ``stop_keeps_server`` holds,
-    the backend server goes on being used until the spread is over, since it
-    outlives its node.  ``waits_for_version`` tells that the store can wait
-    for a change.  ``repeats`` is what the whole fleet
-    may repeat; without it each entry has the usual budget.
-    ``other_zone_cost_s`` is how long a call may wait rather than go to
-    another zone of the region.
-    """
-
-    stop_limit_s: float
-    stop_spread_s: float = DEFAULT_STOP_SPREAD_S
-    stop_accept_s: float = DEFAULT_STOP_SPREAD_S
-    stop_keeps_server: bool = False
-    repeats: _budget.FleetBudget | None = None
-    waits_for_version: bool = False
-    other_zone_cost_s: float = DEFAULT_OTHER_ZONE_COST_S
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class NodeState:
     """Everything that one node's decisions depend on."""
 
     node: _ids.NodeId
     zone: _ids.ZoneName
-    options: Options
+    options: _options.Options
     timers: _timers.TimerQueue
     gate: _gate.Gate
     membership: _membership.Membership
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -6,6 +6,7 @@
 from marjoramledge_core import _gate
 from marjoramledge_core import _members
 from marjoramledge_core import _node
+from marjoramledge_core import _options
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _records
@@ -17,7 +18,7 @@
 NodeState = _state.NodeState
 StopPhase = _state.StopPhase
 FleetBudget = _budget.FleetBudget
-Options = _state.Options
+Options = _options.Options
 create_state = _node.create_state
 handle = _node.handle
 next_wakeup = _node.next_wakeup
@@ -58,6 +59,7 @@
 ServerWithdrawn = _events.ServerWithdrawn
 DeparturesRead = _events.DeparturesRead
 VersionReadEnded = _events.VersionReadEnded
+OptionsChanged = _events.OptionsChanged
 StopRequested = _events.StopRequested
 TimePassed = _events.TimePassed
 VersionRead = _events.VersionRead
--- a/packages/node/marjoramledge_node/_auth.py
+++ b/packages/node/marjoramledge_node/_auth.py
@@ -40,6 +40,15 @@
         self._signing = keys[0]
         self._keys = {key.key_id: key for key in keys}
 
+    def __eq__(self, other: object) -> bool:
+        """Tell whether two rings hold the same keys in the same order."""
+        return isinstance(other, KeyRing) and list(
+            self._keys.values()
+        ) == list(other._keys.values())
+
+    def __hash__(self) -> int:
+        return hash(tuple(self._keys.values()))
+
     @property
     def signing_key_id(self) -> str:
         """Identifier of the key that signs."""
--- a/packages/node/marjoramledge_node/_dialect.py
+++ b/packages/node/marjoramledge_node/_dialect.py
@@ -25,8 +25,9 @@
     ``request_id`` is the caller's name of a request, which a backend server
     repeats on its answer.  ``caller_service`` tells a backend server on whose
     behalf it is called, and ``expected_server`` which server is meant.
-    ``cold_left`` carries the milliseconds that a server stays cold, and
-    ``server_id`` its name.  ``says_not_run`` tells whether an answer promises
+    ``read_slots`` and ``read_slowdown`` read a server's size and how slow its
+    VM is.  ``cold_left`` carries the milliseconds that a server stays cold,
+    and ``server_id`` its name.  ``says_not_run`` tells whether an answer promises
     that the request has not run, and ``choose_status`` turns the status of a
     refusal into one that callers read rightly.  ``ready_target`` is where
     readiness is asked for.
@@ -40,6 +41,7 @@
     cold_left: str | None
     ready_target: str
     says_not_run: collections.abc.Callable[[int, HeaderMap], bool]
+    read_slots: collections.abc.Callable[[HeaderMap], int | None]
     read_slowdown: collections.abc.Callable[[HeaderMap], float | None]
     format_retry_after: collections.abc.Callable[[float], str]
     choose_status: collections.abc.Callable[[int, node.RunState], int]
@@ -61,6 +63,7 @@
     cold_left=None,
     ready_target="/ready",
     says_not_run=_says_not_run,
+    read_slots=lambda headers: None,
     read_slowdown=lambda headers: None,
     format_retry_after=lambda seconds: str(math.ceil(seconds)),
     choose_status=lambda status, run: status,
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import json
 import typing
 
@@ -178,6 +179,43 @@
         if isinstance(found, result.Success):
             self._engine.submit(node.SeedsFound(addresses=found.unwrap()))
 
+    async def find_server(self, hint: _options.ServerHint) -> None:
+        """Look for a backend server that runs already, and announce it."""
+        await self._read_departures()
+        declared = self._engine.state.versions.configuration
+        if declared is None:
+            return
+        service = declared.services.get(hint.service)
+        if service is None or service.health_path is None:
+            return
+        server = node.Server(
+            service=hint.service,
+            host=hint.address.host,
+            port=hint.address.port,
+            slots=1,
+            connections=service.connections,
+            cold_concurrency=1,
+            is_cold=False,
+            health_path=service.health_path,
+        )
+        probed = await self._upstream.probe(server, PROBE_TIMEOUT_S)
+        is_known = self._engine.state.gate.server is not None
+        if not probed.is_healthy or probed.slots is None or is_known:
+            return
+        cold_left_s = probed.cold_left_s or 0.0
+        self._engine.submit(
+            node.ServerAnnounced(
+                server=dataclasses.replace(
+                    server,
+                    slots=probed.slots,
+                    cold_concurrency=probed.slots,
+                    is_cold=cold_left_s > 0.0,
+                    cold_left_s=cold_left_s,
+                    start=node.ServerStart(server=probed.server),
+                )
+            )
+        )
+
     async def keep_departure(self, server: node.ServerStart) -> bool:
         """Keep that a start of a backend server is leaving for good."""
         if self._store is None or not server.server:
--- a/packages/node/marjoramledge_node/_options.py
+++ b/packages/node/marjoramledge_node/_options.py
@@ -33,6 +33,18 @@
     ERROR = "error"
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerHint:
+    """Where the backend server of this VM is, and of which service.
+
+    A node that starts beside a running server finds it so, before the next
+    announcement.
+    """
+
+    service: ids.ServiceName
+    address: node.Address
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Options:
     """Settings of one node.
@@ -54,6 +66,7 @@
     statsd_address: node.Address | None
     statsd_prefix: str
     ready_address: node.Address | None = None
+    server_hint: ServerHint | None = None
     caller_service: str = ""
     idle_connection_s: float = DEFAULT_IDLE_CONNECTION_S
 
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -24,6 +24,7 @@
 from marjoramledge_node import _options
 from marjoramledge_node import _peer_port
 from marjoramledge_node import _ready_port
+from marjoramledge_node import _reload
 from marjoramledge_node import _surroundings
 from marjoramledge_node import _timeline
 from marjoramledge_node import _upstream
@@ -120,6 +121,13 @@
                 engine=self._engine, target=surroundings.dialect.ready_target
             )
         )
+        self._reload: _reload.Reload | None = None
+        if surroundings.read_options is not None:
+            self._reload = _reload.Reload(
+                engine=self._engine,
+                options=options,
+                read=surroundings.read_options,
+            )
         self._listeners: list[asyncio.Server] = []
         self._stopped: asyncio.Future[int] = loop.create_future()
         self._configured: asyncio.Future[None] = loop.create_future()
@@ -141,19 +149,24 @@
             loop.add_signal_handler(
                 number, self._engine.submit, node.StopRequested()
             )
+        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         metrics = self._start_metrics()
+        reload = self._start_reload()
         self._engine.start()
         # A node without a configuration could only refuse; callers are
         # better off with another one.
         await self._configured
         if not self._is_closed:
             await self._listen(self._callers, options.caller_address)
+        if options.server_hint is not None:
+            await self._fleet.find_server(options.server_hint)
         loguru.logger.bind(event="node-started").info("node is running")
         try:
             return await self._stopped
         finally:
-            if metrics is not None:
-                metrics.cancel()
+            for task in (metrics, reload):
+                if task is not None:
+                    task.cancel()
             await self._close()
 
     async def _listen(self, server: web.Server, address: node.Address) -> None:
@@ -178,6 +191,16 @@
         self._timeline.stream.subscribe(metrics.count_record)
         return asyncio.create_task(metrics.run())
 
+    def _start_reload(self) -> asyncio.Task[None] | None:
+        if self._reload is None:
+            return None
+        return asyncio.create_task(self._reload.run())
+
+    def _reload_settings(self) -> None:
+        loguru.logger.bind(event="reload-requested").info("SIGHUP received")
+        if self._reload is not None:
+            self._reload.read_again()
+
     def _write_record(self, command: node.WriteRecord) -> None:
         self._timeline.write(command.record)
         is_first = command.record.kind is node.RecordKind.CONFIG_ADOPTED
--- a/packages/node/marjoramledge_node/_surroundings.py
+++ b/packages/node/marjoramledge_node/_surroundings.py
@@ -15,6 +15,7 @@
 from marjoramledge_node import _announcements
 from marjoramledge_node import _dialect
 from marjoramledge_node import _manifests
+from marjoramledge_node import _options
 
 AnnouncementReader = collections.abc.Callable[
     [str, str, bytes, str],
@@ -23,6 +24,9 @@
 ConfigurationReader = collections.abc.Callable[
     [bytes, ids.Digest], result.Result[configuration.Configuration, str]
 ]
+OptionsReader = collections.abc.Callable[
+    [], result.Result[_options.Options, str]
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -31,7 +35,9 @@
 
     ``read_announcement`` takes the method, target and body of a backend
     server's request, and the IP number of one that names none.
-    ``open_store`` is called once, inside the event loop.
+    ``open_store`` is called once, inside the event loop.  ``read_options``
+    reads the settings again; it returns what the node starts with, or what
+    is wrong.
     """
 
     dialect: _dialect.Dialect = _dialect.OWN_DIALECT
@@ -40,3 +46,4 @@
     open_store: collections.abc.Callable[[], client.NodeStore | None] = (
         lambda: None
     )
+    read_options: OptionsReader | None = None
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -52,10 +52,14 @@
     """What a probe of a backend server found.
 
     ``is_alive`` says that the server answered at all: what its health page
-    says lags behind and may be false.
+    says lags behind and may be false.  ``server`` and ``slots`` are its
+    name and size, where it tells them.
     """
 
     is_alive: bool
+    is_healthy: bool = False
+    server: ids.ServerId = ids.NO_SERVER_ID
+    slots: int | None = None
     cold_left_s: float | None = None
     slowdown: float | None = None
 
@@ -249,9 +253,10 @@
         self, server: node.Server, response: aiohttp.ClientResponse
     ) -> Probe:
         dialect = self._dialect
-        if dialect.server_id is not None and server.start.server:
-            told = response.headers.get(dialect.server_id)
-            if told is not None and told != server.start.server:
+        name = ids.NO_SERVER_ID
+        if dialect.server_id is not None:
+            name = ids.ServerId(response.headers.get(dialect.server_id, ""))
+            if name and server.start.server not in (name, ids.NO_SERVER_ID):
                 return Probe(is_alive=False)
         cold_left_s = None
         if dialect.cold_left is not None:
@@ -259,6 +264,9 @@
             cold_left_s = int(text) / 1000 if text.isdigit() else None
         return Probe(
             is_alive=True,
+            is_healthy=response.status == 200,
+            server=name,
+            slots=dialect.read_slots(response.headers),
             cold_left_s=cold_left_s,
             slowdown=dialect.read_slowdown(response.headers),
         )
--- a/packages/node/marjoramledge_node/process.py
+++ b/packages/node/marjoramledge_node/process.py
@@ -12,6 +12,7 @@
 LogFormat = _options.LogFormat
 LogLevel = _options.LogLevel
 Options = _options.Options
+ServerHint = _options.ServerHint
 Surroundings = _surroundings.Surroundings
 
 parse_address = _options.parse_address
