Hedge calls whose server has become slow; send failed safe calls again

Cause: calls that began on a VM just before its neighbours slowed it were late, and a failed answer of a faulty server was final though others were sound.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -27,6 +27,12 @@
 from marjoramledge_core import _work
 
 RETRY_AFTER_S: typing.Final = 1.0
+# Parts of the latency target: when an entry first looks whether the server
+# of a call has become slow, how often it looks, and when a second sending
+# would come too late to be in time.
+FIRST_LOOK_PART: typing.Final = 0.2
+LOOK_PERIOD_PART: typing.Final = 0.1
+LAST_LOOK_PART: typing.Final = 0.7
 
 _WAITING: typing.Final = frozenset(
     {
@@ -104,8 +110,12 @@
     step.budget_of(call.service).earn()
     _set_timer(step, call, call.deadline_at, _timers.TimerKind.CALL_DEADLINE)
     if kind.hedging:
-        hedge_at = step.now + _hedge_delay_s(step, kind)
-        _set_timer(step, call, hedge_at, _timers.TimerKind.CALL_HEDGE)
+        hedge_s = _hedge_delay_s(step, kind)
+        if kind.target_s is not None:
+            hedge_s = min(hedge_s, FIRST_LOOK_PART * kind.target_s)
+        _set_timer(
+            step, call, step.now + hedge_s, _timers.TimerKind.CALL_HEDGE
+        )
     if not _placing.place(step, call):
         _refuse(step, call, call.last_reason)
 
@@ -120,6 +130,8 @@
         step.out.append(_commands.CancelAttempt(attempt=event.attempt))
         return
     _note_answer(step, attempt.server, event.load, event.is_error)
+    if event.is_error and _replace_error(step, call, attempt):
+        return
     step.latency_of(call.kind).note(step.now - attempt.sent_at)
     call.advance(_state.CallPhase.ANSWERED)
     call.delivered = attempt
@@ -214,6 +226,9 @@
         return
     if not call.is_body_held or not _may_send_again(step, call):
         return
+    if not _is_hedge_worth_it(step, call):
+        _plan_next_look(step, call)
+        return
     if not step.budget_of(call.service).spend():
         return
     server = _placing.pick(step, call)
@@ -228,6 +243,74 @@
     _placing.send(step, call, server, is_hedge=True)
 
 
+def _is_hedge_worth_it(step: _state.Step, call: _state.Call) -> bool:
+    """Tell whether a call is slow, or waits at a server that has become so."""
+    attempts = [a for a in call.attempts.values() if a.is_open]
+    if not attempts:
+        return False
+    if step.now - attempts[0].sent_at >= _hedge_delay_s(step, call.kind):
+        return True
+    other = _placing.pick(step, call)
+    if other is None:
+        return False
+    server = attempts[0].server
+    if server.is_local:
+        server.note_report(step.state.gate.report(step.now), step.now)
+    return server.latency_s > _placing.SLOW_RATIO * other.latency_s
+
+
+def _plan_next_look(step: _state.Step, call: _state.Call) -> None:
+    """Look again whether to hedge, while a hedge may still be in time."""
+    target_s = call.kind.target_s
+    sent_at = min(attempt.sent_at for attempt in call.attempts.values())
+    usual_at = sent_at + _hedge_delay_s(step, call.kind)
+    at = usual_at
+    if target_s is not None:
+        elapsed_s = step.now - sent_at
+        if elapsed_s < LAST_LOOK_PART * target_s:
+            at = min(at, step.now + LOOK_PERIOD_PART * target_s)
+    if at > step.now:
+        _set_timer(step, call, at, _timers.TimerKind.CALL_HEDGE)
+
+
+def _replace_error(
+    step: _state.Step, call: _state.Call, attempt: _state.Attempt
+) -> bool:
+    """Send a call again whose answer is a failure; false to deliver it.
+
+    A failed answer is only given up for another that is in reach.
+    """
+    if not call.kind.idempotent or call.is_body_gone:
+        return False
+    call.losses += 1
+    call.may_have_run = True
+    has_time = (
+        call.deadline_at - step.now > 2.0 * step.latency_of(call.kind).value_s
+    )
+    if (
+        not has_time
+        or not _may_send_again(step, call, attempt)
+        or _placing.pick(step, call) is None
+        or not step.budget_of(call.service).spend()
+    ):
+        return False
+    step.record(
+        _records.RecordKind.CALL_RETRIED,
+        service=call.service,
+        call=call.call,
+        peer=attempt.server.node,
+        request=call.request,
+        detail="failed answer of the backend server",
+    )
+    _placing.cancel(step, attempt)
+    if any(other.is_open for other in call.attempts.values()):
+        return True
+    call.advance(_state.CallPhase.ACCEPTED)
+    if not _placing.place(step, call):
+        _refuse(step, call, call.last_reason)
+    return True
+
+
 def _may_send_again(
     step: _state.Step,
     call: _state.Call,
--- a/packages/node/marjoramledge_node/_dialect.py
+++ b/packages/node/marjoramledge_node/_dialect.py
@@ -27,10 +27,10 @@
     behalf it is called, and ``expected_server`` which server is meant.
     ``read_slots`` and ``read_slowdown`` read a server's size and how slow its
     VM is.  ``cold_left`` carries the milliseconds that a server stays cold,
-    and ``server_id`` its name.  ``says_not_run`` tells whether an answer promises
-    that the request has not run, and ``choose_status`` turns the status of a
-    refusal into one that callers read rightly.  ``ready_target`` is where
-    readiness is asked for.
+    and ``server_id`` its name.  ``says_not_run`` tells whether an answer
+    promises that the request has not run, and ``choose_status`` turns the
+    status of a refusal into one that callers read rightly.  ``ready_target``
+    is where readiness is asked for.
     """
 
     deadline: str
