--- a/packages/core/marjoramledge_core/_directory.py
+++ b/packages/core/marjoramledge_core/_directory.py
@@ -17,6 +17,8 @@
 from marjoramledge_core import _settings
 
 MAX_SUBSET: typing.Final = 24
+# Of these the most that may be of the own zone.
+MAX_OWN_ZONE: typing.Final = 16
 OTHER_REGION_COST_S: typing.Final = 0.025
 
 
@@ -93,9 +95,16 @@
             if _region_of(member.zone, configuration) == region
         ]
         chosen = near or members
+        own = [member for member in chosen if member.zone == self._zone]
+        others = [member for member in chosen if member.zone != self._zone]
         if len(chosen) > MAX_SUBSET:
-            chosen = sorted(chosen, key=self._rendezvous_rank)[:MAX_SUBSET]
-        return tuple(self._load_of(m, region, configuration) for m in chosen)
+            own = sorted(own, key=self._rendezvous_rank)[:MAX_OWN_ZONE]
+            others = sorted(others, key=self._rendezvous_rank)
+            del others[MAX_SUBSET - len(own) :]
+        return tuple(
+            self._load_of(member, region, configuration)
+            for member in (*own, *others)
+        )
 
     def _rendezvous_rank(self, member: _members.Member) -> bytes:
         # The own server is always kept: calling it costs no second hop.
--- a/packages/core/marjoramledge_core/_routing.py
+++ b/packages/core/marjoramledge_core/_routing.py
@@ -17,6 +17,9 @@
 from marjoramledge_core import _load
 
 SAMPLE_SIZE: typing.Final = 4
+NEAR_SAMPLE_SIZE: typing.Final = 2
+# Of so few servers all are looked at.
+SAMPLE_ALL: typing.Final = 4
 
 
 def expected_time(server: _load.ServerLoad, now: float) -> float:
@@ -80,10 +83,9 @@
     now: float,
     rng: random.Random,
 ) -> _load.ServerLoad | None:
-    count = len(servers)
     best = None
     best_score = 0.0
-    for position in _sample_positions(count, rng):
+    for position in _sample_positions(servers, rng):
         server = servers[position]
         if now < server.ejected_until or server.node in excluded:
             continue
@@ -95,12 +97,29 @@
 
 
 def _sample_positions(
-    count: int, rng: random.Random
+    servers: collections.abc.Sequence[_load.ServerLoad], rng: random.Random
 ) -> collections.abc.Iterable[int]:
-    if count <= SAMPLE_SIZE:
+    """Pick some positions at random, of the near servers and of all.
+
+    ``servers`` begin with the near ones, so that a call that could stay in
+    its zone is not sent away because none of that zone was drawn.
+    """
+    count = len(servers)
+    if count <= SAMPLE_ALL:
         return range(count)
+    near = 0
+    while near < count and servers[near].zone_cost_s == 0.0:
+        near += 1
+    positions = _draw_positions(min(near, NEAR_SAMPLE_SIZE), near, rng)
+    for position in _draw_positions(SAMPLE_SIZE, count, rng):
+        if position not in positions:
+            positions.append(position)
+    return positions
+
+
+def _draw_positions(size: int, count: int, rng: random.Random) -> list[int]:
     positions: list[int] = []
-    while len(positions) < SAMPLE_SIZE:
+    while len(positions) < size:
         position = int(rng.random() * count)
         if position not in positions:
             positions.append(position)
