--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -54,6 +54,10 @@
 REMEMBER_DEPARTED_S: typing.Final = 600.0
 # A probe period this much late means that this node itself was paused.
 PAUSE_THRESHOLD_S: typing.Final = 2.0
+FOLLOWERS_PER_ZONE: typing.Final = 2
+# A node is probed, and has its own probe answered, about once a second.
+SILENCE_S: typing.Final = 1.5
+MAX_FAR_TOLD: typing.Final = 12
 MAX_SEEDS: typing.Final = 64
 
 _DEPARTED: typing.Final = frozenset(
@@ -122,6 +126,7 @@
         self._register_period_s = FIRST_REGISTER_PERIOD_S
         self._revision = 0
         self._most_present = 1
+        self._heard_at = -SILENCE_S
 
     @property
     def myself(self) -> _members.Member:
@@ -150,6 +155,21 @@
         """Most members that have been present at once."""
         return self._most_present
 
+    def is_follower(self, now: float) -> bool:
+        """Tell whether this node is to follow the store for others.
+
+        A few of each zone do, picked alike by all, and whoever hears nobody.
+        """
+        if now - self._heard_at > SILENCE_S:
+            return True
+        zone = [
+            member.node
+            for member in self._members.values()
+            if member.zone == self._myself.zone
+            and member.status is _members.MemberStatus.ALIVE
+        ]
+        return self._myself.node in sorted(zone)[:FOLLOWERS_PER_ZONE]
+
     @property
     def suspicion_s(self) -> float:
         """Seconds that a suspected member has to refute."""
@@ -177,19 +197,29 @@
         load: _reports.LoadReport,
         out: list[_commands.Command],
     ) -> None:
-        """Tell the present members how the load here has changed."""
-        for member in self._members.values():
-            if member.node == self._myself.node:
-                continue
-            if member.status in _DEPARTED:
-                continue
+        """Tell members at once how the load here has changed.
+
+        Those of the own zone always hear; those of other zones only where
+        they are few, since what crosses zones must not grow with the square
+        of the fleet, and their answers tell them anyway.
+        """
+        present = [
+            member
+            for member in self._members.values()
+            if member.status not in _DEPARTED
+            and member.node != self._myself.node
+        ]
+        told = [m for m in present if m.zone == self._myself.zone]
+        if len(present) - len(told) <= MAX_FAR_TOLD:
+            told = present
+        for member in told:
             message = _members.Message(
                 kind=_members.MessageKind.LOAD,
                 sender=self._myself.node,
                 sender_address=self._myself.address,
                 sequence=0,
                 target=member.node,
-                config=self._config,
+                config=_manifest.NO_VERSION,
                 news=(),
                 suspicions=(),
                 load=load,
@@ -271,6 +301,7 @@
         out: list[_commands.Command],
     ) -> None:
         """Take in a message and answer it where it asks for an answer."""
+        self._heard_at = now
         self.take_members(message.news, now, out)
         self._answer_outdated_sender(message)
         if message.kind is _members.MessageKind.PING:
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -365,6 +365,7 @@
     _timers.TimerKind.CONFIG_READ: lambda step, timer: (
         step.state.versions.read_next(
             step.state.membership.present_count,
+            step.state.membership.is_follower(step.now),
             step.now,
             step.rng,
             step.out,
--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -29,6 +29,9 @@
 MAX_WAIT_S: typing.Final = 20.0
 WAIT_PER_MEMBER_S: typing.Final = 0.4
 # Pause after a read that failed.
+FOLLOWER_CHECK_S: typing.Final = 0.5
+# How often a node that leaves the following to others reads all the same.
+IDLE_READ_PERIOD_S: typing.Final = 30.0
 READ_RETRY_S: typing.Final = 0.5
 
 
@@ -45,6 +48,7 @@
         self._wanted = _manifest.NO_VERSION
         self._source: _members.Address | None = None
         self._retry_s = FIRST_FETCH_RETRY_S
+        self._read_at = 0.0
 
     @property
     def configuration(self) -> _settings.Configuration | None:
@@ -63,11 +67,24 @@
     def read_next(
         self,
         member_count: int,
+        is_follower: bool,
         now: float,
         rng: random.Random,
         out: list[_commands.Command],
     ) -> None:
-        """Ask the table for the version in force."""
+        """Ask the table for the version in force.
+
+        Where reads wait for a change, a node that is no follower leaves them
+        to others, but for one now and then.
+        """
+        if self._waits_for_change:
+            is_due = now - self._read_at >= IDLE_READ_PERIOD_S
+            if not is_follower and self._configuration and not is_due:
+                self._timers.set(
+                    now + FOLLOWER_CHECK_S, _timers.TimerKind.CONFIG_READ
+                )
+                return
+        self._read_at = now
         wait_s = min(
             MAX_WAIT_S, max(MIN_WAIT_S, WAIT_PER_MEMBER_S * member_count)
         )
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 import json
 import typing
@@ -28,6 +29,8 @@
 
 PEER_TIMEOUT_S: typing.Final = 2.0
 PROBE_TIMEOUT_S: typing.Final = 1.0
+# What is waited for the departed servers before one that runs is taken in.
+FLEET_WAIT_S: typing.Final = 0.3
 SEED_ROWS: typing.Final = 16
 
 
@@ -68,7 +71,7 @@
         self._timeline = timeline
         self._manifest = b""
         self._is_store_up = True
-        self._has_read_departures = False
+        self._fleet_read = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         consumers: dict[type, typing.Any] = {
             node.SyncMembers: self._sync_members,
@@ -169,19 +172,17 @@
     async def _register(self, _command: node.RegisterMember) -> None:
         if self._store is None:
             return
-        await self._read_departures()
         myself = self._engine.state.membership.myself
         await self._store.put_member(
             member=myself.node, address=myself.address, zone=myself.zone
         )
-        found = await self._store.list_members(SEED_ROWS)
-        self._note_store(isinstance(found, result.Success))
-        if isinstance(found, result.Success):
-            self._engine.submit(node.SeedsFound(addresses=found.unwrap()))
+        await self._read_fleet(self._store)
 
     async def find_server(self, hint: _options.ServerHint) -> None:
         """Look for a backend server that runs already, and announce it."""
-        await self._read_departures()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FLEET_WAIT_S):
+                await self._fleet_read.wait()
         declared = self._engine.state.versions.configuration
         if declared is None:
             return
@@ -223,13 +224,15 @@
         kept = await self._store.put_departure(server)
         return isinstance(kept, result.Success)
 
-    async def _read_departures(self) -> None:
-        if self._store is None or self._has_read_departures:
+    async def _read_fleet(self, store: client.NodeStore) -> None:
+        found = await store.read_fleet(SEED_ROWS)
+        self._note_store(isinstance(found, result.Success))
+        if isinstance(found, result.Failure):
             return
-        found = await self._store.list_departures()
-        if isinstance(found, result.Success):
-            self._has_read_departures = True
-            self._engine.submit(node.DeparturesRead(servers=found.unwrap()))
+        fleet = found.unwrap()
+        self._fleet_read.set()
+        self._engine.submit(node.DeparturesRead(servers=fleet.departures))
+        self._engine.submit(node.SeedsFound(addresses=fleet.addresses))
 
     async def _read_version(self, command: node.ReadVersion) -> None:
         if self._store is None:
@@ -243,8 +246,9 @@
             row = found.unwrap()
             if row is not None:
                 self._engine.submit(node.VersionRead(ref=row.ref))
-            # An outage may have hidden them when this node started.
-            await self._read_departures()
+            if not self._fleet_read.is_set():
+                # An outage hid it when this node started.
+                await self._read_fleet(self._store)
         self._engine.submit(node.VersionReadEnded(is_success=is_success))
 
     async def _fetch_manifest(self, command: node.FetchManifest) -> None:
--- a/packages/store/marjoramledge_store/_client.py
+++ b/packages/store/marjoramledge_store/_client.py
@@ -220,7 +220,19 @@
         )
         return replied.bind(_check_written)
 
-    async def list_departures(
+    async def read_fleet(self, count: int) -> _ports.Outcome[_ports.FleetRows]:
+        """Read where at most ``count`` nodes are, and which servers left."""
+        members = await self.list_members(count)
+        if isinstance(members, result.Failure):
+            return members
+        departures = await self._list_departures()
+        return departures.map(
+            lambda found: _ports.FleetRows(
+                addresses=members.unwrap(), departures=found
+            )
+        )
+
+    async def _list_departures(
         self,
     ) -> _ports.Outcome[tuple[node.ServerStart, ...]]:
         """Read which starts of backend servers are leaving or gone."""
--- a/packages/store/marjoramledge_store/_followed.py
+++ b/packages/store/marjoramledge_store/_followed.py
@@ -20,8 +20,9 @@
 from marjoramledge_store import _errors
 from marjoramledge_store import _ports
 
-MEMBERS_TABLE: typing.Final = "members"
-DEPARTURES_TABLE: typing.Final = "departures"
+FLEET_TABLE: typing.Final = "fleet"
+_MEMBER_PREFIX: typing.Final = "node/"
+_DEPARTURE_PREFIX: typing.Final = "departed/"
 # Of so many contents the later ones can still be asked for by their digest.
 KEPT_CONTENTS: typing.Final = 4
 # Time allowed to a call beyond what it may wait for.
@@ -89,46 +90,34 @@
         zone: ids.ZoneName,
     ) -> _ports.Outcome[None]:
         """Write where a node can be reached."""
-        fields = {"host": address.host, "port": address.port, "zone": zone}
-        return await self._put(MEMBERS_TABLE, member, fields)
-
-    async def list_members(
-        self, count: int
-    ) -> _ports.Outcome[tuple[node.Address, ...]]:
-        """Read where some nodes can be reached, picked at random."""
-        listed = await self._list(MEMBERS_TABLE)
-        if isinstance(listed, result.Failure):
-            return listed
-        addresses = [
-            node.Address(host=str(fields["host"]), port=int(fields["port"]))
-            for fields in listed.unwrap().values()
-        ]
-        random.shuffle(addresses)
-        return result.Success(tuple(addresses[:count]))
+        return await self._put(
+            _MEMBER_PREFIX + member,
+            {"host": address.host, "port": address.port, "zone": zone},
+        )
 
     async def put_departure(
         self, server: node.ServerStart
     ) -> _ports.Outcome[None]:
         """Keep that a start of a backend server is leaving."""
         return await self._put(
-            DEPARTURES_TABLE, server.server, {"born": server.born}
+            _DEPARTURE_PREFIX + server.server, {"born": server.born}
         )
 
-    async def list_departures(
-        self,
-    ) -> _ports.Outcome[tuple[node.ServerStart, ...]]:
-        """Read which starts of backend servers are leaving or gone."""
-        listed = await self._list(DEPARTURES_TABLE)
-        if isinstance(listed, result.Failure):
-            return listed
-        return result.Success(
-            tuple(
-                node.ServerStart(
-                    server=ids.ServerId(server), born=int(fields["born"])
-                )
-                for server, fields in listed.unwrap().items()
-            )
+    async def read_fleet(self, count: int) -> _ports.Outcome[_ports.FleetRows]:
+        """Read where at most ``count`` nodes are, and which servers left.
+
+        The nodes are picked at random, so that a few rows of nodes that are
+        gone do not keep a node that starts apart.
+        """
+        read = await _limit_time(
+            self._tables.list_rows(FLEET_TABLE), CALL_TIMEOUT_S
         )
+        if isinstance(read, result.Failure):
+            return read
+        try:
+            return result.Success(_decode_fleet(read.unwrap().rows, count))
+        except (ValueError, KeyError, TypeError):
+            return result.Failure(_errors.StoreError.REJECTED)
 
     async def _read_whole(self) -> _ports.Outcome[_ports.Rows]:
         return await _limit_time(
@@ -176,29 +165,15 @@
             del self._contents[next(iter(self._contents))]
 
     async def _put(
-        self, table: str, key: str, fields: dict[str, object]
+        self, key: str, fields: dict[str, object]
     ) -> _ports.Outcome[None]:
         return await _limit_time(
-            self._tables.put_row(table, key, json.dumps(fields).encode()),
+            self._tables.put_row(
+                FLEET_TABLE, key, json.dumps(fields).encode()
+            ),
             CALL_TIMEOUT_S,
         )
 
-    async def _list(
-        self, table: str
-    ) -> _ports.Outcome[dict[str, dict[str, typing.Any]]]:
-        read = await _limit_time(self._tables.list_rows(table), CALL_TIMEOUT_S)
-        if isinstance(read, result.Failure):
-            return read
-        try:
-            return result.Success(
-                {
-                    key: json.loads(value)
-                    for key, value in read.unwrap().rows.items()
-                }
-            )
-        except ValueError:
-            return result.Failure(_errors.StoreError.REJECTED)
-
 
 async def _limit_time(
     operation: typing.Awaitable[_ports.Outcome[_ports.T]], limit_s: float
@@ -210,6 +185,32 @@
         return result.Failure(_errors.StoreError.NO_ANSWER)
 
 
+def _decode_fleet(
+    rows: typing.Mapping[str, bytes], count: int
+) -> _ports.FleetRows:
+    addresses = []
+    departures = []
+    for key, value in rows.items():
+        fields = json.loads(value)
+        if key.startswith(_MEMBER_PREFIX):
+            addresses.append(
+                node.Address(
+                    host=str(fields["host"]), port=int(fields["port"])
+                )
+            )
+        elif key.startswith(_DEPARTURE_PREFIX):
+            name = key.removeprefix(_DEPARTURE_PREFIX)
+            departures.append(
+                node.ServerStart(
+                    server=ids.ServerId(name), born=int(fields["born"])
+                )
+            )
+    random.shuffle(addresses)
+    return _ports.FleetRows(
+        addresses=tuple(addresses[:count]), departures=tuple(departures)
+    )
+
+
 def _encode_rows(rows: typing.Mapping[str, bytes]) -> bytes:
     texts = {
         key: value.decode("utf-8", "replace") for key, value in rows.items()
--- a/packages/store/marjoramledge_store/_ports.py
+++ b/packages/store/marjoramledge_store/_ports.py
@@ -27,6 +27,18 @@
     etag: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FleetRows:
+    """What nodes have kept for nodes that start.
+
+    ``addresses`` are of nodes, ``departures`` are starts of backend servers
+    that were acknowledged as leaving or gone.
+    """
+
+    addresses: tuple[node.Address, ...]
+    departures: tuple[node.ServerStart, ...]
+
+
 class NodeStore(typing.Protocol):
     """The store as nodes use it; every operation has a time limit."""
 
@@ -51,18 +63,11 @@
     ) -> Outcome[None]:
         """Write where a node can be reached."""
 
-    async def list_members(
-        self, count: int
-    ) -> Outcome[tuple[node.Address, ...]]:
-        """Read where some nodes can be reached."""
-
     async def put_departure(self, server: node.ServerStart) -> Outcome[None]:
         """Keep that a start of a backend server is leaving."""
 
-    async def list_departures(
-        self,
-    ) -> Outcome[tuple[node.ServerStart, ...]]:
-        """Read which starts of backend servers are leaving or gone."""
+    async def read_fleet(self, count: int) -> Outcome[FleetRows]:
+        """Read where at most ``count`` nodes are, and which servers left."""
 
     async def close(self) -> None:
         """Close all connections."""
