Let no call wait at a gate that can no longer be answered in time

Cause looked for: half of the answers of the minutes after a full restart were late, 574 calls took half of their target to reach a server. A call now carries the time left to its target; a gate lets it wait only while an answer in time is possible.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -26,7 +26,9 @@
 from marjoramledge_core import _timers
 from marjoramledge_core import _work
 
-RETRY_AFTER_S: typing.Final = 1.0
+# Mean time after which a refused caller is asked to come back: overload by a
+# noisy neighbour or a restart is over within about that.
+RETRY_AFTER_S: typing.Final = 0.7
 # Parts of the latency target: when an entry first looks whether the server
 # of a call has become slow, how often it looks, and when a second sending
 # would come too late to be in time.
@@ -98,6 +100,11 @@
         kind=kind,
         service=kind.pick_service(step.rng.random()),
         deadline_at=step.now + deadline_s,
+        target_at=(
+            math.inf
+            if kind.target_s is None
+            else step.now + min(kind.target_s, deadline_s)
+        ),
         is_body_held=event.is_body_held,
         attempts={},
         tried=set(),
@@ -486,7 +493,8 @@
     retry_after_s: float | None = None,
 ) -> None:
     if retry_after_s is None and reason in _RETRY_LATER:
-        retry_after_s = RETRY_AFTER_S
+        # Callers refused together must not return together.
+        retry_after_s = RETRY_AFTER_S * step.rng.uniform(0.5, 1.5)
     step.out.append(
         _commands.RefuseCall(
             call=call, reason=reason, run=run, retry_after_s=retry_after_s
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -41,6 +41,7 @@
     service: _ids.ServiceName
     kind: _settings.RequestKind
     deadline_at: float
+    target_at: float
     is_hedge: bool
     is_patient: bool
 
--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -1,6 +1,7 @@
 """What happens to a node, as its decisions are told of it."""
 
 import dataclasses
+import math
 
 from marjoramledge_core import _gate
 from marjoramledge_core import _ids
@@ -90,7 +91,8 @@
     ``is_patient`` tells that it rather waits here than comes back.  The
     ``service`` and ``kind`` that the entry found are taken where they are
     given, so that an entry and a gate whose configurations differ for a
-    moment agree.
+    moment agree.  ``target_s`` is the time left in which an answer is worth
+    its full value.
     """
 
     attempt: _ids.AttemptId
@@ -102,6 +104,7 @@
     fingerprint: _ids.Fingerprint
     service: _ids.ServiceName = _ids.NO_SERVICE
     kind: _settings.RequestKind | None = None
+    target_s: float = math.inf
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import enum
+import math
 import typing
 
 from marjoramledge_core import _cold
@@ -37,6 +38,9 @@
 # Departed starts that are remembered; late announcements of them are few.
 # A change of speed by this factor is told to the other nodes at once.
 NEWS_RATIO: typing.Final = 1.6
+# Weight of the latest call in the mean time of its kind, and the kinds kept.
+KIND_WEIGHT: typing.Final = 0.1
+MAX_KINDS: typing.Final = 512
 MAX_DEPARTED: typing.Final = 256
 # A wait below this would be lost in the rounding of the clock.
 # Age at which a figure of how slow a VM is no longer helps: such states last
@@ -129,6 +133,7 @@
         self._speed = _speed.SpeedEstimate()
         self._probe_s = 0.0
         self._told_service_s = 0.0
+        self._kind_s: dict[_ids.KindName, float] = {}
         self._cold_rate = _cold.ColdRate()
         self._cold_until = 0.0
         self._service: _settings.Service | None = None
@@ -312,6 +317,8 @@
             return Offer(admission=Admission.STARTED)
         if not work.is_patient and self._is_queue_long():
             return Offer(admission=Admission.REFUSED)
+        if self.max_wait_s(work) <= 0.0:
+            return Offer(admission=Admission.REFUSED)
         displaced = self._queue.push(work)
         if displaced is work:
             return Offer(admission=Admission.REFUSED)
@@ -321,11 +328,27 @@
         return Offer(admission=Admission.QUEUED, displaced=displaced)
 
     def max_wait_s(self, work: _queue.Work) -> float:
-        """Seconds for which a call may wait here."""
+        """Seconds for which a call may wait here.
+
+        One that could no longer be answered in time does not wait: the slot
+        that it would take is worth more to one that still can.
+        """
+        spare_s = work.target_at - work.offered_at
+        if spare_s < math.inf:
+            spare_s = max(0.0, spare_s - self._expected_s(work))
         if work.is_patient:
-            return MAX_QUEUE_WAIT_S
+            return min(MAX_QUEUE_WAIT_S, spare_s)
         usual_s = IMPATIENT_WAIT_CALLS * self._speed.mean_s
-        return min(MAX_QUEUE_WAIT_S, max(MIN_QUEUE_WAIT_S, usual_s))
+        usual_s = min(MAX_QUEUE_WAIT_S, max(MIN_QUEUE_WAIT_S, usual_s))
+        return min(usual_s, spare_s)
+
+    def _expected_s(self, work: _queue.Work) -> float:
+        """Estimate how long a call of a kind takes here at present."""
+        usual_s = self._kind_s.get(work.kind.name, self._speed.mean_s)
+        if not self._speed.mean_s:
+            return usual_s
+        now_s = self._speed.service_s(len(self._running), self._now)
+        return usual_s * min(1.0, now_s / self._speed.mean_s)
 
     def end(
         self,
@@ -356,7 +379,7 @@
         ending = Ending(started=[], refused=[])
         if outcome is _outcomes.ServerOutcome.BROKE_OFF:
             self._broken.append((now, work.fingerprint))
-        self._learn(outcome, head_s, now, ending)
+        self._learn(work, outcome, head_s, now, ending)
         if self.accepts_work:
             ending.started = self._start_waiting(now)
         return ending
@@ -451,6 +474,7 @@
 
     def _learn(
         self,
+        work: _queue.Work,
         outcome: _outcomes.ServerOutcome,
         head_s: float,
         now: float,
@@ -459,6 +483,7 @@
         if outcome is _outcomes.ServerOutcome.ANSWERED:
             self._heard_at = now
             self._speed.note_finished(head_s, now)
+            self._note_kind(work.kind.name, head_s)
             self._limit.note_success(head_s, len(self._running), now)
         elif outcome is _outcomes.ServerOutcome.UNREACHABLE:
             if self.accepts_work:
@@ -470,6 +495,12 @@
                 self._speed.mean_s, len(self._running), now
             )
 
+    def _note_kind(self, name: _ids.KindName, elapsed_s: float) -> None:
+        known_s = self._kind_s.pop(name, elapsed_s)
+        self._kind_s[name] = known_s + KIND_WEIGHT * (elapsed_s - known_s)
+        while len(self._kind_s) > MAX_KINDS:
+            del self._kind_s[next(iter(self._kind_s))]
+
     def _start(self, work: _queue.Work, now: float) -> None:
         work.started_at = now
         self._cold_rate.note_start(now)
--- a/packages/core/marjoramledge_core/_placing.py
+++ b/packages/core/marjoramledge_core/_placing.py
@@ -100,6 +100,7 @@
                 service=call.service,
                 kind=call.kind,
                 deadline_at=call.deadline_at,
+                target_at=call.target_at,
                 is_hedge=is_hedge,
                 is_patient=is_patient,
             )
--- a/packages/core/marjoramledge_core/_queue.py
+++ b/packages/core/marjoramledge_core/_queue.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import math
 import typing
 
 from marjoramledge_core import _ids
@@ -20,7 +21,8 @@
 class Work:
     """A call at a gate, from its offer to its end.
 
-    ``call`` is set when the call entered at this same node.  ``is_patient``
+    ``call`` is set when the call entered at this same node.  ``target_at`` is
+    when its answer must be there to be worth its full value.  ``is_patient``
     tells that the call has nowhere else to go and rather waits than comes
     back.
     """
@@ -32,6 +34,7 @@
     fingerprint: _ids.Fingerprint
     deadline_at: float
     offered_at: float
+    target_at: float = math.inf
     started_at: float = 0.0
     is_suspect: bool = False
 
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -109,6 +109,7 @@
     kind: _settings.RequestKind
     service: _ids.ServiceName
     deadline_at: float
+    target_at: float
     is_body_held: bool
     is_body_gone: bool = False
     phase: CallPhase = CallPhase.ACCEPTED
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -62,6 +62,7 @@
             fingerprint=call.fingerprint,
             deadline_at=call.deadline_at,
             offered_at=step.now,
+            target_at=call.target_at,
         ),
     )
 
@@ -86,6 +87,7 @@
         fingerprint=event.fingerprint,
         deadline_at=step.now + event.deadline_s,
         offered_at=step.now,
+        target_at=step.now + event.target_s,
     )
     if _offer(step, work) is _gate.Admission.REFUSED:
         _refuse(step, event.attempt, _outcomes.Reason.OVERLOADED)
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -10,6 +10,7 @@
 import functools
 import hashlib
 import itertools
+import math
 
 from aiohttp import web
 from marjoramledge_core import ids
@@ -260,6 +261,10 @@
                 _headers.AUTH: self._keys.sign_header(signed),
             }
         )
+        if command.target_at < math.inf:
+            outgoing.headers[_headers.TARGET] = _headers.format_target(
+                command.target_at - self._engine.now()
+            )
         if command.is_patient:
             outgoing.headers[_headers.PATIENT] = "1"
         outcome = await _cancellation.run_cancellable(
--- a/packages/node/marjoramledge_node/_headers.py
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import math
 import typing
 
 from marjoramledge_core import configuration
@@ -28,6 +29,7 @@
 LOAD: typing.Final = "Marjoramledge-Load"
 PATIENT: typing.Final = "Marjoramledge-Patient"
 KIND: typing.Final = "Marjoramledge-Kind"
+TARGET: typing.Final = "Marjoramledge-Target-Ms"
 
 _SYSTEM_PREFIX: typing.Final = "marjoramledge-"
 # RFC 9110, section 7.6.1: these concern one connection only.
@@ -97,6 +99,19 @@
         return None
 
 
+def format_target(seconds: float) -> str:
+    """Render the time in which an answer is worth its full value."""
+    return str(round(seconds * 1000))
+
+
+def parse_target(text: str | None) -> float:
+    """Read that time in seconds; infinite when there is none."""
+    try:
+        return math.inf if text is None else int(text) / 1000
+    except ValueError:
+        return math.inf
+
+
 def format_load(report: node.LoadReport) -> str:
     """Render a load report as the value of a header."""
     return f"{report.in_flight};{report.limit};{round(report.service_s * 1e6)}"
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -162,6 +162,9 @@
                     ),
                     service=ids.NO_SERVICE if kind is None else kind.service,
                     kind=kind,
+                    target_s=_headers.parse_target(
+                        request.headers.get(_headers.TARGET)
+                    ),
                 )
             )
             command = await mailbox.get()
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -32,6 +32,8 @@
 # Young objects of a call die with it; collecting them often only costs tail
 # latency.
 GC_THRESHOLDS: typing.Final = (50_000, 20, 100)
+# What is left for handlers that are cut at the end of a stop.
+SHUTDOWN_S: typing.Final = 0.1
 LISTEN_BACKLOG: typing.Final = 1024
 
 
@@ -224,13 +226,10 @@
         self._engine.stop()
         self._gossip.close()
         await self._fleet.close()
-        for server in (
-            self._callers,
-            self._peers,
-            self._local,
-            self._ready,
-        ):
-            await server.shutdown(timeout=0.5)
+        servers = (self._callers, self._peers, self._local, self._ready)
+        await asyncio.gather(
+            *(server.shutdown(timeout=SHUTDOWN_S) for server in servers)
+        )
         await self._upstream.close()
         if self._store is not None:
             await self._store.close()
