--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,14 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := core store node cli standins
-EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
-SOURCES := packages tests tools
+EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
+SOURCES := packages platform tests tools
 
 .PHONY: demo test measure plots check format clean
 
 $(VENV)/.ready: constraints.txt requirements-dev.txt \
-		$(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml)
+		$(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml) \
+		platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet -c constraints.txt setuptools
 	$(BIN)/pip install --quiet -c constraints.txt -r requirements-dev.txt
@@ -26,8 +27,11 @@
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/flake8 $(SOURCES)
-	$(BIN)/mypy packages/*/marjoramledge_* tests tools
+	$(BIN)/mypy packages/*/marjoramledge_* platform/marjoramledge_platform \
+		tests tools
 	$(BIN)/python tools/check_imports.py packages
+	$(BIN)/python tools/check_imports.py platform
+	$(BIN)/python tools/check_platform_names.py
 
 test: check
 	$(BIN)/pytest
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -139,6 +139,7 @@
         """Run until stopped; return the number of calls cut."""
         loop = asyncio.get_running_loop()
         options = self._options
+        self._handle_signals(loop)
         await self._listen(self._local, options.local_address)
         await self._listen(self._peers, options.peer_address)
         if options.ready_address is not None:
@@ -147,11 +148,6 @@
             lambda: self._gossip,
             local_addr=(options.peer_address.host, options.peer_address.port),
         )
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(
-                number, self._engine.submit, node.StopRequested()
-            )
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         metrics = self._start_metrics()
         reload = self._start_reload()
         self._engine.start()
@@ -171,6 +167,13 @@
                     task.cancel()
             await self._close()
 
+    def _handle_signals(self, loop: asyncio.AbstractEventLoop) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(
+                number, self._engine.submit, node.StopRequested()
+            )
+        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+
     async def _listen(self, server: web.Server, address: node.Address) -> None:
         loop = asyncio.get_running_loop()
         self._listeners.append(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -134,3 +134,30 @@
     network.kill(5)
     network.run(700.0)
     assert "n5" not in network.view(0)
+
+
+def test_a_few_nodes_of_each_zone_follow_the_store() -> None:
+    network = virtual_network.Network(count=16, seed=1)
+    _run_until_agreed(network, 15.0)
+    zones: dict[str, int] = {}
+    for number in range(16):
+        state = network.nodes[network.address(number)]
+        membership = state.membership
+        if membership.is_follower(network.now):
+            zones[state.zone] = zones.get(state.zone, 0) + 1
+    assert zones
+    assert set(zones.values()) == {2}
+
+
+def test_a_node_that_hears_nobody_follows_the_store() -> None:
+    network = virtual_network.Network(count=16, seed=1)
+    _run_until_agreed(network, 15.0)
+    lone = next(
+        number
+        for number in range(16)
+        if not network.nodes[network.address(number)].membership.is_follower(
+            network.now
+        )
+    )
+    membership = network.nodes[network.address(lone)].membership
+    assert membership.is_follower(network.now + 2.0)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,5 +1,6 @@
 """The binaries as processes: settings, log lines and metrics."""
 
+import http.client
 import json
 import os
 import pathlib
@@ -7,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import time
 import tomllib
 import typing
 
@@ -98,3 +100,55 @@
     assert events[-1] == "stop-finished"
     assert {record["node"] for record in records} == {"n0"}
     assert {record["zone"] for record in records} == {"north"}
+
+
+def test_a_hangup_signal_ends_nothing() -> None:
+    host = "127.0.0.1"
+    ports = [deployment.find_free_port(host) for _ in range(4)]
+    flags = ("--listen", "--peer-listen", "--local-listen", "--ready-listen")
+    process = subprocess.Popen(
+        [
+            str(BIN / "marjoramledge-node"),
+            *(
+                part
+                for flag, port in zip(flags, ports, strict=True)
+                for part in (flag, f"{host}:{port}")
+            ),
+        ],
+        env={
+            **_environment(),
+            "MARJORAMLEDGE_NODE_ID": "n0",
+            "MARJORAMLEDGE_ZONE": "north",
+            "MARJORAMLEDGE_KEYS": deployment.KEYS,
+            "MARJORAMLEDGE_LOG_FORMAT": "json",
+        },
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        _wait_until_open(host, ports[3])
+        process.send_signal(signal.SIGHUP)
+        status = _ask_readiness(host, ports[3])
+        process.send_signal(signal.SIGTERM)
+        output, _ = process.communicate(timeout=20)
+    finally:
+        process.kill()
+    assert status == 503
+    assert process.returncode == 0
+    events = [json.loads(line)["event"] for line in output.splitlines()]
+    assert "reload-requested" in events
+
+
+def _wait_until_open(host: str, port: int) -> None:
+    for _ in range(400):
+        with socket.socket() as probe:
+            if probe.connect_ex((host, port)) == 0:
+                return
+        time.sleep(0.05)
+    raise AssertionError(f"nothing listens on port {port}")
+
+
+def _ask_readiness(host: str, port: int) -> int:
+    connection = http.client.HTTPConnection(host, port, timeout=5.0)
+    connection.request("GET", "/ready")
+    return connection.getresponse().status
--- /dev/null
+++ b/tests/test_server_starts.py
@@ -0,0 +1,165 @@
+"""Starts of backend servers: stale announcements, departures, cold rates."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+from marjoramledge_core import _cold
+from marjoramledge_core import configuration
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from marjoramledge_standins import builders
+
+
+def _announce(
+    driver: builders.CoreDriver,
+    name: str,
+    *,
+    born: int,
+    sequence: int = 1,
+    cold_left_s: float = 0.0,
+) -> None:
+    server = dataclasses.replace(
+        builders.build_server(),
+        start=node.ServerStart(server=ids.ServerId(name), born=born),
+        sequence=sequence,
+        cold_left_s=cold_left_s,
+        cold_concurrency=4,
+    )
+    driver.submit(node.ServerAnnounced(server=server))
+
+
+def _leave(driver: builders.CoreDriver, name: str, born: int = 0) -> None:
+    start = node.ServerStart(server=ids.ServerId(name), born=born)
+    driver.submit(node.ServerDraining(server=start))
+
+
+def _known(driver: builders.CoreDriver) -> node.ServerStart:
+    server = driver.state.gate.server
+    assert server is not None
+    return server.start
+
+
+def _start() -> builders.CoreDriver:
+    driver = builders.CoreDriver()
+    driver.configure()
+    return driver
+
+
+def test_a_late_announcement_of_an_earlier_start_changes_nothing() -> None:
+    driver = _start()
+    _announce(driver, "new", born=20)
+    _announce(driver, "old", born=10, sequence=99)
+    assert _known(driver).server == "new"
+
+
+def test_the_same_name_may_start_again() -> None:
+    driver = _start()
+    _announce(driver, "s", born=10, sequence=50)
+    _announce(driver, "s", born=20, sequence=1)
+    assert _known(driver).born == 20
+
+
+def test_a_departure_holds_against_late_announcements() -> None:
+    driver = _start()
+    _announce(driver, "s", born=10, sequence=1)
+    _leave(driver, "s")
+    _announce(driver, "s", born=10, sequence=2)
+    assert not driver.state.gate.accepts_work
+    _announce(driver, "s", born=30, sequence=1)
+    assert driver.state.gate.state is node.ServerState.WARM
+
+
+def test_a_departure_of_another_server_drains_nothing() -> None:
+    driver = _start()
+    _announce(driver, "s", born=10)
+    _leave(driver, "t", born=11)
+    assert driver.state.gate.state is node.ServerState.WARM
+
+
+def test_a_node_that_starts_again_keeps_what_was_acknowledged() -> None:
+    driver = _start()
+    start = node.ServerStart(server=ids.ServerId("s"), born=10)
+    driver.submit(node.DeparturesRead(servers=(start,)))
+    _announce(driver, "s", born=10)
+    assert not driver.state.gate.accepts_work
+
+
+def test_departures_that_are_read_late_still_bind() -> None:
+    driver = _start()
+    _announce(driver, "s", born=0)
+    start = node.ServerStart(server=ids.ServerId("s"), born=10)
+    driver.submit(node.DeparturesRead(servers=(start,)))
+    assert driver.state.gate.state is node.ServerState.DRAINING
+
+
+@hypothesis.given(
+    gaps=strategies.lists(
+        strategies.floats(min_value=0.0, max_value=0.2), max_size=200
+    )
+)
+def test_no_second_sees_more_starts_than_the_cold_rate_allows(
+    gaps: list[float],
+) -> None:
+    rate = _cold.ColdRate()
+    now = 0.0
+    started: list[float] = []
+    for gap in gaps:
+        now += gap
+        if rate.wait_s(20.0, now) <= 0.0:
+            rate.note_start(now)
+            started.append(now)
+        recent = [at for at in started if at > now - 1.0]
+        assert len(recent) <= _cold.RATE_PART * 20.0
+
+
+def test_calls_for_a_cold_server_start_as_its_rate_allows() -> None:
+    driver = _start()
+    _announce(driver, "s", born=10, cold_left_s=30.0)
+    gate = driver.state.gate
+    gate.set_service(
+        dataclasses.replace(
+            next(iter(builders.build_configuration().services.values())),
+            cold_rate_per_s=2.0,
+            cold_s=30.0,
+        )
+    )
+    started = 0
+    for second in range(5):
+        for number in range(20):
+            commands = driver.arrive(f"c{second}.{number}")
+            commands += driver.pass_time(0.05)
+            for command in commands:
+                if isinstance(command, node.RunOnServer):
+                    started += 1
+                    driver.submit(
+                        node.WorkEnded(
+                            attempt=command.attempt,
+                            outcome=node.ServerOutcome.ANSWERED,
+                            head_s=0.01,
+                        )
+                    )
+                    driver.submit(node.CallEnded(call=command.call))
+    assert 5 <= started <= 2 * 6
+
+
+def test_kinds_of_no_service_here_are_refused_as_not_run() -> None:
+    driver = _start()
+    _announce(driver, "s", born=10)
+    kind = next(iter(builders.build_configuration().kinds))
+    (refusal,) = driver.submit(
+        node.WorkOffered(
+            attempt=ids.AttemptId("a.0"),
+            host="other.example",
+            method="GET",
+            path="/",
+            deadline_s=1.0,
+            is_patient=False,
+            fingerprint=ids.Fingerprint("f"),
+            service=ids.ServiceName("other"),
+            kind=kind,
+        )
+    )
+    assert isinstance(refusal, node.RefuseWork)
+    assert refusal.reason is node.Reason.OTHER_SERVICE
+    assert isinstance(kind, configuration.RequestKind)
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -76,8 +76,7 @@
             LIMIT_S,
         )
     )
-    while not server.asked.is_set():
-        await asyncio.sleep(0.0)
+    await asyncio.to_thread(server.asked.wait, LIMIT_S)
     server.told.set()
     if is_late:
         server.ended.wait(LIMIT_S)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -5,8 +5,8 @@
 from aiohttp import web
 from marjoramledge_core import node
 from marjoramledge_node import _bodies
-from marjoramledge_node import _headers
 from marjoramledge_node import _dialect
+from marjoramledge_node import _headers
 from marjoramledge_node import _upstream
 from marjoramledge_standins import deployment
 import multidict
