--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -28,11 +28,14 @@
 MIN_WAIT_S: typing.Final = 4.0
 MAX_WAIT_S: typing.Final = 20.0
 WAIT_PER_MEMBER_S: typing.Final = 0.4
-# Pause after a read that failed.
+# How often a node looks whether it is to follow the store.
 FOLLOWER_CHECK_S: typing.Final = 0.5
 # How often a node that leaves the following to others reads all the same.
 IDLE_READ_PERIOD_S: typing.Final = 30.0
+# Pauses after reads that fail; a change that follows an outage must be read
+# within seconds.
 READ_RETRY_S: typing.Final = 0.5
+MAX_READ_RETRY_S: typing.Final = 2.0
 
 
 class Versions:
@@ -49,6 +52,7 @@
         self._source: _members.Address | None = None
         self._retry_s = FIRST_FETCH_RETRY_S
         self._read_at = 0.0
+        self._read_retry_s = READ_RETRY_S
 
     @property
     def configuration(self) -> _settings.Configuration | None:
@@ -103,7 +107,12 @@
         """Plan the next read of a store that waits for a change."""
         if not self._waits_for_change:
             return
-        pause_s = 0.0 if is_success else READ_RETRY_S * rng.uniform(0.5, 1.5)
+        pause_s = 0.0
+        if is_success:
+            self._read_retry_s = READ_RETRY_S
+        else:
+            pause_s = self._read_retry_s * rng.uniform(0.5, 1.0)
+            self._read_retry_s = min(MAX_READ_RETRY_S, 2 * self._read_retry_s)
         self._timers.set(now + pause_s, _timers.TimerKind.CONFIG_READ)
 
     def note_version(
