--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -40,7 +40,7 @@
 SUSPICION_FANOUT: typing.Final = 8
 # Keeps a datagram below the usual path MTU at about 70 bytes a member.
 NEWS_PER_MESSAGE: typing.Final = 14
-TRANSMISSIONS_PER_LOG: typing.Final = 3
+TRANSMISSIONS_PER_LOG: typing.Final = 2
 MIN_SYNC_PERIOD_S: typing.Final = 30.0
 SYNC_PERIOD_PER_MEMBER_S: typing.Final = 0.2
 # A node that starts exchanges views often, then ever less often, so that
@@ -188,8 +188,16 @@
     def tell_now(
         self, rng: random.Random, out: list[_commands.Command]
     ) -> None:
-        """Push the configuration version and fresh news to a few members."""
+        """Push the configuration version and fresh news to a few members.
+
+        Most are of the own zone, where bytes cost nothing; one or more of
+        any zone carry the news on.
+        """
+        told = self._pick_present(NEWS_FANOUT - 1, rng, zone=self._myself.zone)
         for member in self._pick_present(NEWS_FANOUT, rng):
+            if len(told) < NEWS_FANOUT and member not in told:
+                told.append(member)
+        for member in told:
             self._send(_members.MessageKind.NEWS, member.address, out)
 
     def tell_load(
@@ -589,8 +597,13 @@
         count: int,
         rng: random.Random,
         without: _ids.NodeId | None = None,
+        zone: _ids.ZoneName | None = None,
     ) -> list[_members.Member]:
-        nodes = list(self._members)
+        nodes = [
+            node
+            for node, member in self._members.items()
+            if zone is None or member.zone == zone
+        ]
         picked: list[_members.Member] = []
         # A few draws find enough of them unless most have departed.
         for _ in range(4 * count):
