--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -13,6 +13,7 @@
 import typing
 
 from marjoramledge_core import _cold
+from marjoramledge_core import _faults
 from marjoramledge_core import _ids
 from marjoramledge_core import _limit
 from marjoramledge_core import _load
@@ -38,6 +39,8 @@
 # Departed starts that are remembered; late announcements of them are few.
 # A change of speed by this factor is told to the other nodes at once.
 NEWS_RATIO: typing.Final = 1.6
+# A cancelled call that had run for this many times the usual was hanging.
+HANG_RATIO: typing.Final = 8.0
 # Weight of the latest call in the mean time of its kind, and the kinds kept.
 KIND_WEIGHT: typing.Final = 0.1
 MAX_KINDS: typing.Final = 512
@@ -52,6 +55,14 @@
     {_outcomes.ServerOutcome.SHED, _outcomes.ServerOutcome.BROKE_OFF}
 )
 
+_FAULTS: typing.Final = frozenset(
+    {
+        _outcomes.ServerOutcome.ERRORED,
+        _outcomes.ServerOutcome.SHED,
+        _outcomes.ServerOutcome.BROKE_OFF,
+    }
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServerStart:
@@ -133,6 +144,7 @@
         self._speed = _speed.SpeedEstimate()
         self._probe_s = 0.0
         self._told_service_s = 0.0
+        self._faults = _faults.FaultShare()
         self._kind_s: dict[_ids.KindName, float] = {}
         self._cold_rate = _cold.ColdRate()
         self._cold_until = 0.0
@@ -195,11 +207,10 @@
     def report(self, now: float) -> _reports.LoadReport:
         """Describe the load at this moment."""
         self._now = now
-        service_s = self._speed.service_s(len(self._running), now)
         return _reports.LoadReport(
             in_flight=len(self._running) + len(self._waiting),
             limit=self._limit.current,
-            service_s=service_s or _load.INITIAL_LATENCY_S,
+            service_s=self._effective_s(now) or _load.INITIAL_LATENCY_S,
         )
 
     def announce(self, server: Server, now: float) -> None:
@@ -342,6 +353,19 @@
         usual_s = min(MAX_QUEUE_WAIT_S, max(MIN_QUEUE_WAIT_S, usual_s))
         return min(usual_s, spare_s)
 
+    def _effective_s(self, now: float) -> float:
+        """Time of a call here, longer by the share of calls that fail."""
+        service_s = self._speed.service_s(len(self._running), now)
+        return service_s * self._faults.penalty(now)
+
+    def _is_fault(
+        self, work: _queue.Work, outcome: _outcomes.ServerOutcome, now: float
+    ) -> bool:
+        if outcome is _outcomes.ServerOutcome.CANCELLED:
+            usual_s = self._kind_s.get(work.kind.name, self._speed.mean_s)
+            return now - work.started_at > HANG_RATIO * usual_s > 0.0
+        return outcome in _FAULTS
+
     def _expected_s(self, work: _queue.Work) -> float:
         """Estimate how long a call of a kind takes here at present."""
         usual_s = self._kind_s.get(work.kind.name, self._speed.mean_s)
@@ -376,6 +400,8 @@
         if work is None:
             raise AssertionError(f"attempt {attempt} is not running")
         self._running_by_kind[work.kind.name] -= 1
+        if outcome is not _outcomes.ServerOutcome.UNREACHABLE:
+            self._faults.note(self._is_fault(work, outcome, now), now)
         ending = Ending(started=[], refused=[])
         if outcome is _outcomes.ServerOutcome.BROKE_OFF:
             self._broken.append((now, work.fingerprint))
@@ -411,7 +437,7 @@
     def note_slowdown(self, slowdown: float, now: float) -> bool:
         """Take in how slow the VM is; tell whether that is news to others."""
         self._speed.note_slowdown(slowdown, now)
-        service_s = self._speed.service_s(len(self._running), now)
+        service_s = self._effective_s(now)
         told_s = self._told_service_s
         if told_s / NEWS_RATIO < service_s < told_s * NEWS_RATIO:
             return False
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -357,11 +357,12 @@
         answer = exchange.answers.pop(attempt, None)
         if answer is not None:
             answer.response.close()
+            outcome = node.ServerOutcome.CANCELLED
+            if answer.outcome is node.ServerOutcome.ERRORED:
+                # Given up for another answer; it tells of the server still.
+                outcome = answer.outcome
             asyncio.get_running_loop().call_soon(
-                self._end_work,
-                exchange,
-                attempt,
-                node.ServerOutcome.CANCELLED,
+                self._end_work, exchange, attempt, outcome, answer
             )
 
     def _end_work(
--- /dev/null
+++ b/tests/test_grey_servers.py
@@ -0,0 +1,85 @@
+"""The load of a grey server: well by its own word, failing many calls.
+
+It fails them quickly, so that by latency alone it looks the fastest of all.
+"""
+
+import random
+
+from marjoramledge_core import _faults
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from marjoramledge_standins import builders
+
+
+def _end_calls(
+    driver: builders.CoreDriver, outcomes: list[node.ServerOutcome]
+) -> None:
+    for number, outcome in enumerate(outcomes):
+        attempt = ids.AttemptId(f"{driver.now}.{number}")
+        kind = driver.state.versions.configuration
+        assert kind is not None
+        commands = driver.submit(
+            node.WorkOffered(
+                attempt=attempt,
+                host="shop.example",
+                method="GET",
+                path="/pages/1",
+                deadline_s=1.0,
+                is_patient=True,
+                fingerprint=ids.Fingerprint(f"f{number}"),
+            )
+        )
+        assert any(isinstance(c, node.StartWork) for c in commands)
+        driver.pass_time(0.05)
+        driver.submit(
+            node.WorkEnded(
+                attempt=attempt, outcome=outcome, head_s=0.05, slowdown=1.0
+            )
+        )
+
+
+def _start() -> builders.CoreDriver:
+    driver = builders.CoreDriver()
+    driver.configure()
+    driver.submit(node.ServerAnnounced(server=builders.build_server()))
+    for name in ("n1", "n2"):
+        driver.learn_peer(name, zone="north")
+    return driver
+
+
+def test_a_server_that_fails_many_calls_is_told_to_be_slower() -> None:
+    driver = _start()
+    _end_calls(driver, 20 * [node.ServerOutcome.ANSWERED])
+    sound_s = driver.state.gate.report(driver.now).service_s
+    _end_calls(
+        driver,
+        10 * [node.ServerOutcome.ERRORED, node.ServerOutcome.ANSWERED],
+    )
+    grey_s = driver.state.gate.report(driver.now).service_s
+    assert grey_s > 3.0 * sound_s
+    told = [
+        command.message.load
+        for command in driver.out
+        if isinstance(command, node.SendMessage)
+        and command.message.kind is node.MessageKind.LOAD
+    ]
+    assert told
+
+
+def test_calls_leave_a_grey_server_and_come_back() -> None:
+    driver = _start()
+    _end_calls(driver, 20 * [node.ServerOutcome.ANSWERED])
+    _end_calls(driver, 10 * [node.ServerOutcome.ERRORED])
+    placed = driver.arrive("moved")
+    assert not [c for c in placed if isinstance(c, node.RunOnServer)]
+    driver.pass_time(20.0)
+    placed = driver.arrive("back")
+    assert [c for c in placed if isinstance(c, node.RunOnServer)]
+
+
+def test_failures_that_are_ordinary_cost_nothing() -> None:
+    rng = random.Random(1)
+    share = _faults.FaultShare()
+    for number in range(2000):
+        share.note(rng.random() < 0.01, number * 0.03)
+        assert share.penalty(number * 0.03) < 2.0
