--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -185,15 +185,15 @@
 def announce_server(step: _state.Step, event: _events.ServerAnnounced) -> None:
     """Take in the announcement of the backend server on this VM."""
     gate = step.state.gate
-    before = (gate.server, gate.state)
     if not gate.is_news(event.server):
         return
+    before = _describe_server(gate)
     if event.server.is_cold and gate.state is _members.ServerState.WARM:
         # The process was replaced before its death was noticed.
         _deaths.confirm(step)
     gate.announce(event.server, step.now)
     apply_service(step)
-    if before == (gate.server, gate.state):
+    if before == _describe_server(gate):
         return
     step.record(
         _records.RecordKind.SERVER_ANNOUNCED,
@@ -203,6 +203,14 @@
     step.publish_server()
 
 
+def _describe_server(gate: _gate.Gate) -> tuple[object, ...]:
+    """Name what a change of is worth telling, unlike a mere heartbeat."""
+    server = gate.server
+    if server is None:
+        return (gate.state,)
+    return (gate.state, server.start, server.host, server.port, server.slots)
+
+
 def apply_service(step: _state.Step) -> None:
     """Give the gate what the configuration says of its service."""
     configuration = step.state.versions.configuration
