Log what decided a refused, repeated or late call

Each such line now tells the kind, the time since arrival, every attempt with the expected time and the age of that figure, the servers known, the repeats left and the configuration; ordinary answers are only counted.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -99,6 +99,7 @@
         call=event.call,
         kind=kind,
         service=kind.pick_service(step.rng.random()),
+        arrived_at=step.now,
         deadline_at=step.now + deadline_s,
         target_at=(
             math.inf
@@ -141,6 +142,16 @@
         return
     step.latency_of(call.kind).note(step.now - attempt.sent_at)
     call.advance(_state.CallPhase.ANSWERED)
+    if len(call.attempts) > 1 or step.now > call.target_at:
+        # Ordinary answers are only counted.
+        step.record(
+            _records.RecordKind.CALL_ANSWERED,
+            service=call.service,
+            call=call.call,
+            peer=attempt.server.node,
+            request=call.request,
+            detail=_tell_story(step, call),
+        )
     call.delivered = attempt
     for other in call.attempts.values():
         if other is not attempt:
@@ -457,11 +468,28 @@
         service=call.service,
         call=call.call,
         request=call.request,
-        detail=reason.value,
+        detail=f"{reason.value}; {_tell_story(step, call)}",
     )
     _answer(step, call.call, reason, run)
 
 
+def _tell_story(step: _state.Step, call: _state.Call) -> str:
+    """Tell what decided a call: its attempts, budget and configuration."""
+    tried = ", ".join(
+        f"{attempt.server.node} at {attempt.sent_at - call.arrived_at:.3f} s"
+        f" (expected {attempt.server.latency_s:.3f} s,"
+        f" told {step.now - attempt.server.reported_at:.3f} s ago)"
+        for attempt in call.attempts.values()
+    )
+    candidates = step.state.directory.candidates(call.service)
+    return (
+        f"kind {call.kind.name}, {step.now - call.arrived_at:.3f} s, "
+        f"attempts [{tried}], {len(candidates)} servers known, "
+        f"{step.budget_of(call.service).tokens:.1f} repeats left, "
+        f"configuration {step.state.versions.ref.version}"
+    )
+
+
 def _answer_unplaced(
     step: _state.Step,
     event: _events.CallArrived,
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -17,6 +17,7 @@
     CALL_RETRIED = "call-retried"
     CALL_HEDGED = "call-hedged"
     CALL_UNKNOWN = "call-unknown"
+    CALL_ANSWERED = "call-answered"
     SERVER_ANNOUNCED = "server-announced"
     SERVER_DRAINING = "server-draining"
     SERVER_WITHDRAWN = "server-withdrawn"
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -108,6 +108,7 @@
     call: _ids.CallId
     kind: _settings.RequestKind
     service: _ids.ServiceName
+    arrived_at: float
     deadline_at: float
     target_at: float
     is_body_held: bool
