Offer counts, latencies and gauges as text on a metrics address

Counts are kept cheaply; the exposition's library is loaded at the first scrape, so a node that nobody watches pays neither its memory nor its start.

--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -64,6 +64,11 @@
         """The version in force."""
         return self._ref
 
+    @property
+    def read_at(self) -> float:
+        """When this node last asked the table."""
+        return self._read_at
+
     def start(self, now: float) -> None:
         """Set the first timer of a node that starts."""
         self._timers.set(now, _timers.TimerKind.CONFIG_READ)
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -20,6 +20,7 @@
 from marjoramledge_node import _auth
 from marjoramledge_node import _bodies
 from marjoramledge_node import _cancellation
+from marjoramledge_node import _counts
 from marjoramledge_node import _dialect
 from marjoramledge_node import _engine
 from marjoramledge_node import _headers
@@ -78,6 +79,8 @@
         Names of the headers that callers and backend servers use.
     caller_service
         Service of this VM, on whose behalf its callers are served.
+    counts
+        Where answers are counted.
     """
 
     def __init__(
@@ -90,7 +93,9 @@
         call_prefix: str,
         dialect: _dialect.Dialect,
         caller_service: str,
+        counts: _counts.Counts,
     ) -> None:
+        self._counts = counts
         self._dialect = dialect
         self._caller_service = caller_service
         self._engine = engine
@@ -109,13 +114,32 @@
         """Serve one request."""
         connection = request.protocol
         self._busy[connection] += 1
+        began_at = self._engine.now()
         try:
-            return await self._serve(request)
+            response = await self._serve(request)
+            self._count(request, response, self._engine.now() - began_at)
+            return response
         finally:
             self._busy[connection] -= 1
             if not self._busy[connection]:
                 del self._busy[connection]
 
+    def _count(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+        elapsed_s: float,
+    ) -> None:
+        declared = self._engine.state.versions.configuration
+        kind = declared and declared.find_kind(
+            request.headers.get("Host", ""),
+            request.method,
+            request.raw_path.partition("?")[0],
+        )
+        self._counts.note_answer(
+            kind.name if kind else None, response.status, elapsed_s
+        )
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         head = _check_head(request, self._dialect.deadline)
         if isinstance(head, result.Failure):
--- /dev/null
+++ b/packages/node/marjoramledge_node/_counts.py
@@ -0,0 +1,69 @@
+"""Counts of what a node did, kept cheaply until somebody asks.
+
+The exposition's library is loaded at the first scrape only: a node that
+nobody watches pays neither its memory nor its start.
+"""
+
+import bisect
+import collections
+import typing
+
+from marjoramledge_core import ids
+from marjoramledge_core import node
+
+# Upper bounds of the latency histogram, in seconds.
+BUCKETS_S: typing.Final = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.8,
+    1.6,
+    3.2,
+)
+# Routes are named by operators; of more than these the rest is summed up.
+MAX_ROUTES: typing.Final = 256
+OTHER_ROUTES: typing.Final = "other"
+
+
+class Latencies:
+    """Histogram of one route's answers."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.sum_s = 0.0
+
+    def note(self, elapsed_s: float) -> None:
+        """Count one answer."""
+        self.counts[bisect.bisect_left(BUCKETS_S, elapsed_s)] += 1
+        self.sum_s += elapsed_s
+
+
+class Counts:
+    """Counters of outcomes by route, and of the time line by kind."""
+
+    def __init__(self) -> None:
+        self.answers: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        self.latencies: dict[str, Latencies] = {}
+        self.records: collections.Counter[node.RecordKind] = (
+            collections.Counter()
+        )
+
+    def note_answer(
+        self, route: ids.KindName | None, status: int, elapsed_s: float
+    ) -> None:
+        """Count one answer to a caller; None for one without a route."""
+        name = route or "none"
+        if name not in self.latencies and len(self.latencies) >= MAX_ROUTES:
+            name = OTHER_ROUTES
+        self.answers[name, status] += 1
+        self.latencies.setdefault(name, Latencies()).note(elapsed_s)
+
+    def note_record(self, record: node.Record) -> None:
+        """Count one event of the time line."""
+        self.records[record.kind] += 1
--- a/packages/node/marjoramledge_node/_main.py
+++ b/packages/node/marjoramledge_node/_main.py
@@ -153,6 +153,14 @@
             "sent here; empty for none.",
         ),
     ] = "",
+    metrics_listen: typing.Annotated[
+        str,
+        typer.Option(
+            "--metrics-listen",
+            envvar="MARJORAMLEDGE_METRICS_LISTEN",
+            help="IP:PORT where metrics are read as text; empty for none.",
+        ),
+    ] = "",
     statsd: typing.Annotated[
         str,
         typer.Option(
@@ -197,6 +205,11 @@
             if ready_listen
             else None
         ),
+        metrics_address=(
+            _parse_with(address, metrics_listen, "--metrics-listen")
+            if metrics_listen
+            else None
+        ),
     )
     surroundings = _surroundings.Surroundings()
     if store_url:
--- /dev/null
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -0,0 +1,143 @@
+"""The port where counts and gauges are read, as text for a collector."""
+
+import collections.abc
+import typing
+
+from aiohttp import web
+from marjoramledge_core import node
+
+from marjoramledge_node import _counts
+from marjoramledge_node import _engine
+
+if typing.TYPE_CHECKING:
+    from prometheus_client import core
+
+
+class MetricsPort:
+    """Handler of scrapes.
+
+    Parameters
+    ----------
+    engine
+        The node's engine, for its gauges.
+    counts
+        What the node has counted.
+    lines_left_out
+        Tells how many log lines were left out.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: _engine.Engine,
+        counts: _counts.Counts,
+        lines_left_out: collections.abc.Callable[[], int],
+    ) -> None:
+        self._engine = engine
+        self._counts = counts
+        self._lines_left_out = lines_left_out
+
+    async def serve(self, _request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one scrape, whatever its path."""
+        from prometheus_client import exposition
+
+        return web.Response(
+            body=exposition.generate_latest(self),
+            headers={"Content-Type": "text/plain; version=0.0.4"},
+        )
+
+    def collect(self) -> collections.abc.Iterator["core.Metric"]:
+        """Yield all metrics, for the library that writes them."""
+        from prometheus_client import core
+
+        answers = core.CounterMetricFamily(
+            "marjoramledge_answers",
+            "Answers to callers.",
+            labels=("route", "status"),
+        )
+        for (route, status), count in self._counts.answers.items():
+            answers.add_metric((route, str(status)), count)
+        yield answers
+        latencies = core.HistogramMetricFamily(
+            "marjoramledge_answer_seconds",
+            "Time from a request to its answer.",
+            labels=("route",),
+        )
+        for route, histogram in self._counts.latencies.items():
+            latencies.add_metric(
+                (route,), _cumulate(histogram), histogram.sum_s
+            )
+        yield latencies
+        records = core.CounterMetricFamily(
+            "marjoramledge_events",
+            "Events of the time line.",
+            labels=("event",),
+        )
+        for kind, count in self._counts.records.items():
+            records.add_metric((kind.value,), count)
+        yield records
+        for name, help_text, value in self._gauges():
+            yield core.GaugeMetricFamily(
+                f"marjoramledge_{name}", help_text, value
+            )
+
+    def _gauges(self) -> collections.abc.Iterator[tuple[str, str, float]]:
+        state, now = self._engine.state, self._engine.now()
+        report = state.gate.report(now)
+        yield "gate_running", "Calls that run here.", state.gate.running
+        yield "gate_queued", "Calls that wait here.", state.gate.queued
+        yield "gate_limit", "Calls that may run here.", state.gate.limit
+        yield "gate_call_seconds", "Expected time here.", report.service_s
+        yield "calls", "Calls that entered here.", len(state.calls)
+        yield (
+            "configuration_version",
+            "Version of the configuration in force.",
+            state.versions.ref.version,
+        )
+        yield (
+            "configuration_read_age_seconds",
+            "Time since this node last asked the store.",
+            now - state.versions.read_at,
+        )
+        present = state.membership.present_count
+        yield "members_present", "Members not departed.", present
+        yield (
+            "gate_accepting",
+            "Whether the backend server here takes work.",
+            float(state.gate.accepts_work),
+        )
+        yield (
+            "stopping",
+            "Whether a planned stop is under way.",
+            float(state.stop_phase is not node.StopPhase.RUNNING),
+        )
+        yield (
+            "log_lines_left_out",
+            "Log lines left out to bound the volume.",
+            self._lines_left_out(),
+        )
+        for service, budget in state.budgets.items():
+            yield (
+                f"repeats_left_{_name_metric(service)}",
+                "Calls that may be repeated now.",
+                budget.tokens,
+            )
+
+
+def _cumulate(histogram: _counts.Latencies) -> list[tuple[str, float]]:
+    bounds = [f"{bound:g}" for bound in _counts.BUCKETS_S]
+    total = 0
+    buckets: list[tuple[str, float]] = []
+    for bound, count in zip([*bounds, "+Inf"], histogram.counts, strict=True):
+        total += count
+        buckets.append((bound, total))
+    return buckets
+
+
+def _name_metric(name: str) -> str:
+    return "".join(c if c.isalnum() else "_" for c in name)
+
+
+def make_server(port: MetricsPort) -> web.Server:
+    """Make the HTTP server of the metrics port."""
+    return web.Server(port.serve, access_log=None)
--- a/packages/node/marjoramledge_node/_options.py
+++ b/packages/node/marjoramledge_node/_options.py
@@ -66,6 +66,7 @@
     statsd_address: node.Address | None
     statsd_prefix: str
     ready_address: node.Address | None = None
+    metrics_address: node.Address | None = None
     server_hint: ServerHint | None = None
     caller_service: str = ""
     idle_connection_s: float = DEFAULT_IDLE_CONNECTION_S
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -15,12 +15,14 @@
 
 from marjoramledge_node import _auth
 from marjoramledge_node import _caller_port
+from marjoramledge_node import _counts
 from marjoramledge_node import _engine
 from marjoramledge_node import _fleet
 from marjoramledge_node import _gossip_port
 from marjoramledge_node import _local_port
 from marjoramledge_node import _logs
 from marjoramledge_node import _metrics
+from marjoramledge_node import _metrics_port
 from marjoramledge_node import _options
 from marjoramledge_node import _peer_port
 from marjoramledge_node import _ready_port
@@ -49,7 +51,12 @@
         loop = asyncio.get_running_loop()
         self._options = options
         self._timeline = _timeline.Timeline()
-        self._timeline.stream.subscribe(_timeline.make_log_writer(loop.time))
+        self._log_writer = _timeline.LogWriter(clock=loop.time)
+        self._timeline.stream.subscribe(self._log_writer.write)
+        self._counts = _counts.Counts()
+        self._timeline.stream.subscribe(
+            lambda stamped: self._counts.note_record(stamped.record)
+        )
         self._rng = random.Random()
         self._engine = _engine.Engine(
             state=node.create_state(
@@ -99,6 +106,7 @@
             call_prefix=run,
             dialect=surroundings.dialect,
             caller_service=options.caller_service,
+            counts=self._counts,
         )
         self._callers = _caller_port.make_server(self._caller_port)
         self._peers = _peer_port.make_server(
@@ -123,6 +131,13 @@
                 engine=self._engine, target=surroundings.dialect.ready_target
             )
         )
+        self._metrics = _metrics_port.make_server(
+            _metrics_port.MetricsPort(
+                engine=self._engine,
+                counts=self._counts,
+                lines_left_out=lambda: self._log_writer.left_out,
+            )
+        )
         self._reload: _reload.Reload | None = None
         if surroundings.read_options is not None:
             self._reload = _reload.Reload(
@@ -144,6 +159,8 @@
         await self._listen(self._peers, options.peer_address)
         if options.ready_address is not None:
             await self._listen(self._ready, options.ready_address)
+        if options.metrics_address is not None:
+            await self._listen(self._metrics, options.metrics_address)
         await loop.create_datagram_endpoint(
             lambda: self._gossip,
             local_addr=(options.peer_address.host, options.peer_address.port),
@@ -229,7 +246,13 @@
         self._engine.stop()
         self._gossip.close()
         await self._fleet.close()
-        servers = (self._callers, self._peers, self._local, self._ready)
+        servers = (
+            self._callers,
+            self._peers,
+            self._local,
+            self._ready,
+            self._metrics,
+        )
         await asyncio.gather(
             *(server.shutdown(timeout=SHUTDOWN_S) for server in servers)
         )
--- a/packages/node/marjoramledge_node/_timeline.py
+++ b/packages/node/marjoramledge_node/_timeline.py
@@ -78,34 +78,48 @@
         self._kept.append(stamped)
 
 
-def make_log_writer(
-    clock: collections.abc.Callable[[], float],
-) -> collections.abc.Callable[[StampedRecord], None]:
-    """Make a subscriber that writes records to the log, within bounds."""
-    window_at = 0.0
-    written: collections.Counter[node.RecordKind] = collections.Counter()
-
-    def write(stamped: StampedRecord) -> None:
-        nonlocal window_at
-        record = stamped.record
-        if clock() - window_at >= 1.0:
-            _log_left_out(written)
-            written.clear()
-            window_at = clock()
-        written[record.kind] += 1
-        if written[record.kind] <= MAX_LINES_PER_KIND_PER_S:
-            _log_record(record)
+class LogWriter:
+    """Writes records to the log, so many of a kind each second.
+
+    Parameters
+    ----------
+    clock
+        Monotonic time in seconds.
+    """
 
-    return write
+    def __init__(self, *, clock: collections.abc.Callable[[], float]) -> None:
+        self._clock = clock
+        self._window_at = 0.0
+        self._written: collections.Counter[node.RecordKind] = (
+            collections.Counter()
+        )
+        self._left_out = 0
 
+    @property
+    def left_out(self) -> int:
+        """Lines that were left out so far."""
+        return self._left_out
 
-def _log_left_out(written: collections.Counter[node.RecordKind]) -> None:
-    for kind, count in written.items():
-        left_out = count - MAX_LINES_PER_KIND_PER_S
-        if left_out > 0:
-            loguru.logger.bind(event="log-limited").warning(
-                "left out {} lines of {}", left_out, kind.value
-            )
+    def write(self, stamped: StampedRecord) -> None:
+        """Write one record, unless there are too many of its kind."""
+        record = stamped.record
+        if self._clock() - self._window_at >= 1.0:
+            self._tell_left_out()
+            self._written.clear()
+            self._window_at = self._clock()
+        self._written[record.kind] += 1
+        if self._written[record.kind] <= MAX_LINES_PER_KIND_PER_S:
+            _log_record(record)
+        else:
+            self._left_out += 1
+
+    def _tell_left_out(self) -> None:
+        for kind, count in self._written.items():
+            left_out = count - MAX_LINES_PER_KIND_PER_S
+            if left_out > 0:
+                loguru.logger.bind(event="log-limited").warning(
+                    "left out {} lines of {}", left_out, kind.value
+                )
 
 
 def _log_record(record: node.Record) -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,5 +1,6 @@
 """The binaries as processes: settings, log lines and metrics."""
 
+import asyncio
 import http.client
 import json
 import os
@@ -12,6 +13,13 @@
 import tomllib
 import typing
 
+from aiohttp import test_utils
+from aiohttp import web
+from marjoramledge_core import ids
+from marjoramledge_node import _counts
+from marjoramledge_node import _engine
+from marjoramledge_node import _metrics_port
+from marjoramledge_standins import builders
 from marjoramledge_standins import deployment
 import pytest
 
@@ -152,3 +160,32 @@
     connection = http.client.HTTPConnection(host, port, timeout=5.0)
     connection.request("GET", "/ready")
     return connection.getresponse().status
+
+
+def test_metrics_are_read_as_text() -> None:
+    counts = _counts.Counts()
+    counts.note_answer(ids.KindName("page"), 200, 0.03)
+    counts.note_answer(ids.KindName("page"), 503, 0.001)
+    counts.note_answer(None, 404, 0.001)
+    driver = builders.CoreDriver()
+    driver.configure()
+
+    async def scrape() -> str:
+        port = _metrics_port.MetricsPort(
+            engine=_engine.Engine(
+                state=driver.state, rng=driver.rng, clock=lambda: driver.now
+            ),
+            counts=counts,
+            lines_left_out=lambda: 3,
+        )
+        request = test_utils.make_mocked_request("GET", "/metrics")
+        response = await port.serve(request)
+        assert isinstance(response, web.Response)
+        assert isinstance(response.body, bytes)
+        return response.body.decode()
+
+    text = asyncio.run(scrape())
+    assert 'marjoramledge_answers_total{route="page",status="503"} 1.0' in text
+    assert 'answer_seconds_bucket{le="0.05",route="page"} 2.0' in text
+    assert "marjoramledge_log_lines_left_out 3.0" in text
+    assert "marjoramledge_configuration_version 1.0" in text
