--- a/packages/node/marjoramledge_node/_logs.py
+++ b/packages/node/marjoramledge_node/_logs.py
@@ -6,6 +6,7 @@
 
 import loguru
 
+from marjoramledge_node import _log_sink
 from marjoramledge_node import _options
 
 _TEXT_FORMAT: typing.Final = (
@@ -28,7 +29,7 @@
     )
     is_json = options.log_format is _options.LogFormat.JSON
     loguru.logger.add(
-        sys.stdout,
+        _log_sink.LogSink(descriptor=sys.stdout.fileno()).write,
         level=options.log_level.value.upper(),
         format=_format_json if is_json else _format_text,
         colorize=False,
