--- a/packages/cli/marjoramledge_cli/_main.py
+++ b/packages/cli/marjoramledge_cli/_main.py
@@ -17,6 +17,7 @@
 
 from marjoramledge_cli import _apply
 from marjoramledge_cli import _documents
+from marjoramledge_cli import _explain
 from marjoramledge_cli import _fleet_client
 from marjoramledge_cli import _reports
 
@@ -98,6 +99,40 @@
     )
 
 
+@app.command()
+def explain(
+    request: typing.Annotated[
+        str, typer.Argument(help="The caller's id of a request, or a call's.")
+    ],
+    logs: typing.Annotated[
+        list[pathlib.Path] | None,
+        typer.Argument(
+            help="Logs of nodes, JSON lines; standard input if none.",
+            exists=True,
+            dir_okay=False,
+        ),
+    ] = None,
+) -> None:
+    """Tell the story of one request; exit status 1 if no line names it."""
+    texts = (
+        [path.read_text(encoding="utf-8") for path in logs]
+        if logs
+        else [sys.stdin.read()]
+    )
+    parsed = (
+        _explain.parse_line(line)
+        for text in texts
+        for line in text.splitlines()
+    )
+    story = _explain.find_story(
+        [line for line in parsed if line is not None], request
+    )
+    if not story:
+        print(f"no line names {request}", file=sys.stderr)
+        raise typer.Exit(ExitStatus.FAILED)
+    print(_explain.format_story(story))
+
+
 @app.command()
 def plan(
     folder: Folder,
--- a/packages/node/marjoramledge_node/_timeline.py
+++ b/packages/node/marjoramledge_node/_timeline.py
@@ -17,7 +17,7 @@
 import reactivex
 
 MAX_KEPT_RECORDS: typing.Final = 4096
-MAX_LINES_PER_KIND_PER_S: typing.Final = 20
+MAX_LINES_PER_KIND_PER_S: typing.Final = 100
 
 _WARNINGS: typing.Final = frozenset(
     {
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,56 @@
+"""The story of a request out of several nodes' logs."""
+
+import json
+
+from marjoramledge_cli import _explain
+
+
+def _line(second: float, node: str, event: str, **fields: str) -> str:
+    document = {
+        "time": f"2026-01-01T00:00:{second:06.3f}+00:00",
+        "node": node,
+        "event": event,
+        "message": fields.pop("message", event),
+        **fields,
+    }
+    return json.dumps(document)
+
+
+LOGS = [
+    _line(1.0, "n2", "server-draining", service="shop"),
+    _line(2.0, "n9", "server-draining", service="other"),
+    _line(9.5, "n1", "call-retried", call="c1", request="r1", peer="n2"),
+    _line(8.0, "n2", "server-withdrawn", service="shop"),
+    "12.5 n1 " + _line(9.7, "n1", "call-refused", call="c1", request="r1"),
+    _line(9.6, "n1", "call-refused", call="c2", request="r2"),
+    "Traceback (most recent call last):",
+    "{broken",
+]
+
+
+def _tell(name: str) -> list[str]:
+    lines = [_explain.parse_line(text) for text in LOGS]
+    story = _explain.find_story([one for one in lines if one], name)
+    return [f"{line.node} {line.event}" for line in story]
+
+
+def test_a_request_is_told_in_order_with_what_its_nodes_believed() -> None:
+    expected = [
+        "n2 server-withdrawn",
+        "n1 call-retried",
+        "n1 call-refused",
+    ]
+    assert _tell("r1") == expected
+    assert _tell("c1") == expected
+
+
+def test_an_unknown_request_has_no_story() -> None:
+    assert _tell("r7") == []
+
+
+def test_a_story_is_one_line_an_event() -> None:
+    line = _explain.parse_line(LOGS[2])
+    assert line is not None
+    assert _explain.format_story([line]) == (
+        "2026-01-01T00:00:09.500+00:00 n1 call-retried -> n2"
+    )
