--- a/packages/core/marjoramledge_core/_routing.py
+++ b/packages/core/marjoramledge_core/_routing.py
@@ -17,7 +17,7 @@
 from marjoramledge_core import _load
 
 SAMPLE_SIZE: typing.Final = 4
-NEAR_SAMPLE_SIZE: typing.Final = 2
+NEAR_SAMPLE_SIZE: typing.Final = 4
 # Of so few servers all are looked at.
 SAMPLE_ALL: typing.Final = 4
 
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -72,6 +72,7 @@
         self._manifest = b""
         self._is_store_up = True
         self._fleet_read = asyncio.Event()
+        self._kept_departure: node.ServerStart | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         consumers: dict[type, typing.Any] = {
             node.SyncMembers: self._sync_members,
@@ -219,10 +220,15 @@
 
     async def keep_departure(self, server: node.ServerStart) -> bool:
         """Keep that a start of a backend server is leaving for good."""
-        if self._store is None or not server.server:
+        is_kept = server == self._kept_departure
+        if self._store is None or not server.server or is_kept:
+            # A server that is leaving says so again and again.
             return True
         kept = await self._store.put_departure(server)
-        return isinstance(kept, result.Success)
+        if isinstance(kept, result.Failure):
+            return False
+        self._kept_departure = server
+        return True
 
     async def _read_fleet(self, store: client.NodeStore) -> None:
         found = await store.read_fleet(SEED_ROWS)
