--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -157,9 +157,7 @@
         if other is not attempt:
             _placing.cancel(step, other)
     step.out.append(
-        _commands.DeliverAnswer(
-            call=call.call, attempt=attempt.attempt, kind=call.kind
-        )
+        _commands.DeliverAnswer(call=call.call, attempt=attempt.attempt)
     )
 
 
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -52,7 +52,6 @@
 
     call: _ids.CallId
     attempt: _ids.AttemptId
-    kind: _settings.RequestKind
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -18,6 +18,8 @@
 
 EXAMPLE = pathlib.Path(__file__).parent.parent / "examples" / "kitabalcony"
 SHOP = "shopfront.kitabalcony.example"
+# Tries a tenth of a second and more apart; a deployment needs a few seconds.
+WARM_TRIES = 300
 LARGE_BYTES = 100 * 1024 * 1024
 ZONES = ("sapporo-a", "sapporo-b", "obihiro")
 
@@ -92,13 +94,15 @@
 
 
 async def _wait_until_warm(fleet: deployment.Deployment) -> None:
-    while True:
+    output = ""
+    for _ in range(WARM_TRIES):
         _, output = await fleet.run_command("status", "--json")
         members = json.loads(output)["members"]
         states = [member["server"] for member in members]
         if states == ["warm"] * len(fleet.vms):
             return
         await asyncio.sleep(0.1)
+    raise AssertionError(f"the servers do not become warm: {output}")
 
 
 @pytest.fixture(scope="module")
