--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -4,8 +4,9 @@
 refused as not run, or unknown.  ``_may_send_again`` is the one place that
 decides whether a call may be sent another time; nothing else starts a second
 attempt except ``hedge_due``, which asks it too.  An answer of a backend
-server, whatever its status, is final: only what never became an answer is
-sent again, so the levels of a deep call do not multiply their retries.
+server is final, but for a failure of a call that may be repeated: that is
+given up for another answer while the budget of repeats allows it, which also
+keeps the levels of a deep call from multiplying their retries.
 """
 
 import math
