--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -73,26 +73,12 @@
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as statsd:
         statsd.bind((host, 0))
         statsd.settimeout(20)
-        process = subprocess.Popen(
-            [
-                str(BIN / "marjoramledge-node"),
-                *(
-                    part
-                    for flag, port in zip(flags, ports, strict=True)
-                    for part in (flag, f"{host}:{port}")
-                ),
-                "--statsd",
-                f"{host}:{statsd.getsockname()[1]}",
-            ],
-            env={
-                **_environment(),
-                "MARJORAMLEDGE_NODE_ID": "n0",
-                "MARJORAMLEDGE_ZONE": "north",
-                "MARJORAMLEDGE_KEYS": deployment.KEYS,
-                "MARJORAMLEDGE_LOG_FORMAT": "json",
+        process = _start_node(
+            host,
+            {
+                **dict(zip(flags, ports, strict=True)),
+                "--statsd": statsd.getsockname()[1],
             },
-            stdout=subprocess.PIPE,
-            text=True,
         )
         try:
             lines = statsd.recv(8192).decode().splitlines()
@@ -114,12 +100,29 @@
     host = "127.0.0.1"
     ports = [deployment.find_free_port(host) for _ in range(4)]
     flags = ("--listen", "--peer-listen", "--local-listen", "--ready-listen")
-    process = subprocess.Popen(
+    process = _start_node(host, dict(zip(flags, ports, strict=True)))
+    try:
+        _wait_until_open(host, ports[3])
+        process.send_signal(signal.SIGHUP)
+        status = _ask_readiness(host, ports[3])
+        process.send_signal(signal.SIGTERM)
+        output, _ = process.communicate(timeout=20)
+    finally:
+        process.kill()
+    assert status == 503
+    assert process.returncode == 0
+    events = [json.loads(line)["event"] for line in output.splitlines()]
+    assert "reload-requested" in events
+
+
+def _start_node(host: str, ports: dict[str, int]) -> "subprocess.Popen[str]":
+    """Start a node with a port for each of some flags."""
+    return subprocess.Popen(
         [
             str(BIN / "marjoramledge-node"),
             *(
                 part
-                for flag, port in zip(flags, ports, strict=True)
+                for flag, port in ports.items()
                 for part in (flag, f"{host}:{port}")
             ),
         ],
@@ -133,18 +136,6 @@
         stdout=subprocess.PIPE,
         text=True,
     )
-    try:
-        _wait_until_open(host, ports[3])
-        process.send_signal(signal.SIGHUP)
-        status = _ask_readiness(host, ports[3])
-        process.send_signal(signal.SIGTERM)
-        output, _ = process.communicate(timeout=20)
-    finally:
-        process.kill()
-    assert status == 503
-    assert process.returncode == 0
-    events = [json.loads(line)["event"] for line in output.splitlines()]
-    assert "reload-requested" in events
 
 
 def _wait_until_open(host: str, port: int) -> None:
