Read from the logs, not from a slow command, when a version is in force

Cause: test_a_version_accepted_just_before_an_outage_is_in_force gave three starts of the operator's command 4 s together. Traced at load 7.5: the three nodes had the version in force within 4 ms of its acceptance, before the command that applied it had ended (logs: 04.992, 04.995, 04.995), while each of the three status commands took 1.07 to 1.09 s. Ruled out: the smaller number of transmissions and the preference for the own zone, since all three nodes, one in each zone, were told at once. Change: the test waits for the lines of the nodes' logs; its 60 s only end a hang.

--- a/packages/standins/marjoramledge_standins/deployment.py
+++ b/packages/standins/marjoramledge_standins/deployment.py
@@ -21,7 +21,9 @@
 # VMs whose nodes are named to all others in their settings.
 SEEDS: typing.Final = 3
 KEYS: typing.Final = "k1:a-secret-of-this-deployment"
-START_TIMEOUT_S: typing.Final = 20.0
+# Only ends what never starts: a machine busy with other work starts a few
+# dozen processes within half a minute.
+START_TIMEOUT_S: typing.Final = 60.0
 STOP_TIMEOUT_S: typing.Final = 10.0
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -109,6 +109,22 @@
     assert network.versions() == {2}
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_a_version_that_one_node_read_before_an_outage_is_in_force(
+    seed: int,
+) -> None:
+    network = virtual_network.Network(count=16, seed=seed)
+    network.link = virtual_network.Link(loss=0.01)
+    network.store.accept(1)
+    network.run(15.0)
+    network.store.accept(2)
+    while network.versions() == {1}:
+        network.run(0.01)
+    network.store.is_up = False
+    network.run(2.5)
+    assert network.versions() == {2}
+
+
 def test_a_node_that_starts_in_an_outage_learns_from_its_peers() -> None:
     network = virtual_network.Network(count=5, seed=1, uses_store=False)
     network.store.accept(1)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -20,6 +20,8 @@
 SHOP = "shopfront.kitabalcony.example"
 # Tries a tenth of a second and more apart; a deployment needs a few seconds.
 WARM_TRIES = 300
+# Ends a test that would never end; no promise is read from it.
+HANG_S = 60.0
 LARGE_BYTES = 100 * 1024 * 1024
 ZONES = ("sapporo-a", "sapporo-b", "obihiro")
 
@@ -417,7 +419,8 @@
             status, output = await running.run_command("apply", str(changed))
             await running.set_faults("down")
             assert status == 0, output
-            await _wait_for_version(running, 2, 4.0)
+            for vm in running.vms:
+                await _wait_for_version(running, 2, vm)
             # A node that starts now learns it from its peers, and takes no
             # callers before.
             vm = running.vms[2]
@@ -425,8 +428,9 @@
             await deployment.end_process(vm.node, signal.SIGTERM)
             with pytest.raises(aiohttp.ClientConnectorError):
                 await fleet.call("/kits/1", vm=2)
+            (running.folder / f"{vm.plan.name}-node.log").unlink()
             await running.start_node(vm)
-            await _wait_for_version(running, 2, 10.0)
+            await _wait_for_version(running, 2, vm)
             status, _, _ = await fleet.call("/kits/1", vm=2)
             assert status == 200
 
@@ -434,21 +438,19 @@
 
 
 async def _wait_for_version(
-    running: deployment.Deployment, version: int, limit_s: float
+    running: deployment.Deployment, version: int, vm: deployment.Vm
 ) -> None:
-    async with asyncio.timeout(limit_s):
-        while await _versions(running) != {version}:  # noqa: ASYNC110
-            await asyncio.sleep(0.1)
-
-
-async def _versions(running: deployment.Deployment) -> set[int]:
-    versions = set()
-    for vm in running.vms:
-        _, output = await running.run_command(
-            "status", "--json", "--peers", vm.peer_address
-        )
-        versions.add(json.loads(output)["version"])
-    return versions
+    """Wait until a node says that a version is in force.
+
+    The nodes' own logs are read, since an operator's command takes a second
+    and more to start on a busy machine.  The limit only ends a test that
+    hangs; how soon a version is in force is bounded under virtual time.
+    """
+    log = running.folder / f"{vm.plan.name}-node.log"
+    adopted = f"config-adopted version {version}\n"
+    async with asyncio.timeout(HANG_S):
+        while adopted not in log.read_text():  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
 
 
 def test_a_zone_is_drained_by_order_while_the_store_is_down() -> None:
