--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -87,6 +87,7 @@
             step,
             event,
             _outcomes.Reason.QUARANTINED,
+            kind=kind.name,
             retry_after_s=math.ceil(refused_s),
         )
         return
@@ -94,7 +95,9 @@
     if event.deadline_s is not None:
         deadline_s = min(deadline_s, event.deadline_s)
     if deadline_s <= 0.0:
-        _answer_unplaced(step, event, _outcomes.Reason.DEADLINE_PASSED)
+        _answer_unplaced(
+            step, event, _outcomes.Reason.DEADLINE_PASSED, kind=kind.name
+        )
         return
     call = _state.Call(
         call=event.call,
@@ -158,7 +161,9 @@
         if other is not attempt:
             _placing.cancel(step, other)
     step.out.append(
-        _commands.DeliverAnswer(call=call.call, attempt=attempt.attempt)
+        _commands.DeliverAnswer(
+            call=call.call, attempt=attempt.attempt, kind=call.kind.name
+        )
     )
 
 
@@ -469,7 +474,7 @@
         request=call.request,
         detail=f"{reason.value}; {_tell_story(step, call)}",
     )
-    _answer(step, call.call, reason, run)
+    _answer(step, call.call, reason, run, kind=call.kind.name)
 
 
 def _tell_story(step: _state.Step, call: _state.Call) -> str:
@@ -494,6 +499,7 @@
     event: _events.CallArrived,
     reason: _outcomes.Reason,
     *,
+    kind: _ids.KindName | None = None,
     retry_after_s: float | None = None,
 ) -> None:
     step.record(
@@ -507,6 +513,7 @@
         event.call,
         reason,
         _outcomes.RunState.NOT_RUN,
+        kind=kind,
         retry_after_s=retry_after_s,
     )
 
@@ -517,6 +524,7 @@
     reason: _outcomes.Reason,
     run: _outcomes.RunState,
     *,
+    kind: _ids.KindName | None,
     retry_after_s: float | None = None,
 ) -> None:
     if retry_after_s is None and reason in _RETRY_LATER:
@@ -524,7 +532,11 @@
         retry_after_s = RETRY_AFTER_S * step.rng.uniform(0.5, 1.5)
     step.out.append(
         _commands.RefuseCall(
-            call=call, reason=reason, run=run, retry_after_s=retry_after_s
+            call=call,
+            kind=kind,
+            reason=reason,
+            run=run,
+            retry_after_s=retry_after_s,
         )
     )
 
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -52,13 +52,18 @@
 
     call: _ids.CallId
     attempt: _ids.AttemptId
+    kind: _ids.KindName
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RefuseCall:
-    """Answer the caller in the system's own name, for good."""
+    """Answer the caller in the system's own name, for good.
+
+    ``kind`` is None when the rules say nothing of the request.
+    """
 
     call: _ids.CallId
+    kind: _ids.KindName | None
     reason: _outcomes.Reason
     run: _outcomes.RunState
     retry_after_s: float | None
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -36,7 +36,6 @@
 # Calls that broke off this long before a server was found dead ran on it.
 DEATH_WINDOW_S: typing.Final = 2.0
 MAX_BROKEN: typing.Final = 256
-# Departed starts that are remembered; late announcements of them are few.
 # A change of speed by this factor is told to the other nodes at once.
 NEWS_RATIO: typing.Final = 1.6
 # A cancelled call that had run for this many times the usual was hanging.
@@ -44,11 +43,12 @@
 # Weight of the latest call in the mean time of its kind, and the kinds kept.
 KIND_WEIGHT: typing.Final = 0.1
 MAX_KINDS: typing.Final = 512
+# Departed starts that are remembered; late announcements of them are few.
 MAX_DEPARTED: typing.Final = 256
-# A wait below this would be lost in the rounding of the clock.
 # Age at which a figure of how slow a VM is no longer helps: such states last
 # some tenths of a second.
 SLOWDOWN_PROBE_S: typing.Final = 0.1
+# A wait below this would be lost in the rounding of the clock.
 MIN_START_WAIT_S: typing.Final = 0.001
 
 _FAILURES: typing.Final = frozenset(
@@ -140,7 +140,6 @@
         self._waiting: dict[_ids.AttemptId, _queue.Work] = {}
         self._running_by_kind: dict[_ids.KindName, int] = {}
         self._heard_at = 0.0
-        self._now = 0.0
         self._speed = _speed.SpeedEstimate()
         self._probe_s = 0.0
         self._told_service_s = 0.0
@@ -194,19 +193,17 @@
         """Whether the backend server may be given new work at all."""
         return self._state in _members.ACCEPTING_STATES
 
-    @property
-    def has_room(self) -> bool:
-        """Whether an offered call would start at once."""
+    def has_room(self, now: float) -> bool:
+        """Tell whether an offered call would start at once."""
         return (
             self._state in _members.ACCEPTING_STATES
             and not self._waiting
             and len(self._running) < self._limit.current
-            and self._cold_wait_s() <= 0.0
+            and self._cold_wait_s(now) <= 0.0
         )
 
     def report(self, now: float) -> _reports.LoadReport:
         """Describe the load at this moment."""
-        self._now = now
         return _reports.LoadReport(
             in_flight=len(self._running) + len(self._waiting),
             limit=self._limit.current,
@@ -227,7 +224,6 @@
         )
         self._server = server
         self._heard_at = now
-        self._now = now
         self._cold_until = now + server.cold_left_s
         if same and self.accepts_work:
             return
@@ -296,14 +292,12 @@
 
     def next_start_at(self, now: float) -> float | None:
         """Tell when a call that waits for a cold server may start."""
-        self._now = now
         if not self._waiting or len(self._running) >= self._limit.current:
             return None
-        return now + max(MIN_START_WAIT_S, self._cold_wait_s())
+        return now + max(MIN_START_WAIT_S, self._cold_wait_s(now))
 
     def start_waiting(self, now: float) -> list[_queue.Work]:
         """Start the calls that wait, as far as there is room."""
-        self._now = now
         return self._start_waiting(now) if self.accepts_work else []
 
     def drain(self) -> list[_queue.Work]:
@@ -320,15 +314,14 @@
 
     def offer(self, work: _queue.Work, now: float) -> Offer:
         """Decide on a new call."""
-        self._now = now
         if not self.accepts_work or self._is_over_share(work):
             return Offer(admission=Admission.REFUSED)
-        if self.has_room:
+        if self.has_room(now):
             self._start(work, now)
             return Offer(admission=Admission.STARTED)
         if not work.is_patient and self._is_queue_long():
             return Offer(admission=Admission.REFUSED)
-        if self.max_wait_s(work) <= 0.0:
+        if self.max_wait_s(work, now) <= 0.0:
             return Offer(admission=Admission.REFUSED)
         displaced = self._queue.push(work)
         if displaced is work:
@@ -338,7 +331,7 @@
             del self._waiting[displaced.attempt]
         return Offer(admission=Admission.QUEUED, displaced=displaced)
 
-    def max_wait_s(self, work: _queue.Work) -> float:
+    def max_wait_s(self, work: _queue.Work, now: float) -> float:
         """Seconds for which a call may wait here.
 
         One that could no longer be answered in time does not wait: the slot
@@ -346,7 +339,7 @@
         """
         spare_s = work.target_at - work.offered_at
         if spare_s < math.inf:
-            spare_s = max(0.0, spare_s - self._expected_s(work))
+            spare_s = max(0.0, spare_s - self._expected_s(work, now))
         if work.is_patient:
             return min(MAX_QUEUE_WAIT_S, spare_s)
         usual_s = IMPATIENT_WAIT_CALLS * self._speed.mean_s
@@ -366,12 +359,12 @@
             return now - work.started_at > HANG_RATIO * usual_s > 0.0
         return outcome in _FAULTS
 
-    def _expected_s(self, work: _queue.Work) -> float:
+    def _expected_s(self, work: _queue.Work, now: float) -> float:
         """Estimate how long a call of a kind takes here at present."""
         usual_s = self._kind_s.get(work.kind.name, self._speed.mean_s)
         if not self._speed.mean_s:
             return usual_s
-        now_s = self._speed.service_s(len(self._running), self._now)
+        now_s = self._speed.service_s(len(self._running), now)
         return usual_s * min(1.0, now_s / self._speed.mean_s)
 
     def end(
@@ -394,7 +387,6 @@
         now
             Monotonic time in seconds.
         """
-        self._now = now
         self._speed.note_change(len(self._running), now)
         work = self._running.pop(attempt, None)
         if work is None:
@@ -458,7 +450,6 @@
     ) -> bool:
         """Take in a probe; tell whether the server came back or went."""
         self._probe_s = elapsed_s
-        self._now = now
         if is_healthy and self._state is _members.ServerState.UNREACHABLE:
             self.distrust_warmth(now)
         if is_healthy and cold_left_s is not None:
@@ -544,7 +535,7 @@
         while (
             self._waiting
             and len(self._running) < self._limit.current
-            and self._cold_wait_s() <= 0.0
+            and self._cold_wait_s(now) <= 0.0
         ):
             work = self._queue.take()
             if work is None:
@@ -554,15 +545,15 @@
             started.append(work)
         return started
 
-    def _cold_wait_s(self) -> float:
+    def _cold_wait_s(self, now: float) -> float:
         """Seconds until a cold server may be given the next call."""
         service = self._service
         if service is None or service.cold_rate_per_s is None:
             return 0.0
-        if self._now >= self._cold_until:
+        if now >= self._cold_until:
             return 0.0
-        wait_s = self._cold_rate.wait_s(service.cold_rate_per_s, self._now)
-        return min(wait_s, self._cold_until - self._now)
+        wait_s = self._cold_rate.wait_s(service.cold_rate_per_s, now)
+        return min(wait_s, self._cold_until - now)
 
     def _is_over_share(self, work: _queue.Work) -> bool:
         share = work.kind.max_slot_share
--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -6,7 +6,8 @@
 incarnation.  News rides on the probes and, since a leaving backend server
 must lose its callers at once, is also pushed to a few random members within
 ``NEWS_DELAY_S``.  Rarely, two nodes exchange all they know, which heals what
-a partition left apart.
+a partition left apart.  What is still to be told is counted in ``_news``, and
+open probes are kept in ``_probes``.
 
 Source: Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent
 Infection-style Process Group Membership Protocol", DSN 2002; the care for a
@@ -16,7 +17,6 @@
 
 import collections.abc
 import dataclasses
-import heapq
 import math
 import random
 import typing
@@ -25,6 +25,8 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _manifest
 from marjoramledge_core import _members
+from marjoramledge_core import _news
+from marjoramledge_core import _probes
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _records
 from marjoramledge_core import _reports
@@ -38,9 +40,6 @@
 NEWS_FANOUT: typing.Final = 3
 # A caller may send a deadly request again within a millisecond.
 SUSPICION_FANOUT: typing.Final = 8
-# Keeps a datagram below the usual path MTU at about 70 bytes a member.
-NEWS_PER_MESSAGE: typing.Final = 14
-TRANSMISSIONS_PER_LOG: typing.Final = 2
 MIN_SYNC_PERIOD_S: typing.Final = 30.0
 SYNC_PERIOD_PER_MEMBER_S: typing.Final = 0.2
 # A node that starts exchanges views often, then ever less often, so that
@@ -71,17 +70,6 @@
 }
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Probe:
-    target: _ids.NodeId
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Relay:
-    origin: _members.Address
-    sequence: int
-
-
 class Membership:
     """View of all members that one node holds, and its protocol state.
 
@@ -113,13 +101,8 @@
         self._config = _manifest.NO_VERSION
         self._departed_at: dict[_ids.NodeId, float] = {}
         self._round: list[_ids.NodeId] = []
-        self._probes: dict[int, _Probe] = {}
-        self._relays: dict[int, _Relay] = {}
-        self._sequence = 0
-        self._news: dict[_ids.NodeId, int] = {}
-        self._suspicions: dict[
-            _ids.Fingerprint, tuple[_quarantine.Suspicion, int]
-        ] = {}
+        self._probes = _probes.ProbeTable()
+        self._news = _news.NewsQueue()
         self._push_is_set = False
         self._probed_at: float | None = None
         self._sync_period_s = FIRST_SYNC_PERIOD_S
@@ -244,13 +227,9 @@
     ) -> None:
         """Tell of suspected or cleared requests, now and for a while."""
         for suspicion in suspicions:
-            self._suspicions.pop(suspicion.fingerprint, None)
-            self._suspicions[suspicion.fingerprint] = (
-                suspicion,
-                self._transmissions() + SUSPICION_FANOUT,
+            self._news.add_suspicion(
+                suspicion, known=len(self._members), fanout=SUSPICION_FANOUT
             )
-        while len(self._suspicions) > _quarantine.MAX_SUSPECTS:
-            del self._suspicions[next(iter(self._suspicions))]
         for member in self._pick_present(SUSPICION_FANOUT, rng):
             self._send(_members.MessageKind.NEWS, member.address, out)
 
@@ -298,9 +277,9 @@
         strangers = {m.node for m in members if m.node not in self._members}
         for member in members:
             self._take_member(member, now, out)
-        if len(strangers) > NEWS_PER_MESSAGE:
+        if len(strangers) > _news.NEWS_PER_MESSAGE:
             for node in strangers:
-                self._news.pop(node, None)
+                self._news.drop_member(node)
 
     def take_message(
         self,
@@ -343,8 +322,7 @@
         target = self._next_target(rng)
         if target is None:
             return
-        sequence = self._next_sequence()
-        self._probes[sequence] = _Probe(target=target.node)
+        sequence = self._probes.open(target.node)
         self._send(
             _members.MessageKind.PING,
             target.address,
@@ -366,31 +344,29 @@
         out: list[_commands.Command],
     ) -> None:
         """Go on with a probe that has no answer: helpers, then suspicion."""
-        probe = self._probes.get(sequence)
-        if probe is None:
+        target = self._probes.find_target(sequence)
+        if target is None:
             return
-        helpers = self._pick_present(
-            INDIRECT_PROBES, rng, without=probe.target
-        )
+        helpers = self._pick_present(INDIRECT_PROBES, rng, without=target)
         if sequence > 0 and helpers:
-            self._probes[-sequence] = self._probes.pop(sequence)
+            indirect = self._probes.go_indirect(sequence)
             for helper in helpers:
                 self._send(
                     _members.MessageKind.PING_REQUEST,
                     helper.address,
                     out,
                     sequence=sequence,
-                    about=probe.target,
+                    about=target,
                 )
             self._timers.set(
                 now + PROBE_PERIOD_S - PROBE_TIMEOUT_S,
                 _timers.TimerKind.PROBE_TIMEOUT,
-                number=-sequence,
+                number=indirect,
             )
             return
-        del self._probes[sequence]
+        self._probes.close(sequence)
         if not self._was_paused(now):
-            self._suspect(probe.target, now, out)
+            self._suspect(target, now, out)
 
     def suspicion_ended(
         self,
@@ -420,7 +396,7 @@
     ) -> None:
         """Send fresh news to a few members without waiting for a probe."""
         self._push_is_set = False
-        if self._news:
+        if self._news.has_members:
             self.tell_now(rng, out)
 
     def sync_next(
@@ -577,7 +553,7 @@
         for node in expired:
             del self._departed_at[node]
             del self._members[node]
-            self._news.pop(node, None)
+            self._news.drop_member(node)
             self._revision += 1
 
     def _next_target(self, rng: random.Random) -> _members.Member | None:
@@ -640,7 +616,7 @@
     def _take_ack(
         self, message: _members.Message, out: list[_commands.Command]
     ) -> None:
-        relay = self._relays.pop(message.sequence, None)
+        relay = self._probes.close_relay(message.sequence)
         if relay is not None:
             self._send(
                 _members.MessageKind.ACK,
@@ -650,8 +626,7 @@
                 about=message.target,
             )
             return
-        self._probes.pop(message.sequence, None)
-        self._probes.pop(-message.sequence, None)
+        self._probes.close(message.sequence)
 
     def _relay_probe(
         self, message: _members.Message, out: list[_commands.Command]
@@ -659,12 +634,11 @@
         target = self._members.get(message.target)
         if target is None:
             return
-        sequence = self._next_sequence()
-        self._relays[sequence] = _Relay(
-            origin=message.sender_address, sequence=message.sequence
+        sequence = self._probes.open_relay(
+            _probes.Relay(
+                origin=message.sender_address, sequence=message.sequence
+            )
         )
-        while len(self._relays) > MAX_SEEDS:
-            del self._relays[next(iter(self._relays))]
         self._send(
             _members.MessageKind.PING,
             target.address,
@@ -680,59 +654,23 @@
         if known is not None and (
             known.status is not _members.MemberStatus.ALIVE
         ):
-            self._news.setdefault(message.sender, 1)
+            self._news.add_once(message.sender)
 
     def _spread(self, node: _ids.NodeId, now: float) -> None:
-        self._news[node] = self._transmissions()
+        self._news.add_member(node, known=len(self._members))
         if not self._push_is_set:
             self._push_is_set = True
             self._timers.set(now + NEWS_DELAY_S, _timers.TimerKind.NEWS)
 
-    def _transmissions(self) -> int:
-        return TRANSMISSIONS_PER_LOG * math.ceil(
-            math.log2(len(self._members) + 1)
-        )
-
     def _take_news(
         self, about: _ids.NodeId | None
     ) -> tuple[_members.Member, ...]:
-        chosen = [self._myself.node]
+        first = [self._myself.node]
         if about is not None and about in self._members:
-            chosen.append(about)
-        # The least often told news goes first.
-        fresh = heapq.nlargest(
-            NEWS_PER_MESSAGE, self._news, key=self._news.__getitem__
-        )
-        chosen.extend(node for node in fresh if node not in chosen)
-        del chosen[NEWS_PER_MESSAGE:]
-        for node in chosen:
-            left = self._news.get(node)
-            if left is None:
-                continue
-            if left <= 1:
-                del self._news[node]
-            else:
-                self._news[node] = left - 1
+            first.append(about)
+        chosen = self._news.take_members(first)
         return tuple(self._members[node] for node in chosen)
 
-    def _take_suspicions(self) -> tuple[_quarantine.Suspicion, ...]:
-        if not self._suspicions:
-            return ()
-        chosen = list(self._suspicions)[-_quarantine.MAX_TOLD :]
-        told = []
-        for fingerprint in chosen:
-            suspicion, left = self._suspicions[fingerprint]
-            told.append(suspicion)
-            if left <= 1:
-                del self._suspicions[fingerprint]
-            else:
-                self._suspicions[fingerprint] = (suspicion, left - 1)
-        return tuple(told)
-
-    def _next_sequence(self) -> int:
-        self._sequence += 1
-        return self._sequence
-
     def _send(
         self,
         kind: _members.MessageKind,
@@ -750,6 +688,6 @@
             target=about or self._myself.node,
             config=self._config,
             news=self._take_news(about),
-            suspicions=self._take_suspicions(),
+            suspicions=self._news.take_suspicions(),
         )
         out.append(_commands.SendMessage(address=address, message=message))
--- a/packages/core/marjoramledge_core/_placing.py
+++ b/packages/core/marjoramledge_core/_placing.py
@@ -55,7 +55,11 @@
         report = gate.report(step.now)
         local.note_report(report, step.now)
         is_slow = report.service_s > SLOW_RATIO * gate.usual_s
-        if gate.has_room and not is_slow and not local.is_ejected(step.now):
+        if (
+            gate.has_room(step.now)
+            and not is_slow
+            and not local.is_ejected(step.now)
+        ):
             return local
     excluded = call.tried
     if len(call.attempts) + 1 >= PATIENT_ATTEMPT:
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -359,7 +359,7 @@
         step.state.timers.set(
             min(
                 work.deadline_at,
-                step.now + step.state.gate.max_wait_s(work),
+                step.now + step.state.gate.max_wait_s(work, step.now),
             ),
             _timers.TimerKind.QUEUE_WAIT,
             subject=work.attempt,
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -116,41 +116,32 @@
         self._busy[connection] += 1
         began_at = self._engine.now()
         try:
-            response = await self._serve(request)
-            self._count(request, response, self._engine.now() - began_at)
+            response, kind = await self._serve(request)
+            self._counts.note_answer(
+                kind, response.status, self._engine.now() - began_at
+            )
             return response
         finally:
             self._busy[connection] -= 1
             if not self._busy[connection]:
                 del self._busy[connection]
 
-    def _count(
-        self,
-        request: web.BaseRequest,
-        response: web.StreamResponse,
-        elapsed_s: float,
-    ) -> None:
-        declared = self._engine.state.versions.configuration
-        kind = declared and declared.find_kind(
-            request.headers.get("Host", ""),
-            request.method,
-            request.raw_path.partition("?")[0],
-        )
-        self._counts.note_answer(
-            kind.name if kind else None, response.status, elapsed_s
-        )
-
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _serve(
+        self, request: web.BaseRequest
+    ) -> tuple[web.StreamResponse, ids.KindName | None]:
+        """Serve a request; tell its kind, None when it was not placed."""
         head = _check_head(request, self._dialect.deadline)
         if isinstance(head, result.Failure):
-            return _refusals.refuse(head.failure(), node.RunState.NOT_RUN)
+            refusal = _refusals.refuse(head.failure(), node.RunState.NOT_RUN)
+            return refusal, None
         deadline_s = head.unwrap()
         try:
             body = await _bodies.take_body(request)
         except TimeoutError:
-            return _refusals.refuse(
+            refusal = _refusals.refuse(
                 node.Reason.BODY_STALLED, node.RunState.NOT_RUN
             )
+            return refusal, None
         call = ids.CallId(f"{self._call_prefix}{next(self._numbers):x}")
         exchange = _Exchange(
             request=request,
@@ -175,7 +166,7 @@
             )
         )
         try:
-            response = await self._follow(exchange)
+            response, kind = await self._follow(exchange)
         except asyncio.CancelledError:
             self._engine.submit(node.CallerLeft(call=call))
             raise
@@ -183,7 +174,7 @@
             self._end(exchange)
         if self._is_stopping():
             response.force_close()
-        return response
+        return response, kind
 
     def _read_request_id(self, request: web.BaseRequest) -> str:
         name = self._dialect.request_id
@@ -213,7 +204,9 @@
             self._send_to_peer(exchange, command)
         )
 
-    async def _follow(self, exchange: _Exchange) -> web.StreamResponse:
+    async def _follow(
+        self, exchange: _Exchange
+    ) -> tuple[web.StreamResponse, ids.KindName | None]:
         while True:
             command = await exchange.mailbox.get()
             match command:
@@ -224,9 +217,9 @@
                 case node.DeliverAnswer():
                     response = await self._deliver(exchange, command)
                     if response is not None:
-                        return response
+                        return response, command.kind
                 case node.RefuseCall():
-                    return self._refuse_call(exchange, command)
+                    return self._refuse_call(exchange, command), command.kind
                 case _:
                     raise AssertionError(f"unexpected command {command}")
 
