Routes, shares, targets and cold rates in the operators' documents

Change: [[routes]], shares, max_runs and target_ms in rules.toml, cold_calls_per_s and cold_ms in inventory.toml, cold_left_ms in announcements, a bound of calls a second in the backend server's stand-in; plans show changed routes.

--- a/packages/core/marjoramledge_core/_document.py
+++ b/packages/core/marjoramledge_core/_document.py
@@ -14,6 +14,7 @@
 from returns import result
 
 from marjoramledge_core import _ids
+from marjoramledge_core import _routes
 from marjoramledge_core import _settings
 
 INVENTORY_FILE: typing.Final = "inventory.toml"
@@ -24,6 +25,9 @@
     {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 )
 _MAX_DEADLINE_MS: typing.Final = 3_600_000
+_MAX_RUNS: typing.Final = 10
+_MAX_WEIGHT: typing.Final = 1_000_000
+_MAX_COLD_RATE: typing.Final = 100_000
 _NAME_CHARACTERS: typing.Final = frozenset(
     "abcdefghijklmnopqrstuvwxyz0123456789-"
 )
@@ -136,6 +140,24 @@
         self.report(key, f"must be a number from {low:g} to {high:g}")
         return default
 
+    def has(self, key: str) -> bool:
+        """Tell whether an optional key is given."""
+        self._taken.add(key)
+        return key in self._table
+
+    def weights(self, key: str) -> dict[str, float]:
+        """Take an optional table of weights above 0 by name."""
+        value = self._take(key, {})
+        if isinstance(value, dict) and all(
+            isinstance(weight, int | float)
+            and not isinstance(weight, bool)
+            and 0 < weight <= _MAX_WEIGHT
+            for weight in value.values()
+        ):
+            return {name: float(weight) for name, weight in value.items()}
+        self.report(key, f"must be weights above 0 and up to {_MAX_WEIGHT}")
+        return {}
+
     def texts(self, key: str) -> tuple[str, ...]:
         """Take a required list of strings that is not empty."""
         value = self._take(key, None)
@@ -240,6 +262,7 @@
     defaults.reject_unknown()
     measuring = _read_measuring(rules.table("measuring"))
     kinds = _read_kinds(rules, services, default_deadline_ms)
+    routes = _read_routes(rules, services, default_deadline_ms)
     rules.reject_unknown()
     if problems:
         return result.Failure(tuple(problems))
@@ -251,6 +274,7 @@
             kinds=kinds,
             measuring=measuring,
             default_deadline_s=default_deadline_ms / 1000,
+            routes=_routes.RouteTable(routes),
         )
     )
 
@@ -305,7 +329,11 @@
                 100_000,
                 _settings.DEFAULT_COLD_CONCURRENCY,
             ),
+            cold_rate_per_s=_read_cold_rate(reader),
+            cold_s=reader.integer("cold_ms", 0, _MAX_DEADLINE_MS, 0) / 1000,
         )
+        if service.cold_rate_per_s is not None and not service.cold_s:
+            reader.report("cold_ms", "is needed with cold_calls_per_s")
         for host in service.hosts:
             if host in hosts:
                 reader.report(
@@ -317,6 +345,12 @@
     return tuple(services)
 
 
+def _read_cold_rate(reader: _TableReader) -> float | None:
+    if not reader.has("cold_calls_per_s"):
+        return None
+    return reader.number("cold_calls_per_s", 0.1, _MAX_COLD_RATE, 1.0)
+
+
 def _read_measuring(reader: _TableReader) -> _settings.Measuring:
     measuring = _settings.Measuring(
         calls_per_s=reader.number(
@@ -343,28 +377,109 @@
         if kind.name in names:
             reader.report("name", f"{kind.name} is declared twice")
         names.add(kind.name)
-        if kind.service and kind.service not in service_names:
-            allowed = ", ".join(sorted(service_names)) or "none declared"
-            reader.report(
-                "service",
-                f"must be a service of {INVENTORY_FILE}: {allowed}",
-            )
+        _check_services(reader, kind, service_names)
         reader.reject_unknown()
         kinds.append(kind)
     return tuple(kinds)
 
 
+def _read_routes(
+    rules: _TableReader,
+    services: tuple[_settings.Service, ...],
+    default_deadline_ms: int,
+) -> list[_routes.Route[_settings.RequestKind]]:
+    """Read the routes, which are found by host and longest path prefix."""
+    service_names = {service.name for service in services}
+    places: dict[tuple[str, str], str] = {}
+    routes = []
+    for reader in rules.array("routes"):
+        identity = _read_identity(reader)
+        host = reader.text("host").lower()
+        prefix = reader.text("path_prefix")
+        if prefix and not (prefix.startswith("/") and prefix.endswith("/")):
+            reader.report("path_prefix", "must start and end with '/'")
+        kind = _read_handling(
+            reader,
+            identity,
+            default_deadline_ms,
+            methods=frozenset(),
+            path=f"{prefix}*",
+        )
+        place = (host, prefix)
+        if place in places:
+            reader.report(
+                "path_prefix", f"{prefix} is of {places[place]} already"
+            )
+        places[place] = kind.name
+        _check_services(reader, kind, service_names)
+        reader.reject_unknown()
+        routes.append(_routes.Route(host=host, prefix=prefix, target=kind))
+    return routes
+
+
+def _check_services(
+    reader: _TableReader,
+    kind: _settings.RequestKind,
+    declared: collections.abc.Set[_ids.ServiceName],
+) -> None:
+    allowed = ", ".join(sorted(declared)) or "none declared"
+    message = f"must be a service of {INVENTORY_FILE}: {allowed}"
+    if not kind.shares and kind.service and kind.service not in declared:
+        reader.report("service", message)
+    for share in kind.shares:
+        if share.service not in declared:
+            reader.report(f"shares.{share.service}", message)
+
+
 def _read_kind(
     reader: _TableReader, default_deadline_ms: int
 ) -> _settings.RequestKind:
-    name = reader.name("name")
-    service = reader.name("service")
+    identity = _read_identity(reader)
     methods = reader.texts("methods")
     if not _METHODS.issuperset(methods):
         reader.report("methods", f"must be of: {', '.join(sorted(_METHODS))}")
     path = reader.text("path")
     if path and (not path.startswith("/") or "*" in path.removesuffix("/*")):
         reader.report("path", "must start with '/'; '*' only in a final '/*'")
+    return _read_handling(
+        reader,
+        identity,
+        default_deadline_ms,
+        methods=frozenset(methods),
+        path=path,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Identity:
+    """Name of a kind and the services that its calls go to."""
+
+    name: str
+    service: str
+    shares: tuple[_settings.ServiceShare, ...]
+
+
+def _read_identity(reader: _TableReader) -> _Identity:
+    name = reader.name("name")
+    shares = tuple(
+        _settings.ServiceShare(service=_ids.ServiceName(part), weight=weight)
+        for part, weight in reader.weights("shares").items()
+    )
+    if shares and reader.has("service"):
+        reader.report("service", "must not be given beside shares")
+    service = shares[0].service if shares else reader.name("service")
+    return _Identity(name=name, service=service, shares=shares)
+
+
+def _read_handling(
+    reader: _TableReader,
+    identity: _Identity,
+    default_deadline_ms: int,
+    *,
+    methods: frozenset[str],
+    path: str,
+) -> _settings.RequestKind:
+    """Read how requests are treated, whatever they are found by."""
     priorities = tuple(level.name.lower() for level in _settings.Priority)
     priority = reader.choice("priority", priorities, "normal")
     idempotent = reader.flag("idempotent")
@@ -375,10 +490,13 @@
     hedging = reader.flag("hedging", False)
     if hedging and not idempotent:
         reader.report("hedging", "allowed only with idempotent = true")
+    target_s = None
+    if reader.has("target_ms"):
+        target_s = reader.integer("target_ms", 1, deadline_ms) / 1000
     return _settings.RequestKind(
-        name=_ids.KindName(name),
-        service=_ids.ServiceName(service),
-        methods=frozenset(methods),
+        name=_ids.KindName(identity.name),
+        service=_ids.ServiceName(identity.service),
+        methods=methods,
         path=path,
         priority=_settings.Priority[priority.upper()],
         idempotent=idempotent,
@@ -386,4 +504,9 @@
         hedging=hedging,
         hedge_after_s=hedge_after_ms / 1000,
         max_slot_share=reader.number("max_slot_share", 0.01, 1, 1.0),
+        shares=identity.shares,
+        max_runs=reader.integer(
+            "max_runs", 1, _MAX_RUNS, _settings.DEFAULT_MAX_RUNS
+        ),
+        target_s=target_s,
     )
--- a/packages/core/marjoramledge_core/_plan.py
+++ b/packages/core/marjoramledge_core/_plan.py
@@ -82,6 +82,10 @@
     for position, kind in enumerate(configuration.kinds):
         _add_fields(items, f"kinds.{kind.name}", kind)
         items[f"kinds.{kind.name}.position"] = str(position)
+    for route in configuration.routes:
+        place = f"routes.{route.host}{route.prefix}"
+        items[f"{place}.name"] = route.target.name
+        _add_fields(items, place, route.target)
     return items
 
 
@@ -98,7 +102,9 @@
 
 def _render(value: object) -> str:
     if isinstance(value, frozenset | tuple):
-        return ",".join(sorted(str(entry) for entry in value))
+        return ",".join(sorted(map(_render, value)))
+    if isinstance(value, _settings.ServiceShare):
+        return f"{value.service}={value.weight:g}"
     if isinstance(value, _settings.Priority):
         return value.name.lower()
     if isinstance(value, float):
--- a/packages/core/marjoramledge_core/_routes.py
+++ b/packages/core/marjoramledge_core/_routes.py
@@ -36,6 +36,12 @@
             prefixes = self._hosts.setdefault(route.host.lower(), {})
             prefixes[route.prefix] = route.target
 
+    def __iter__(self) -> collections.abc.Iterator[Route[T]]:
+        """Yield all routes."""
+        for host, prefixes in self._hosts.items():
+            for prefix, target in prefixes.items():
+                yield Route(host=host, prefix=prefix, target=target)
+
     def has_host(self, host: str) -> bool:
         """Tell whether any route is of this host, with or without port."""
         return _name_of(host) in self._hosts
--- a/packages/core/marjoramledge_core/_settings.py
+++ b/packages/core/marjoramledge_core/_settings.py
@@ -194,6 +194,11 @@
         """Kinds of request in the order in which they are tried."""
         return self._kinds
 
+    @property
+    def routes(self) -> _routes.RouteTable[RequestKind]:
+        """Kinds that are found by host and path alone."""
+        return self._routes
+
     def find_kind(
         self, host: str, method: str, path: str
     ) -> RequestKind | None:
--- a/packages/node/marjoramledge_node/_announcements.py
+++ b/packages/node/marjoramledge_node/_announcements.py
@@ -15,8 +15,14 @@
 
 _STATES: typing.Final = ("cold", "warm", "draining")
 _REQUIRED: typing.Final = {"service", "port", "slots", "connections", "state"}
-_OPTIONAL: typing.Final = {"host", "cold_concurrency", "health_path"}
+_OPTIONAL: typing.Final = {
+    "host",
+    "cold_concurrency",
+    "cold_left_ms",
+    "health_path",
+}
 _MAX_COUNT: typing.Final = 100_000
+_MAX_COLD_MS: typing.Final = 3_600_000
 
 
 def read_announcement(
@@ -63,6 +69,7 @@
         cold_concurrency=fields.get("cold_concurrency", 1),
         is_cold=fields["state"] == "cold",
         health_path=fields.get("health_path", "/"),
+        cold_left_s=fields.get("cold_left_ms", 0) / 1000,
     )
 
 
@@ -90,6 +97,9 @@
     for key in ("slots", "connections", "cold_concurrency"):
         if key in fields and not _is_count(fields[key], _MAX_COUNT):
             problems.append(f"{key}: must be an integer from 1 to 100000")
+    left_ms = fields.get("cold_left_ms", 0)
+    if left_ms != 0 and not _is_count(left_ms, _MAX_COLD_MS):
+        problems.append("cold_left_ms: must be an integer from 0 to 3600000")
     return problems
 
 
--- a/packages/standins/marjoramledge_standins/backend_server.py
+++ b/packages/standins/marjoramledge_standins/backend_server.py
@@ -62,6 +62,8 @@
         Seconds for which it is cold after its start and after each fall.
     cold_bears
         Requests that it bears at once while cold.
+    cold_calls_per_s
+        Requests that it bears in any second while cold; 0 for no bound.
     shed_above
         Requests that may wait for a slot; more are shed.
     behaviour
@@ -80,6 +82,7 @@
         slots: int,
         cold_s: float,
         cold_bears: int,
+        cold_calls_per_s: int,
         shed_above: int,
         behaviour: Behaviour,
         noise: virtual_servers.Noise,
@@ -90,6 +93,8 @@
         self._slots = slots
         self._cold_s = cold_s
         self._cold_bears = cold_bears
+        self._cold_calls_per_s = cold_calls_per_s
+        self._cold_starts: collections.deque[float] = collections.deque()
         self._shed_above = shed_above
         self._behaviour = behaviour
         self._records = records
@@ -157,7 +162,7 @@
         if request.headers.get("X-Drop-At") in (self._name, "any"):
             _break_off(request)
             return web.Response(status=500)
-        if self.is_cold and self._running > self._cold_bears:
+        if self.is_cold and self._bears_no_more():
             self._fall(request)
             return web.Response(status=500)
         body = await _digest_body(request)
@@ -183,6 +188,14 @@
             },
         )
 
+    def _bears_no_more(self) -> bool:
+        now = time.monotonic()
+        self._cold_starts.append(now)
+        while self._cold_starts[0] <= now - 1.0:
+            self._cold_starts.popleft()
+        is_too_fast = 0 < self._cold_calls_per_s < len(self._cold_starts)
+        return is_too_fast or self._running > self._cold_bears
+
     def _service_time_s(self) -> float:
         behaviour = self._behaviour
         seconds = behaviour.service_ms / 1000
@@ -318,6 +331,7 @@
     connections: int = 220,
     cold_s: float = 1.0,
     cold_bears: int = 2,
+    cold_calls_per_s: int = 0,
     service_ms: float = 10.0,
     shed_above: int = 12,
     noise: float = 1.0,
@@ -335,6 +349,7 @@
                 slots=slots,
                 cold_s=cold_s,
                 cold_bears=cold_bears,
+                cold_calls_per_s=cold_calls_per_s,
                 shed_above=shed_above,
                 behaviour=Behaviour(service_ms=service_ms),
                 noise=virtual_servers.Noise(
@@ -361,7 +376,15 @@
             stopping = asyncio.Event()
             loop.add_signal_handler(signal.SIGTERM, stopping.set)
             if node_url:
-                await announce(node_url, {**announcement, "state": "cold"})
+                left_ms = round(cold_s * 1000)
+                await announce(
+                    node_url,
+                    {
+                        **announcement,
+                        "state": "cold",
+                        "cold_left_ms": left_ms,
+                    },
+                )
                 await asyncio.sleep(cold_s)
                 await announce(node_url, {**announcement, "state": "warm"})
             await stopping.wait()
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -5,6 +5,7 @@
 import typing
 
 from marjoramledge_core import configuration
+from marjoramledge_core import ids
 import pytest
 
 DATA = pathlib.Path(__file__).parent / "data" / "documents.toml"
@@ -56,3 +57,35 @@
     assert not kind.idempotent
     named = parsed.classify(service.name, "POST", "/orders")
     assert named.priority is configuration.Priority.CRITICAL
+
+
+def test_routes_are_found_by_host_and_longest_prefix() -> None:
+    (case,) = [c for c in CASES if c["name"].startswith("routes, shares")]
+    parsed = configuration.parse_documents(
+        {"inventory.toml": case["inventory"], "rules.toml": case["rules"]}
+    ).unwrap()
+    pages = parsed.find_kind("garden.EXAMPLE:80", "POST", "/orders")
+    trial = parsed.find_kind("garden.example", "GET", "/kits/7")
+    assert pages is not None
+    assert trial is not None
+    assert (pages.name, pages.service, pages.target_s) == (
+        "pages",
+        "shop",
+        None,
+    )
+    assert (trial.name, trial.max_runs, trial.target_s) == ("trial", 3, 0.4)
+    picked = [trial.pick_service(draw / 100) for draw in range(100)]
+    assert (picked.count(ids.ServiceName("shop")), len(set(picked))) == (90, 2)
+    shop = parsed.services[ids.ServiceName("shop")]
+    assert (shop.cold_rate_per_s, shop.cold_s) == (16.0, 3.0)
+
+
+def test_a_changed_route_is_part_of_what_a_plan_shows() -> None:
+    (case,) = [c for c in CASES if c["name"].startswith("routes, shares")]
+    files = {"inventory.toml": case["inventory"], "rules.toml": case["rules"]}
+    old = configuration.parse_documents(files).unwrap()
+    files["rules.toml"] = files["rules.toml"].replace("next = 1", "next = 3")
+    new = configuration.parse_documents(files).unwrap()
+    (change,) = configuration.compare_configurations(old, new)
+    assert change.item == "routes.garden.example/kits/.shares"
+    assert (change.before, change.after) == ("next=1,shop=9", "next=3,shop=9")
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -24,6 +24,15 @@
 HANG_S = 60.0
 LARGE_BYTES = 100 * 1024 * 1024
 ZONES = ("sapporo-a", "sapporo-b", "obihiro")
+SHOPS = tuple(
+    deployment.VmPlan(
+        name=f"shop-{number}",
+        service="shopfront",
+        zone=zone,
+        server_flags=("--service-ms", "2", "--cold-s", "0.2"),
+    )
+    for number, zone in enumerate(ZONES)
+)
 
 Answer = tuple[int, collections.abc.Mapping[str, str], bytes]
 Run = collections.abc.Callable[
@@ -73,18 +82,10 @@
 
 
 @contextlib.asynccontextmanager
-async def _running_fleet() -> collections.abc.AsyncIterator[_Fleet]:
-    fleet = deployment.Deployment(
-        plans=[
-            deployment.VmPlan(
-                name=f"shop-{number}",
-                service="shopfront",
-                zone=zone,
-                server_flags=("--service-ms", "2", "--cold-s", "0.2"),
-            )
-            for number, zone in enumerate(ZONES)
-        ]
-    )
+async def _running_fleet(
+    plans: collections.abc.Sequence[deployment.VmPlan] = SHOPS,
+) -> collections.abc.AsyncIterator[_Fleet]:
+    fleet = deployment.Deployment(plans=plans)
     try:
         await fleet.start()
         await fleet.apply(EXAMPLE)
@@ -504,3 +505,98 @@
         text = (EXAMPLE / name).read_text()
         (folder / name).write_text(text.replace(old, new))
     return folder
+
+
+ROUTES = """
+
+[[routes]]
+name = "pages"
+host = "garden.example"
+path_prefix = "/"
+service = "shopfront"
+idempotent = true
+
+[[routes]]
+name = "answers"
+host = "garden.example"
+path_prefix = "/plants/"
+shares = { shopfront = 1, advisor = 1 }
+idempotent = true
+target_ms = 400
+"""
+
+
+def test_routes_of_the_documents_lead_to_their_services() -> None:
+    async def call_by_routes() -> None:
+        plans = [
+            deployment.VmPlan(
+                name=f"{service}-0",
+                service=service,
+                zone=ZONES[0],
+                server_flags=("--service-ms", "2", "--cold-s", "0.2"),
+            )
+            for service in ("shopfront", "advisor")
+        ]
+        async with _running_fleet(plans) as fleet:
+            running = fleet.running
+            folder = running.folder / "routed"
+            _copy_example(folder, "", "")
+            with (folder / "rules.toml").open("a") as rules:
+                rules.write(ROUTES)
+            status, output = await running.run_command(
+                "apply", str(folder), "--wait"
+            )
+            assert status == 0, output
+            served = set()
+            for number in range(30):
+                call = f"split-{number}"
+                host = "GARDEN.example"
+                await fleet.call("/plants/1", host=host, X_Call_Id=call)
+                served.update(fleet.runs_of(call))
+            assert served == {"shopfront-0", "advisor-0"}
+            for vm in range(2):
+                call = f"page-{vm}"
+                await fleet.call(
+                    "/kits/1", host="garden.example", vm=vm, X_Call_Id=call
+                )
+                assert fleet.runs_of(call) == ["shopfront-0"]
+
+    asyncio.run(call_by_routes())
+
+
+def test_a_cold_server_gets_no_more_calls_a_second_than_it_bears() -> None:
+    async def call_cold_server() -> None:
+        plan = deployment.VmPlan(
+            name="shop-0",
+            service="shopfront",
+            zone=ZONES[0],
+            server_flags=(
+                *("--service-ms", "2", "--cold-s", "3"),
+                *("--cold-bears", "12", "--cold-calls-per-s", "8"),
+            ),
+        )
+        async with _running_fleet([plan]) as fleet:
+            running = fleet.running
+            folder = running.folder / "cold"
+            _copy_example(
+                folder,
+                "cold_concurrency = 2",
+                "cold_concurrency = 12\ncold_calls_per_s = 6\ncold_ms = 3000",
+            )
+            status, output = await running.run_command(
+                "apply", str(folder), "--wait"
+            )
+            assert status == 0, output
+            (vm,) = running.vms
+            assert vm.server is not None
+            await deployment.end_process(vm.server, signal.SIGKILL)
+            await running.start_server(vm)
+            for number in range(60):
+                await fleet.call("/kits/1", X_Call_Id=f"cold-{number}")
+            events = [r.event for r in running.read_records()]
+            assert "fell" not in events
+            assert any(
+                r.is_cold and r.event == "run" for r in running.read_records()
+            )
+
+    asyncio.run(call_cold_server())
