Keep nodes and their servers in the store, for nodes that start together

Change: the store keeps each node's zone, service and slots; a node that starts takes them as members which nobody has confirmed, exchanges members at once, and leaves unconfirmed servers out when half are confirmed. They are not spread and follow no store. A probe for a node that had this address before is not answered. Under virtual time 62 nodes that start together know each other 0.05 s later.

--- a/packages/cli/marjoramledge_cli/_main.py
+++ b/packages/cli/marjoramledge_cli/_main.py
@@ -450,7 +450,7 @@
         found = await store.list_members(SEED_ROWS)
     finally:
         await store.close()
-    return found.value_or(())
+    return [member.address for member in found.value_or(())]
 
 
 def _parse_address(text: str) -> node.Address:
--- a/packages/core/marjoramledge_core/_directory.py
+++ b/packages/core/marjoramledge_core/_directory.py
@@ -20,6 +20,9 @@
 # Of these the most that may be of the own zone.
 MAX_OWN_ZONE: typing.Final = 16
 OTHER_REGION_COST_S: typing.Final = 0.025
+# When this part of the servers known has been heard of from their own nodes,
+# those that only the store has told of are left out.
+CONFIRMED_PART: typing.Final = 0.5
 
 
 class Directory:
@@ -95,6 +98,10 @@
             if _region_of(member.zone, configuration) == region
         ]
         chosen = near or members
+        confirmed = [member for member in chosen if member.is_confirmed]
+        if CONFIRMED_PART * len(chosen) <= len(confirmed):
+            # The rest are most likely gone.
+            chosen = confirmed
         own = [member for member in chosen if member.zone == self._zone]
         others = [member for member in chosen if member.zone != self._zone]
         if len(chosen) > MAX_SUBSET:
--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -188,10 +188,10 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class SeedsFound:
-    """Addresses were read at which other nodes may be reached."""
+class KeptMembersRead:
+    """The store told of nodes that once were, see ``Member.is_confirmed``."""
 
-    addresses: tuple[_members.Address, ...]
+    members: tuple[_members.Member, ...]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -269,7 +269,7 @@
     | ProbeEnded
     | MessageReceived
     | MembersReceived
-    | SeedsFound
+    | KeptMembersRead
     | VersionRead
     | VersionReadEnded
     | ManifestFetched
--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import typing
 
 from marjoramledge_core import _ids
 from marjoramledge_core import _manifest
@@ -43,6 +44,10 @@
     port: int
 
 
+# Incarnation of what the store has kept of a node; nodes count from one.
+KEPT_INCARNATION: typing.Final = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Member:
     """What is known of one node and of the backend server beside it.
@@ -68,6 +73,11 @@
             and self.server in ACCEPTING_STATES
         )
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the node itself has told of this, not only the store."""
+        return self.incarnation != KEPT_INCARNATION
+
     def supersedes(self, other: "Member") -> bool:
         """Tell whether this news of a node is newer than another."""
         return (self.incarnation, self.status) > (
--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -49,6 +49,10 @@
 # A node that starts exchanges views often, then ever less often, so that
 # nodes that start together do not remain apart in groups.
 FIRST_SYNC_PERIOD_S: typing.Final = 0.5
+# A node that knows the others from the store has less to ask for.
+KEPT_SYNC_PERIOD_S: typing.Final = 2.0
+# After so long, a node has heard of whoever is there from the others.
+KEPT_NEWS_S: typing.Final = 10.0
 REGISTER_PERIOD_S: typing.Final = 300.0
 # A node that has found nobody looks again this soon.
 FIRST_REGISTER_PERIOD_S: typing.Final = 2.0
@@ -61,6 +65,7 @@
 # A node is probed, and has its own probe answered, about once a second.
 SILENCE_S: typing.Final = 1.5
 MAX_FAR_TOLD: typing.Final = 12
+# Addresses at which a node looks for groups apart from its own.
 MAX_SEEDS: typing.Final = 64
 
 _DEPARTED: typing.Final = frozenset(
@@ -110,7 +115,10 @@
         self._push_is_set = False
         self._probed_at: float | None = None
         self._sync_period_s = FIRST_SYNC_PERIOD_S
+        self._sync_timer: _timers.Timer | None = None
         self._register_period_s = FIRST_REGISTER_PERIOD_S
+        self._has_registered = False
+        self._started_at = 0.0
         self._revision = 0
         self._most_present = 1
         self._heard_at = -SILENCE_S
@@ -154,6 +162,7 @@
             for member in self._members.values()
             if member.zone == self._myself.zone
             and member.status is _members.MemberStatus.ALIVE
+            and member.is_confirmed
         ]
         return self._myself.node in sorted(zone)[:FOLLOWERS_PER_ZONE]
 
@@ -164,8 +173,9 @@
 
     def start(self, now: float) -> None:
         """Set the first timers of a node that starts."""
+        self._started_at = now
         self._timers.set(now, _timers.TimerKind.MEMBER_REGISTER)
-        self._timers.set(now, _timers.TimerKind.MEMBER_SYNC)
+        self._plan_sync(now)
         self._timers.set(now + PROBE_PERIOD_S, _timers.TimerKind.MEMBER_PROBE)
 
     def set_config(self, ref: _manifest.VersionRef) -> None:
@@ -261,14 +271,34 @@
         if changed != self._myself:
             self._raise_incarnation(changed, self._myself.incarnation, now)
 
-    def add_seeds(
-        self, addresses: collections.abc.Iterable[_members.Address]
+    def take_kept(
+        self,
+        members: collections.abc.Iterable[_members.Member],
+        now: float,
+        out: list[_commands.Command],
     ) -> None:
-        """Add addresses at which to look for others."""
-        for address in addresses:
-            if address != self._myself.address and address not in self._seeds:
-                self._seeds.append(address)
-        del self._seeds[:-MAX_SEEDS]
+        """Take in what the store has kept of nodes, and ask one of them.
+
+        All may have started together, after a loss of power say, so nobody
+        could tell more.  Who is gone is found by probes.  Nothing of this is
+        spread: every node can read it.  Later on, strangers are most likely
+        gone for long, but may be a group apart from this one.
+        """
+        strangers = [m for m in members if m.node not in self._members]
+        if not strangers:
+            return
+        if self.present_count > 1 and now - self._started_at > KEPT_NEWS_S:
+            self._seeds.extend(
+                member.address
+                for member in strangers
+                if member.address not in self._seeds
+            )
+            del self._seeds[:-MAX_SEEDS]
+            return
+        for member in strangers:
+            self._store(member, now, out)
+        self._sync_period_s = max(self._sync_period_s, KEPT_SYNC_PERIOD_S)
+        self._plan_sync(now)
 
     def take_members(
         self,
@@ -300,6 +330,9 @@
         self.take_members(message.news, now, out)
         self._answer_outdated_sender(message)
         if message.kind is _members.MessageKind.PING:
+            if message.target != self._myself.node:
+                # Another node had this address before.
+                return
             self._send(
                 _members.MessageKind.ACK,
                 message.sender_address,
@@ -417,10 +450,7 @@
         address = self._pick_sync_peer(rng)
         if address is not None:
             out.append(_commands.SyncMembers(address=address))
-        self._timers.set(
-            now + self._sync_period_s * rng.uniform(0.8, 1.2),
-            _timers.TimerKind.MEMBER_SYNC,
-        )
+        self._plan_sync(now + self._sync_period_s * rng.uniform(0.8, 1.2))
         if self.present_count > 1:
             steady_s = SYNC_PERIOD_PER_MEMBER_S * self.present_count
             self._sync_period_s = min(
@@ -433,14 +463,20 @@
         rng: random.Random,
         out: list[_commands.Command],
     ) -> None:
-        """Keep this node's row in the table fresh."""
-        out.append(_commands.RegisterMember())
+        """Keep this node's row in the table fresh.
+
+        A node that has found nobody tries again soon.
+        """
+        is_first_again = self._register_period_s == FIRST_REGISTER_PERIOD_S
+        if self._has_registered and is_first_again and self.present_count > 1:
+            self._register_period_s = REGISTER_PERIOD_S
+        else:
+            self._has_registered = True
+            out.append(_commands.RegisterMember())
         self._timers.set(
             now + self._register_period_s * rng.uniform(0.8, 1.2),
             _timers.TimerKind.MEMBER_REGISTER,
         )
-        if self.present_count > 1:
-            self._register_period_s = REGISTER_PERIOD_S
 
     def leave(
         self, now: float, rng: random.Random, out: list[_commands.Command]
@@ -497,7 +533,8 @@
         known = self._members.get(member.node)
         self._members[member.node] = member
         self._revision += 1
-        self._spread(member.node, now)
+        if member.is_confirmed:
+            self._spread(member.node, now)
         if member.status in _DEPARTED:
             self._departed_at[member.node] = now
         else:
@@ -564,6 +601,11 @@
             self._news.drop_member(node)
             self._revision += 1
 
+    def _plan_sync(self, at: float) -> None:
+        if self._sync_timer is not None:
+            self._sync_timer.is_cancelled = True
+        self._sync_timer = self._timers.set(at, _timers.TimerKind.MEMBER_SYNC)
+
     def _next_target(self, rng: random.Random) -> _members.Member | None:
         for _ in range(2):
             while self._round:
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -164,8 +164,10 @@
     step.state.membership.take_members(event.members, step.now, step.out)
 
 
-def _take_seeds(step: _state.Step, event: _events.SeedsFound) -> None:
-    step.state.membership.add_seeds(event.addresses)
+def _take_kept_members(
+    step: _state.Step, event: _events.KeptMembersRead
+) -> None:
+    step.state.membership.take_kept(event.members, step.now, step.out)
 
 
 def _take_version(step: _state.Step, event: _events.VersionRead) -> None:
@@ -312,7 +314,7 @@
     _events.ProbeEnded: _work.end_probe,
     _events.MessageReceived: _take_message,
     _events.MembersReceived: _take_members,
-    _events.SeedsFound: _take_seeds,
+    _events.KeptMembersRead: _take_kept_members,
     _events.VersionRead: _take_version,
     _events.VersionReadEnded: lambda step, event: (
         step.state.versions.read_ended(event.is_success, step.now, step.rng)
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -31,7 +31,9 @@
 PROBE_TIMEOUT_S: typing.Final = 1.0
 # What is waited for the departed servers before one that runs is taken in.
 FLEET_WAIT_S: typing.Final = 0.3
-SEED_ROWS: typing.Final = 16
+# Nodes that one which starts is told of by the store; in a larger fleet it
+# hears of the others from these.
+KEPT_MEMBERS: typing.Final = 128
 
 
 class Fleet:
@@ -171,13 +173,40 @@
         self._engine.submit(node.MembersReceived(members=decoded.unwrap()))
 
     async def _register(self, _command: node.RegisterMember) -> None:
+        """Read what is kept of the fleet; keep what is new of this node."""
         if self._store is None:
             return
+        kept = await self._read_fleet(self._store)
+        if kept is None:
+            return
+        myself = self._describe_myself()
+        for member in kept.members:
+            # A node that has just started does not know its server's slots.
+            slots = myself.slots or member.slots
+            if member == dataclasses.replace(myself, slots=slots):
+                return
+        written = await self._store.put_member(myself)
+        if isinstance(written, result.Failure):
+            loguru.logger.bind(event="register-failed").warning(
+                "the store has not kept this node: {}", written.failure()
+            )
+
+    def _describe_myself(self) -> node.Member:
+        """Describe this node as the store keeps it."""
         myself = self._engine.state.membership.myself
-        await self._store.put_member(
-            member=myself.node, address=myself.address, zone=myself.zone
+        hint = self._options.server_hint
+        service = myself.service
+        if not service and hint is not None:
+            service = hint.service
+        return dataclasses.replace(
+            myself,
+            incarnation=node.KEPT_INCARNATION,
+            status=node.MemberStatus.ALIVE,
+            service=service,
+            server=(
+                node.ServerState.WARM if service else node.ServerState.ABSENT
+            ),
         )
-        await self._read_fleet(self._store)
 
     async def find_server(self, hint: _options.ServerHint) -> None:
         """Look for a backend server that runs already, and announce it."""
@@ -230,15 +259,18 @@
         self._kept_departure = server
         return True
 
-    async def _read_fleet(self, store: client.NodeStore) -> None:
-        found = await store.read_fleet(SEED_ROWS)
+    async def _read_fleet(
+        self, store: client.NodeStore
+    ) -> client.FleetRows | None:
+        found = await store.read_fleet(self._engine.state.node, KEPT_MEMBERS)
         self._note_store(isinstance(found, result.Success))
         if isinstance(found, result.Failure):
-            return
+            return None
         fleet = found.unwrap()
         self._fleet_read.set()
         self._engine.submit(node.DeparturesRead(servers=fleet.departures))
-        self._engine.submit(node.SeedsFound(addresses=fleet.addresses))
+        self._engine.submit(node.KeptMembersRead(members=fleet.members))
+        return fleet
 
     async def _read_version(self, command: node.ReadVersion) -> None:
         if self._store is None:
--- a/packages/standins/marjoramledge_standins/virtual_network.py
+++ b/packages/standins/marjoramledge_standins/virtual_network.py
@@ -38,7 +38,7 @@
         self.is_up = True
         self.ref = configuration.NO_VERSION
         self.contents: dict[ids.Digest, configuration.Configuration] = {}
-        self.members: list[node.Address] = []
+        self.members: dict[ids.NodeId, node.Member] = {}
         self.reads = 0
         self.writes = 0
 
@@ -245,10 +245,12 @@
             return
         self.store.writes += 1
         self.store.reads += 1
-        if address not in self.store.members:
-            self.store.members.append(address)
-        rows = tuple(self.store.members[-16:])
-        self._reply(address, node.SeedsFound(addresses=rows))
+        myself = self.nodes[address].membership.myself
+        self.store.members[myself.node] = dataclasses.replace(
+            myself, incarnation=node.KEPT_INCARNATION
+        )
+        rows = tuple(self.store.members.values())
+        self._reply(address, node.KeptMembersRead(members=rows))
 
     def _fetch(
         self, address: node.Address, command: node.FetchManifest
--- a/packages/store/marjoramledge_store/_client.py
+++ b/packages/store/marjoramledge_store/_client.py
@@ -23,6 +23,7 @@
 
 from marjoramledge_store import _errors
 from marjoramledge_store import _guard
+from marjoramledge_store import _kept
 from marjoramledge_store import _ports
 
 DEFAULT_TIMEOUT_S: typing.Final = 2.0
@@ -163,31 +164,27 @@
             return result.Failure(_errors.StoreError.REJECTED)
         return result.Success(reply.body)
 
-    async def put_member(
-        self,
-        *,
-        member: ids.NodeId,
-        address: node.Address,
-        zone: ids.ZoneName,
-    ) -> _ports.Outcome[None]:
-        """Write where a node can be reached."""
+    async def put_member(self, member: node.Member) -> _ports.Outcome[None]:
+        """Keep where a node can be reached, and what its server is."""
         replied = await self._request(
             "PUT",
-            _entity_path(MEMBERS_TABLE, "members", member),
+            _entity_path(MEMBERS_TABLE, "members", member.node),
             entity={
                 "PartitionKey": "members",
-                "RowKey": member,
-                "Host": address.host,
-                "Port": address.port,
-                "Zone": zone,
+                "RowKey": member.node,
+                "Host": member.address.host,
+                "Port": member.address.port,
+                "Zone": member.zone,
+                "Service": member.service,
+                "Slots": member.slots,
             },
         )
         return replied.bind(_check_written)
 
     async def list_members(
         self, count: int
-    ) -> _ports.Outcome[tuple[node.Address, ...]]:
-        """Read where some nodes can be reached."""
+    ) -> _ports.Outcome[tuple[node.Member, ...]]:
+        """Read some nodes as they once were."""
         replied = await self._request(
             "GET", f"/tables/{MEMBERS_TABLE}()?$top={count}"
         )
@@ -198,7 +195,14 @@
             rows = json.loads(reply.body)["value"]
             return result.Success(
                 tuple(
-                    node.Address(host=str(row["Host"]), port=int(row["Port"]))
+                    _kept.build_member(
+                        ids.NodeId(str(row["RowKey"])),
+                        host=row["Host"],
+                        port=row["Port"],
+                        zone=row["Zone"],
+                        service=row["Service"],
+                        slots=row["Slots"],
+                    )
                     for row in rows
                 )
             )
@@ -220,15 +224,17 @@
         )
         return replied.bind(_check_written)
 
-    async def read_fleet(self, count: int) -> _ports.Outcome[_ports.FleetRows]:
-        """Read where at most ``count`` nodes are, and which servers left."""
+    async def read_fleet(
+        self, reader: ids.NodeId, count: int
+    ) -> _ports.Outcome[_ports.FleetRows]:
+        """Read at most ``count`` nodes, and which servers left."""
         members = await self.list_members(count)
         if isinstance(members, result.Failure):
             return members
         departures = await self._list_departures()
         return departures.map(
             lambda found: _ports.FleetRows(
-                addresses=members.unwrap(), departures=found
+                members=members.unwrap(), departures=found
             )
         )
 
--- a/packages/store/marjoramledge_store/_followed.py
+++ b/packages/store/marjoramledge_store/_followed.py
@@ -18,6 +18,7 @@
 from returns import result
 
 from marjoramledge_store import _errors
+from marjoramledge_store import _kept
 from marjoramledge_store import _ports
 
 FLEET_TABLE: typing.Final = "fleet"
@@ -82,17 +83,17 @@
             return result.Failure(_errors.StoreError.NOT_FOUND)
         return result.Success(content)
 
-    async def put_member(
-        self,
-        *,
-        member: ids.NodeId,
-        address: node.Address,
-        zone: ids.ZoneName,
-    ) -> _ports.Outcome[None]:
-        """Write where a node can be reached."""
+    async def put_member(self, member: node.Member) -> _ports.Outcome[None]:
+        """Keep where a node can be reached, and what its server is."""
         return await self._put(
-            _MEMBER_PREFIX + member,
-            {"host": address.host, "port": address.port, "zone": zone},
+            _MEMBER_PREFIX + member.node,
+            {
+                "host": member.address.host,
+                "port": member.address.port,
+                "zone": member.zone,
+                "service": member.service,
+                "slots": member.slots,
+            },
         )
 
     async def put_departure(
@@ -103,8 +104,10 @@
             _DEPARTURE_PREFIX + server.server, {"born": server.born}
         )
 
-    async def read_fleet(self, count: int) -> _ports.Outcome[_ports.FleetRows]:
-        """Read where at most ``count`` nodes are, and which servers left.
+    async def read_fleet(
+        self, reader: ids.NodeId, count: int
+    ) -> _ports.Outcome[_ports.FleetRows]:
+        """Read at most ``count`` nodes, and which servers left.
 
         The nodes are picked at random, so that a few rows of nodes that are
         gone do not keep a node that starts apart.
@@ -115,7 +118,9 @@
         if isinstance(read, result.Failure):
             return read
         try:
-            return result.Success(_decode_fleet(read.unwrap().rows, count))
+            return result.Success(
+                _decode_fleet(read.unwrap().rows, reader, count)
+            )
         except (ValueError, KeyError, TypeError):
             return result.Failure(_errors.StoreError.REJECTED)
 
@@ -186,28 +191,24 @@
 
 
 def _decode_fleet(
-    rows: typing.Mapping[str, bytes], count: int
+    rows: typing.Mapping[str, bytes], reader: ids.NodeId, count: int
 ) -> _ports.FleetRows:
-    addresses = []
+    members = []
     departures = []
     for key, value in rows.items():
         fields = json.loads(value)
         if key.startswith(_MEMBER_PREFIX):
-            addresses.append(
-                node.Address(
-                    host=str(fields["host"]), port=int(fields["port"])
-                )
-            )
+            name = ids.NodeId(key.removeprefix(_MEMBER_PREFIX))
+            members.append(_kept.build_member(name, **fields))
         elif key.startswith(_DEPARTURE_PREFIX):
-            name = key.removeprefix(_DEPARTURE_PREFIX)
+            server = ids.ServerId(key.removeprefix(_DEPARTURE_PREFIX))
             departures.append(
-                node.ServerStart(
-                    server=ids.ServerId(name), born=int(fields["born"])
-                )
+                node.ServerStart(server=server, born=int(fields["born"]))
             )
-    random.shuffle(addresses)
+    random.shuffle(members)
+    members.sort(key=lambda member: member.node != reader)
     return _ports.FleetRows(
-        addresses=tuple(addresses[:count]), departures=tuple(departures)
+        members=tuple(members[:count]), departures=tuple(departures)
     )
 
 
--- a/packages/store/marjoramledge_store/_ports.py
+++ b/packages/store/marjoramledge_store/_ports.py
@@ -31,11 +31,11 @@
 class FleetRows:
     """What nodes have kept for nodes that start.
 
-    ``addresses`` are of nodes, ``departures`` are starts of backend servers
-    that were acknowledged as leaving or gone.
+    ``members`` are nodes as they once were, ``departures`` are starts of
+    backend servers that were acknowledged as leaving or gone.
     """
 
-    addresses: tuple[node.Address, ...]
+    members: tuple[node.Member, ...]
     departures: tuple[node.ServerStart, ...]
 
 
@@ -54,20 +54,19 @@
     async def get_manifest(self, digest: ids.Digest) -> Outcome[bytes]:
         """Read a configuration by its digest."""
 
-    async def put_member(
-        self,
-        *,
-        member: ids.NodeId,
-        address: node.Address,
-        zone: ids.ZoneName,
-    ) -> Outcome[None]:
-        """Write where a node can be reached."""
+    async def put_member(self, member: node.Member) -> Outcome[None]:
+        """Keep where a node can be reached, and what its server is."""
 
     async def put_departure(self, server: node.ServerStart) -> Outcome[None]:
         """Keep that a start of a backend server is leaving."""
 
-    async def read_fleet(self, count: int) -> Outcome[FleetRows]:
-        """Read where at most ``count`` nodes are, and which servers left."""
+    async def read_fleet(
+        self, reader: ids.NodeId, count: int
+    ) -> Outcome[FleetRows]:
+        """Read at most ``count`` nodes, and which servers left.
+
+        What is kept of the reader itself is always among them.
+        """
 
     async def close(self) -> None:
         """Close all connections."""
--- a/tests/test_followed_store.py
+++ b/tests/test_followed_store.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 
 import hypothesis
 from hypothesis import stateful
@@ -179,15 +180,27 @@
         store = followed.FollowedStore(tables=tables, operator_table=TABLE)
         address = node.Address(host="10.0.0.1", port=7380)
         start = node.ServerStart(server=ids.ServerId("s"), born=7)
-        await store.put_member(
-            member=ids.NodeId("n"), address=address, zone=ids.ZoneName("a")
+        member = node.Member(
+            node=ids.NodeId("n"),
+            address=address,
+            zone=ids.ZoneName("a"),
+            incarnation=node.KEPT_INCARNATION,
+            status=node.MemberStatus.ALIVE,
+            service=ids.ServiceName("shop"),
+            server=node.ServerState.WARM,
+            slots=4,
         )
+        await store.put_member(member)
+        for number in range(20):
+            other = ids.NodeId(f"other-{number}")
+            await store.put_member(dataclasses.replace(member, node=other))
         await store.put_departure(start)
-        fleet = (await store.read_fleet(8)).unwrap()
-        assert fleet.addresses == (address,)
+        fleet = (await store.read_fleet(member.node, 8)).unwrap()
+        assert member in fleet.members
+        assert len(fleet.members) == 8
         assert fleet.departures == (start,)
         tables.fleet["node/m"] = b"not JSON"
-        broken = await store.read_fleet(8)
+        broken = await store.read_fleet(member.node, 8)
         assert broken == result.Failure(client.StoreError.REJECTED)
 
     asyncio.run(keep_and_read())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -247,3 +247,70 @@
     _break_call(network, 0)
     network.run(3.0)
     assert _count_suspecting(network) == 62
+
+
+def _restart_all(network: virtual_network.Network, count: int) -> None:
+    for number in range(count):
+        network.kill(number)
+    network.run(1.0)
+    for number in range(count):
+        network.start(number, incarnation=2)
+
+
+def test_nodes_that_lost_power_together_know_one_another_at_once() -> None:
+    network = virtual_network.Network(count=62, seed=1)
+    _run_until_agreed(network, 15.0)
+    _restart_all(network, 62)
+    network.run(0.05)
+    for number in range(62):
+        state = network.nodes[network.address(number)]
+        present = [
+            member
+            for member in state.membership.members.values()
+            if member.accepts_work
+        ]
+        assert len(present) == 62
+    network.run(3.0)
+    assert all(
+        member.is_confirmed
+        for state in network.nodes.values()
+        for member in state.membership.members.values()
+    )
+
+
+def test_what_the_store_kept_of_gone_nodes_is_dropped() -> None:
+    network = virtual_network.Network(count=12, seed=1)
+    _run_until_agreed(network, 15.0)
+    _restart_all(network, 12)
+    for number in range(6):
+        network.kill(number)
+    network.run(1.0)
+    zones = {
+        state.zone
+        for state in network.nodes.values()
+        if state.membership.is_follower(network.now)
+    }
+    assert zones == {"north", "south"}
+    _run_until_agreed(network, 30.0)
+
+
+def test_a_node_does_not_answer_probes_of_one_that_had_its_address() -> None:
+    network = virtual_network.Network(count=8, seed=1)
+    _run_until_agreed(network, 15.0)
+    address = network.address(3)
+    network.kill(3)
+    network.start(3)
+    newcomer = network.nodes[address]
+    network.kill(3)
+    network.nodes[address] = node.create_state(
+        identity=node.Identity(
+            node=ids.NodeId("newcomer"),
+            address=address,
+            zone=newcomer.zone,
+            incarnation=1,
+        ),
+        seeds=(network.address(0),),
+        options=node.Options(stop_limit_s=30.0),
+        now=network.now,
+    )
+    _run_until_agreed(network, 30.0)
