--- a/packages/node/marjoramledge_node/_main.py
+++ b/packages/node/marjoramledge_node/_main.py
@@ -92,6 +92,15 @@
             "the one at which they reach this node.",
         ),
     ] = "127.0.0.1:8081",
+    peer_advertise: typing.Annotated[
+        str,
+        typer.Option(
+            "--peer-advertise",
+            envvar="MARJORAMLEDGE_PEER_ADVERTISE",
+            help="IP:PORT at which other nodes reach --peer-listen, where "
+            "that is another address.",
+        ),
+    ] = "",
     local_listen: typing.Annotated[
         str,
         typer.Option(
@@ -190,6 +199,11 @@
         zone=ids.ZoneName(_parse_with(_parse_name, zone, "--zone")),
         caller_address=_parse_with(address, listen, "--listen"),
         peer_address=_parse_with(address, peer_listen, "--peer-listen"),
+        advertised_address=(
+            _parse_with(address, peer_advertise, "--peer-advertise")
+            if peer_advertise
+            else None
+        ),
         local_address=_parse_with(address, local_listen, "--local-listen"),
         seeds=_parse_addresses(seed, "--seeds"),
         keys=_parse_with(_auth.parse_keys, keys, "--keys"),
--- a/packages/node/marjoramledge_node/_options.py
+++ b/packages/node/marjoramledge_node/_options.py
@@ -50,7 +50,8 @@
     """Settings of one node.
 
     ``caller_service`` is the service of this VM, told to backend servers
-    where the dialect has a header for it.
+    where the dialect has a header for it; ``advertised_address`` is where
+    other nodes reach ``peer_address``, if that is another one.
     """
 
     node_id: ids.NodeId
@@ -67,6 +68,7 @@
     statsd_prefix: str
     ready_address: node.Address | None = None
     metrics_address: node.Address | None = None
+    advertised_address: node.Address | None = None
     server_hint: ServerHint | None = None
     caller_service: str = ""
     idle_connection_s: float = DEFAULT_IDLE_CONNECTION_S
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -62,7 +62,9 @@
             state=node.create_state(
                 identity=node.Identity(
                     node=options.node_id,
-                    address=options.peer_address,
+                    address=(
+                        options.advertised_address or options.peer_address
+                    ),
                     zone=options.zone,
                     incarnation=time.time_ns() // 1_000_000,
                 ),
--- a/packages/standins/marjoramledge_standins/backend_server.py
+++ b/packages/standins/marjoramledge_standins/backend_server.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import dataclasses
 import hashlib
 import json
@@ -32,6 +33,7 @@
 
 COLD_SLOWDOWN: typing.Final = 4.0
 ANNOUNCE_RETRY_S: typing.Final = 0.2
+ANNOUNCE_PERIOD_S: typing.Final = 1.0
 CHUNK: typing.Final = bytes(65536)
 
 
@@ -297,6 +299,15 @@
     )
 
 
+async def announce_again(
+    node_url: str, announcement: dict[str, object]
+) -> None:
+    """Announce a backend server every second; its node may start anew."""
+    while node_url:
+        await asyncio.sleep(ANNOUNCE_PERIOD_S)
+        await announce(node_url, announcement, is_persistent=False)
+
+
 async def announce(
     node_url: str,
     announcement: dict[str, object],
@@ -313,7 +324,7 @@
                     if response.status == 204:
                         return
                     raise AssertionError(await response.text())
-            except aiohttp.ClientConnectorError:
+            except aiohttp.ClientError:
                 if not is_persistent:
                     return
                 await asyncio.sleep(ANNOUNCE_RETRY_S)
@@ -327,6 +338,7 @@
     port: typing.Annotated[int, typer.Option()],
     records: typing.Annotated[str, typer.Option()],
     node_url: str = "",
+    announce_port: int = 0,
     slots: int = 12,
     connections: int = 220,
     cold_s: float = 1.0,
@@ -367,7 +379,7 @@
             announcement: dict[str, object] = {
                 "service": service,
                 "host": host,
-                "port": port,
+                "port": announce_port or port,
                 "slots": slots,
                 "connections": connections,
                 "cold_concurrency": cold_bears,
@@ -387,7 +399,11 @@
                 )
                 await asyncio.sleep(cold_s)
                 await announce(node_url, {**announcement, "state": "warm"})
+            again = asyncio.create_task(
+                announce_again(node_url, {**announcement, "state": "warm"})
+            )
             await stopping.wait()
+            again.cancel()
             if node_url:
                 await announce(
                     node_url, {"state": "draining"}, is_persistent=False
--- a/packages/store/marjoramledge_store/_client.py
+++ b/packages/store/marjoramledge_store/_client.py
@@ -200,8 +200,8 @@
                         host=row["Host"],
                         port=row["Port"],
                         zone=row["Zone"],
-                        service=row["Service"],
-                        slots=row["Slots"],
+                        service=row.get("Service", ""),
+                        slots=row.get("Slots", 0),
                     )
                     for row in rows
                 )
--- a/packages/store/marjoramledge_store/_kept.py
+++ b/packages/store/marjoramledge_store/_kept.py
@@ -13,11 +13,13 @@
     host: object,
     port: int | str,
     zone: object,
-    service: object,
-    slots: int | str,
+    service: object = "",
+    slots: int | str = 0,
 ) -> node.Member:
     """Build a member that only the store tells of.
 
+    Rows of earlier versions lack the service and the slots.
+
     Raises
     ------
     ValueError, TypeError
