--- a/packages/standins/marjoramledge_standins/deployment.py
+++ b/packages/standins/marjoramledge_standins/deployment.py
@@ -50,6 +50,9 @@
     local_port: int
     server_port: int
     records: pathlib.Path
+    store_url: str
+    advertised: str = ""
+    announced_port: int = 0
     node: asyncio.subprocess.Process | None = None
     server: asyncio.subprocess.Process | None = None
 
@@ -66,7 +69,7 @@
     @property
     def peer_address(self) -> str:
         """The node's peer port as operators write it."""
-        return f"{self.host}:{self.peer_port}"
+        return self.advertised or f"{self.host}:{self.peer_port}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -91,8 +94,8 @@
     ----------
     plans
         The VMs.
-    log_level
-        Level of the nodes' logs, which go to files in the folder.
+    log_level, log_format
+        Level and form of the nodes' logs, which go to files in the folder.
     """
 
     def __init__(
@@ -100,7 +103,9 @@
         *,
         plans: collections.abc.Iterable[VmPlan],
         log_level: str = "info",
+        log_format: str = "text",
     ) -> None:
+        self._log_format = log_format
         self._folder_holder = tempfile.TemporaryDirectory(
             prefix="marjoramledge-"
         )
@@ -123,6 +128,11 @@
         """The VMs."""
         return self._vms
 
+    @property
+    def platform_port(self) -> int:
+        """Port of the platform's store on 127.0.0.1."""
+        return self._platform_port
+
     @property
     def store_url(self) -> str:
         """URL of the platform's store."""
@@ -162,14 +172,18 @@
             f"{vm.host}:{vm.caller_port}",
             "--peer-listen",
             f"{vm.host}:{vm.peer_port}",
+            "--peer-advertise",
+            vm.peer_address,
             "--local-listen",
             f"{vm.host}:{vm.local_port}",
             "--store-url",
-            self.store_url,
+            vm.store_url,
             "--seeds",
             ",".join(other.peer_address for other in self._vms[:SEEDS]),
             "--log-level",
             self._log_level,
+            "--log-format",
+            self._log_format,
         )
         await self._wait_for_port(vm.host, vm.peer_port)
 
@@ -188,6 +202,8 @@
             vm.host,
             "--port",
             str(vm.server_port),
+            "--announce-port",
+            str(vm.announced_port or vm.server_port),
             "--records",
             str(vm.records),
             "--node-url",
@@ -282,6 +298,7 @@
             local_port=ports[2],
             server_port=ports[3],
             records=self._folder / f"{plan.name}.records",
+            store_url=self.store_url,
         )
 
     def _environment(self) -> dict[str, str]:
--- /dev/null
+++ b/packages/standins/marjoramledge_standins/soak.py
@@ -0,0 +1,493 @@
+"""A soak: the real programs under faults that one seed draws.
+
+Runs a deployment with a link between any two parties that talk, carries out
+the drawn faults and orders from outside, lets callers call all the while, and
+checks the promises at the end.  Run as
+``python -m marjoramledge_standins.soak --seed 1 --minutes 1``.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import json
+import pathlib
+import random
+import signal
+import sys
+import time
+import typing
+
+import aiohttp
+import typer
+
+from marjoramledge_standins import demo
+from marjoramledge_standins import deployment
+from marjoramledge_standins import links
+from marjoramledge_standins import measurement
+from marjoramledge_standins import soak_checks
+from marjoramledge_standins import soak_plan
+from marjoramledge_standins import soak_report
+from marjoramledge_standins import traffic
+
+CALLS_PER_S: typing.Final = 60.0
+LEAVE_SHARE: typing.Final = 0.03
+SLOW_S: typing.Final = 0.3
+# How often, and with what pauses, a restarted node is looked for.
+READY_TRIES: typing.Final = 300
+READY_TRY_S: typing.Final = 0.1
+# Faults end within seconds, so a command that fails this often is wrong.
+COMMAND_TRIES: typing.Final = 20
+# Zones besides the one that an order takes out stay in service.
+ZONES: typing.Final = ("sapporo-a", "sapporo-b", "obihiro")
+_SERVICES: typing.Final = ("shopfront", "advisor")
+
+_Kind = soak_plan.FaultKind
+_STORE_MODES: typing.Final = {
+    _Kind.STORE_DOWN: "down",
+    _Kind.STORE_SLOW: "slow",
+    _Kind.STORE_LOSES_ANSWERS: "lose-answers",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _VmLinks:
+    """Links of one VM; each leads to the party that it is named for."""
+
+    peer: links.Link
+    store: links.Link
+    server: links.Link
+
+    def all(self) -> tuple[links.Link, ...]:
+        return self.peer, self.store, self.server
+
+
+def plan_vms(count: int) -> list[deployment.VmPlan]:
+    """Plan VMs of two services, spread over the zones."""
+    return [
+        deployment.VmPlan(
+            name=f"{_SERVICES[number % 2]}-{number}",
+            service=_SERVICES[number % 2],
+            zone=ZONES[number // 2 % len(ZONES)],
+            server_flags=("--service-ms", "10", "--noise", "3"),
+        )
+        for number in range(count)
+    ]
+
+
+class Soak:
+    """One soak.
+
+    Parameters
+    ----------
+    seed
+        Decides the faults, the arrivals and the callers' choices.
+    duration_s
+        Seconds of traffic.
+    vms
+        Number of VMs, each with a node and a backend server.
+    quiet_end_s
+        Seconds at the end without faults.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        duration_s: float,
+        vms: int,
+        quiet_end_s: float = soak_plan.QUIET_END_S,
+    ) -> None:
+        self._faults = soak_plan.draw_plan(
+            seed=seed,
+            duration_s=duration_s,
+            vms=vms,
+            quiet_end_s=quiet_end_s,
+        )
+        self._quiet_end_s = quiet_end_s
+        self._duration_s = duration_s
+        self._rng = random.Random(seed)
+        self._fleet = deployment.Deployment(
+            plans=plan_vms(vms), log_format="json"
+        )
+        self._links = [self._lay_links(vm) for vm in self._fleet.vms]
+        self._callers = traffic.Callers(
+            urls=[vm.caller_url for vm in self._fleet.vms],
+            kinds=demo.KINDS,
+            calls_per_s=CALLS_PER_S * vms / 6,
+            seed=seed,
+            leave_share=LEAVE_SHARE,
+        )
+        # What overlapping faults hold down; the last one to end lets go.
+        self._held: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        self._done: list[soak_checks.Done] = []
+        self._zones_out: list[soak_checks.ZoneOut] = []
+        self._cut_by_stops: list[str] = []
+        self._notes: list[str] = []
+        self._rss_mb: dict[str, float] = {}
+        self._began_at = 0.0
+        self._folders = 0
+
+    @property
+    def folder(self) -> pathlib.Path:
+        """Folder with the logs of all processes."""
+        return self._fleet.folder
+
+    async def run(self) -> soak_checks.Evidence:
+        """Run it and return what was seen."""
+        try:
+            for vm_links in self._links:
+                await asyncio.gather(*(link.open() for link in vm_links.all()))
+            await self._fleet.start()
+            await self._fleet.apply(demo.EXAMPLE)
+            await asyncio.sleep(2.0)
+            return await self._play()
+        finally:
+            await self._callers.close()
+            await self._fleet.stop()
+            for vm_links in self._links:
+                await asyncio.gather(
+                    *(link.close() for link in vm_links.all())
+                )
+
+    def _lay_links(self, vm: deployment.Vm) -> _VmLinks:
+        laid = _VmLinks(
+            peer=links.Link(
+                host=vm.host, target_host=vm.host, target_port=vm.peer_port
+            ),
+            store=links.Link(
+                host=vm.host,
+                target_host="127.0.0.1",
+                target_port=self._fleet.platform_port,
+            ),
+            server=links.Link(
+                host=vm.host, target_host=vm.host, target_port=vm.server_port
+            ),
+        )
+        vm.advertised = laid.peer.address
+        vm.store_url = f"http://{laid.store.address}"
+        vm.announced_port = laid.server.port
+        return laid
+
+    async def _play(self) -> soak_checks.Evidence:
+        self._callers.start()
+        self._began_at = time.monotonic()
+        async with asyncio.TaskGroup() as tasks:
+            for fault in self._faults:
+                tasks.create_task(self._carry_out(fault))
+        quiet_from = time.monotonic()
+        left_s = self._began_at + self._duration_s - quiet_from
+        await asyncio.sleep(max(self._quiet_end_s, left_s))
+        await self._callers.stop()
+        for vm in self._fleet.vms:
+            if vm.node is not None and vm.node.returncode is None:
+                rss_mb = measurement.read_rss_mb(vm.node.pid)
+                self._rss_mb[vm.plan.name] = rss_mb
+        return soak_checks.Evidence(
+            vms=self._fleet.vms,
+            results=self._callers.results,
+            records=self._fleet.read_records(),
+            done=self._done,
+            adoptions=read_adoptions(self._fleet),
+            zones_out=self._zones_out,
+            cut_by_stops=self._cut_by_stops,
+            rss_mb=self._rss_mb,
+            quiet_from=quiet_from,
+            ended_at=time.monotonic(),
+        )
+
+    async def _carry_out(self, fault: soak_plan.Fault) -> None:
+        begins_at = self._began_at + fault.at
+        await asyncio.sleep(max(0.0, begins_at - time.monotonic()))
+        began_at = time.monotonic()
+        number = len(self._done)
+        self._done.append(
+            soak_checks.Done(
+                fault=fault, began_at=began_at, ended_at=float("inf")
+            )
+        )
+        await _OPERATIONS[fault.kind](self, fault)
+        self._done[number] = dataclasses.replace(
+            self._done[number], ended_at=time.monotonic()
+        )
+
+    @contextlib.asynccontextmanager
+    async def _hold(
+        self, what: str, vm: int
+    ) -> collections.abc.AsyncIterator[bool]:
+        """Hold something of a VM; true for the only one that does."""
+        key = (what, vm)
+        self._held[key] += 1
+        try:
+            yield self._held[key] == 1
+        finally:
+            self._held[key] -= 1
+
+    async def _kill_node(self, fault: soak_plan.Fault) -> None:
+        await self._end_node(fault, signal.SIGKILL)
+
+    async def _stop_node(self, fault: soak_plan.Fault) -> None:
+        await self._end_node(fault, signal.SIGTERM)
+
+    async def _end_node(
+        self, fault: soak_plan.Fault, number: signal.Signals
+    ) -> None:
+        vm = self._fleet.vms[fault.vm]
+        async with self._hold("node", fault.vm) as is_only:
+            if not is_only or vm.node is None:
+                return
+            began_at = time.monotonic()
+            status = await deployment.end_process(vm.node, number)
+            ended_at = time.monotonic()
+            await asyncio.sleep(fault.for_s)
+            await self._fleet.start_node(vm)
+            await self._wait_until_open(vm)
+        is_disturbed = any(
+            done.fault.vm == fault.vm and done.covers(began_at, ended_at)
+            for done in self._done
+            if done.fault.kind not in soak_plan.PLANNED
+        )
+        if number is signal.SIGTERM and status != 0 and not is_disturbed:
+            self._cut_by_stops.append(
+                f"the stopped node of {vm.plan.name} exited with {status}"
+            )
+
+    async def _freeze_node(self, fault: soak_plan.Fault) -> None:
+        await self._freeze(fault, "node", self._fleet.vms[fault.vm].node)
+
+    async def _freeze_server(self, fault: soak_plan.Fault) -> None:
+        await self._freeze(fault, "server", self._fleet.vms[fault.vm].server)
+
+    async def _freeze(
+        self,
+        fault: soak_plan.Fault,
+        what: str,
+        process: asyncio.subprocess.Process | None,
+    ) -> None:
+        async with self._hold(what, fault.vm) as is_only:
+            if not is_only or process is None or process.returncode:
+                return
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(fault.for_s)
+            process.send_signal(signal.SIGCONT)
+
+    async def _kill_server(self, fault: soak_plan.Fault) -> None:
+        vm = self._fleet.vms[fault.vm]
+        async with self._hold("server", fault.vm) as is_only:
+            if not is_only or vm.server is None:
+                return
+            await deployment.end_process(vm.server, signal.SIGKILL)
+            await asyncio.sleep(fault.for_s)
+            await self._fleet.start_server(vm)
+
+    async def _fail_server(self, fault: soak_plan.Fault) -> None:
+        async with self._hold("server", fault.vm) as is_only:
+            if is_only:
+                await self._change_server(fault.vm, fail_fast=True)
+                await asyncio.sleep(fault.for_s)
+                await self._change_server(fault.vm, fail_fast=False)
+
+    async def _change_server(self, vm: int, **behaviour: object) -> None:
+        url = f"{self._fleet.vms[vm].server_url}/standin"
+        async with aiohttp.ClientSession() as session:
+            async with session.put(url, json=behaviour) as response:
+                await response.read()
+
+    async def _break_link(self, fault: soak_plan.Fault) -> None:
+        name = fault.kind.value.removesuffix("-link")
+        link: links.Link = getattr(self._links[fault.vm], name)
+        async with self._hold(name, fault.vm) as is_only:
+            if is_only:
+                link.set_mode(links.LinkMode(fault.how), SLOW_S)
+                await asyncio.sleep(fault.for_s)
+                link.set_mode(links.LinkMode.PASSING)
+
+    async def _break_store(self, fault: soak_plan.Fault) -> None:
+        await self._fleet.set_faults(_STORE_MODES[fault.kind], SLOW_S)
+        await asyncio.sleep(fault.for_s)
+        await self._fleet.set_faults("up")
+
+    async def _take_zone_out(self, fault: soak_plan.Fault) -> None:
+        zone = self._fleet.vms[fault.vm].plan.zone
+        closed = demo.write_closed_example(self._next_folder(), zone)
+        accepted_at = await self._apply(closed)
+        await asyncio.sleep(fault.for_s)
+        until = time.monotonic()
+        if accepted_at is not None:
+            self._zones_out.append(
+                soak_checks.ZoneOut(
+                    zone=zone, accepted_at=accepted_at, until=until
+                )
+            )
+        # The store may be away; the zone must not stay out for good.
+        await _try_until(lambda: self._run_command("apply", str(demo.EXAMPLE)))
+
+    async def _change(self, _fault: soak_plan.Fault) -> None:
+        folder = self._next_folder()
+        folder.mkdir()
+        for name in ("inventory.toml", "rules.toml"):
+            text = (demo.EXAMPLE / name).read_text()
+            deadline_ms = self._rng.randrange(4000, 6000)
+            text = text.replace(
+                "deadline_ms = 5000", f"deadline_ms = {deadline_ms}"
+            )
+            (folder / name).write_text(text)
+        await self._apply(folder)
+
+    async def _order_drain(self, fault: soak_plan.Fault) -> None:
+        vm = self._fleet.vms[fault.vm]
+        order = ("--node", vm.plan.name, "--peers", vm.peer_address)
+        await self._run_command("drain", *order)
+        await asyncio.sleep(fault.for_s)
+        await _try_until(lambda: self._run_command("drain", "--end", *order))
+
+    async def _apply(self, folder: pathlib.Path) -> float | None:
+        """Apply a folder; return when it was accepted, None if not."""
+        status = await self._run_command("apply", str(folder))
+        return None if status else time.monotonic()
+
+    async def _run_command(self, *arguments: str) -> int:
+        status, output = await self._fleet.run_command(*arguments)
+        if status:
+            self._notes.append(
+                f"{arguments[0]} exited with {status}: {output}"
+            )
+        return status
+
+    async def _wait_until_open(self, vm: deployment.Vm) -> None:
+        """Wait until a node takes callers, or a while at most."""
+        for _ in range(READY_TRIES):
+            if await _is_open(vm.host, vm.caller_port):
+                return
+            await asyncio.sleep(READY_TRY_S)
+
+    def _next_folder(self) -> pathlib.Path:
+        self._folders += 1
+        return self._fleet.folder / f"change-{self._folders}"
+
+
+_Operation = collections.abc.Callable[
+    [Soak, soak_plan.Fault], collections.abc.Awaitable[None]
+]
+_OPERATIONS: typing.Final[collections.abc.Mapping[_Kind, _Operation]] = {
+    _Kind.NODE_KILL: Soak._kill_node,
+    _Kind.NODE_STOP: Soak._stop_node,
+    _Kind.NODE_FREEZE: Soak._freeze_node,
+    _Kind.SERVER_KILL: Soak._kill_server,
+    _Kind.SERVER_FREEZE: Soak._freeze_server,
+    _Kind.SERVER_FAILS: Soak._fail_server,
+    _Kind.SERVER_LINK: Soak._break_link,
+    _Kind.PEER_LINK: Soak._break_link,
+    _Kind.STORE_LINK: Soak._break_link,
+    _Kind.STORE_DOWN: Soak._break_store,
+    _Kind.STORE_SLOW: Soak._break_store,
+    _Kind.STORE_LOSES_ANSWERS: Soak._break_store,
+    _Kind.ZONE_OUT: Soak._take_zone_out,
+    _Kind.CHANGE: Soak._change,
+    _Kind.DRAIN_ORDER: Soak._order_drain,
+}
+
+
+async def _try_until(
+    attempt: collections.abc.Callable[[], collections.abc.Awaitable[int]],
+) -> None:
+    """Run a command again each second until it ends with 0.
+
+    Raises
+    ------
+    AssertionError
+        It never does.
+    """
+    for _ in range(COMMAND_TRIES):
+        if not await attempt():
+            return
+        await asyncio.sleep(1.0)
+    raise AssertionError("an operator's command fails again and again")
+
+
+async def _is_open(host: str, port: int) -> bool:
+    try:
+        _, writer = await asyncio.open_connection(host, port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+def read_adoptions(
+    fleet: deployment.Deployment,
+) -> list[soak_checks.Adoption]:
+    """Read from the nodes' logs which versions they put in force."""
+    adoptions = []
+    for number, vm in enumerate(fleet.vms):
+        log = fleet.folder / f"{vm.plan.name}-node.log"
+        run = 0
+        for position, line in enumerate(log.read_text().splitlines()):
+            try:
+                fields = json.loads(line)
+            except ValueError:
+                # A line that a kill has cut.
+                continue
+            if fields["event"] == "node-started":
+                run += 1
+            elif fields["event"] == "config-adopted":
+                adoptions.append(
+                    soak_checks.Adoption(
+                        vm=number,
+                        run=run,
+                        version=int(fields["message"].split()[-1]),
+                        at=float(position),
+                    )
+                )
+    return adoptions
+
+
+def _write(path: pathlib.Path, text: str) -> None:
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(text)
+
+
+async def run_soak(
+    *, seed: int, duration_s: float, vms: int, report: pathlib.Path | None
+) -> dict[str, list[str]]:
+    """Run a soak, write its report, and return what its checks found."""
+    soak = Soak(seed=seed, duration_s=duration_s, vms=vms)
+    evidence = await soak.run()
+    found = soak_checks.check_all(evidence)
+    if report is not None:
+        text = soak_report.render(seed=seed, evidence=evidence, found=found)
+        await asyncio.to_thread(_write, report, text)
+    print(soak_report.summarise(seed=seed, evidence=evidence, found=found))
+    return found
+
+
+def main(
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    minutes: float = 0.75,
+    vms: int = 6,
+    report_folder: str = "build/soak",
+) -> None:
+    """Run one soak, or as many as asked for with seeds that follow."""
+    failed = []
+    for number in range(seed, seed + seeds):
+        found = asyncio.run(
+            run_soak(
+                seed=number,
+                duration_s=60.0 * minutes,
+                vms=vms,
+                report=pathlib.Path(report_folder) / f"{number}.html",
+            )
+        )
+        if any(found.values()):
+            failed.append(number)
+    print(f"seeds that failed: {failed or 'none'}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/packages/standins/marjoramledge_standins/traffic.py
+++ b/packages/standins/marjoramledge_standins/traffic.py
@@ -19,6 +19,9 @@
 
 CALLER_TIMEOUT_S: typing.Final = 20.0
 MAX_ENTRY_TRIES: typing.Final = 4
+# When callers leave that leave early: some before and some while their call
+# runs.
+LEAVES_AFTER_S: typing.Final = (0.001, 0.05)
 
 
 class Ending(enum.Enum):
@@ -30,6 +33,7 @@
     SERVER_ERROR = "server-error"
     WRONG_ANSWER = "wrong-answer"
     LOST = "lost"
+    LEFT = "left"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,10 +51,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallResult:
-    """One finished call; times are monotonic seconds of this machine."""
+    """One finished call; times are monotonic seconds of this machine.
+
+    ``entry`` is the URL of the node that it was sent to last.
+    """
 
     call: str
     kind: CallKind
+    entry: str
     started_at: float
     elapsed_s: float
     ending: Ending
@@ -72,6 +80,8 @@
         Seed of arrivals and choices.
     takes_turns
         Whether calls go to the URLs in turn instead of at random.
+    leave_share
+        Share of the calls whose callers leave before the answer.
     """
 
     def __init__(
@@ -82,7 +92,9 @@
         calls_per_s: float,
         seed: int,
         takes_turns: bool = False,
+        leave_share: float = 0.0,
     ) -> None:
+        self._leave_share = leave_share
         self.urls = list(urls)
         self._kinds = kinds
         self._weights = [kind.weight for kind in kinds]
@@ -141,9 +153,21 @@
     async def _call(self, call: str, kind: CallKind) -> None:
         started_at = time.monotonic()
         ending, reason = Ending.LOST, "no node took the connection"
+        patience_s = CALLER_TIMEOUT_S
+        if self._rng.random() < self._leave_share:
+            patience_s = self._rng.uniform(*LEAVES_AFTER_S)
+        entry = ""
         for _ in range(MAX_ENTRY_TRIES):
+            entry = self._choose_url()
             try:
-                ending, reason = await self._send(call, kind)
+                async with asyncio.timeout(patience_s):
+                    ending, reason = await self._send(entry, call, kind)
+                break
+            except TimeoutError:
+                if patience_s < CALLER_TIMEOUT_S:
+                    ending, reason = Ending.LEFT, "left early"
+                else:
+                    ending, reason = Ending.LOST, "no answer at all"
                 break
             except aiohttp.ClientConnectorError:
                 continue
@@ -154,6 +178,7 @@
             CallResult(
                 call=call,
                 kind=kind,
+                entry=entry,
                 started_at=started_at,
                 elapsed_s=time.monotonic() - started_at,
                 ending=ending,
@@ -167,11 +192,12 @@
         self._turn += 1
         return self.urls[self._turn % len(self.urls)]
 
-    async def _send(self, call: str, kind: CallKind) -> tuple[Ending, str]:
-        url = self._choose_url() + kind.path
+    async def _send(
+        self, entry: str, call: str, kind: CallKind
+    ) -> tuple[Ending, str]:
         async with self._session.request(
             kind.method,
-            url,
+            entry + kind.path,
             data=kind.body or None,
             headers={"Host": kind.host, "X-Call-Id": call},
         ) as response:
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,244 @@
+"""The fault soak: its plan, its checks, and a short run of it."""
+
+import asyncio
+import dataclasses
+import pathlib
+
+from marjoramledge_standins import demo
+from marjoramledge_standins import deployment
+from marjoramledge_standins import links
+from marjoramledge_standins import soak
+from marjoramledge_standins import soak_checks
+from marjoramledge_standins import soak_plan
+from marjoramledge_standins import soak_report
+from marjoramledge_standins import traffic
+import pytest
+
+PAGE, _LOOKUP, ORDER = demo.KINDS
+
+
+def _result(
+    call: str,
+    kind: traffic.CallKind = PAGE,
+    ending: traffic.Ending = traffic.Ending.ANSWERED,
+    started_at: float = 10.0,
+) -> traffic.CallResult:
+    return traffic.CallResult(
+        call=call,
+        kind=kind,
+        entry="http://127.0.0.1:1",
+        started_at=started_at,
+        elapsed_s=0.1,
+        ending=ending,
+        reason="",
+    )
+
+
+def _record(
+    call: str, event: str = "run", at: float = 10.0
+) -> deployment.RunRecord:
+    return deployment.RunRecord(
+        server="shop-0",
+        zone="obihiro",
+        at=at,
+        event=event,
+        call=call,
+        method="GET",
+        path="/",
+        is_cold=False,
+        running=1,
+    )
+
+
+def _vm() -> deployment.Vm:
+    return deployment.Vm(
+        plan=deployment.VmPlan(
+            name="shop-0", service="shopfront", zone="obihiro"
+        ),
+        host="127.0.0.1",
+        caller_port=1,
+        peer_port=2,
+        local_port=3,
+        server_port=4,
+        records=pathlib.Path("none"),
+        store_url="",
+    )
+
+
+def _evidence() -> soak_checks.Evidence:
+    """Build evidence that speaks against nothing."""
+    return soak_checks.Evidence(
+        vms=[_vm()],
+        results=[_result("a"), _result("late", started_at=100.0)],
+        records=[_record("a"), _record("late", at=100.0)],
+        done=[],
+        adoptions=[_adoption(1, 0.0), _adoption(2, 1.0)],
+        zones_out=[],
+        cut_by_stops=[],
+        rss_mb={"shop-0": 60.0},
+        quiet_from=50.0,
+        ended_at=101.0,
+    )
+
+
+def _adoption(version: int, at: float) -> soak_checks.Adoption:
+    return soak_checks.Adoption(vm=0, run=0, version=version, at=at)
+
+
+def _done(kind: soak_plan.FaultKind) -> soak_checks.Done:
+    fault = soak_plan.Fault(kind=kind, vm=0, at=9.0, for_s=1.0)
+    return soak_checks.Done(fault=fault, began_at=9.0, ended_at=10.0)
+
+
+_LOST = _result("b", ending=traffic.Ending.LOST)
+_OUT = soak_checks.ZoneOut(zone="obihiro", accepted_at=20.0, until=30.0)
+
+Change = dict[str, object]
+
+
+@pytest.mark.parametrize(
+    ("name", "change"),
+    [
+        (
+            "run at most once",
+            {
+                "results": [
+                    _result("late", started_at=100.0),
+                    _result("o", ORDER),
+                ],
+                "records": [_record("late"), _record("o"), _record("o")],
+            },
+        ),
+        (
+            "refusals are true",
+            {
+                "results": [
+                    _result("late", started_at=100.0),
+                    _result("a", ending=traffic.Ending.REFUSED_NOT_RUN),
+                ]
+            },
+        ),
+        ("answers are whole and own", {"records": [_record("late")]}),
+        (
+            "planned work cuts nothing",
+            {
+                "results": [_result("late", started_at=100.0), _LOST],
+                "done": [_done(soak_plan.FaultKind.NODE_STOP)],
+            },
+        ),
+        (
+            "a zone that is out gets no work",
+            {
+                "zones_out": [_OUT],
+                "records": [_record("a"), _record("late", at=25.0)],
+            },
+        ),
+        (
+            "versions never go back",
+            {
+                "adoptions": [
+                    _adoption(2, 0.0),
+                    _adoption(1, 1.0),
+                    _adoption(2, 2.0),
+                ]
+            },
+        ),
+        (
+            "cold servers are spared",
+            {"records": [_record("a"), _record("late"), _record("x", "fell")]},
+        ),
+        (
+            "repeats keep to the budget",
+            {"records": [_record("late"), *[_record("a")] * 30]},
+        ),
+        ("recovery within its time", {"results": [_result("a")]}),
+        ("memory is bounded", {"rss_mb": {"shop-0": 200.0}}),
+    ],
+)
+def test_each_check_finds_what_breaks_its_promise(
+    name: str, change: Change
+) -> None:
+    sound = soak_checks.check_all(_evidence())
+    assert not any(sound.values())
+    broken = dataclasses.replace(_evidence(), **change)  # type: ignore[arg-type]
+    found = soak_checks.check_all(broken)
+    assert [check for check, what in found.items() if what] == [name]
+
+
+def test_an_unplanned_fault_explains_a_lost_call() -> None:
+    evidence = dataclasses.replace(
+        _evidence(),
+        results=[_result("late", started_at=100.0), _LOST],
+        done=[_done(soak_plan.FaultKind.NODE_KILL)],
+    )
+    assert not any(soak_checks.check_all(evidence).values())
+
+
+def test_a_seed_decides_the_plan() -> None:
+    plans = [
+        soak_plan.draw_plan(seed=seed, duration_s=60.0, vms=6)
+        for seed in (1, 1, 2)
+    ]
+    assert plans[0] == plans[1] != plans[2]
+    kinds = set()
+    for seed in range(20):
+        plan = soak_plan.draw_plan(seed=seed, duration_s=60.0, vms=6)
+        assert all(
+            fault.until <= 60.0 - soak_plan.QUIET_END_S for fault in plan
+        )
+        kinds.update(fault.kind for fault in plan)
+    assert kinds == set(soak_plan.FaultKind)
+
+
+@pytest.mark.parametrize("mode", list(links.LinkMode))
+def test_a_link_fails_as_it_is_told(mode: links.LinkMode) -> None:
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(await reader.read(100))
+        await writer.drain()
+        writer.close()
+
+    async def ask(link: links.Link) -> bytes:
+        reader, writer = await asyncio.open_connection("127.0.0.1", link.port)
+        try:
+            writer.write(b"ping")
+            async with asyncio.timeout(0.3):
+                return await reader.read(100)
+        except (TimeoutError, OSError):
+            return b"lost"
+        finally:
+            writer.close()
+
+    async def pass_through() -> None:
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        link = links.Link(
+            host="127.0.0.1", target_host="127.0.0.1", target_port=port
+        )
+        await link.open()
+        link.set_mode(mode, delay_s=0.01)
+        passes = mode in (links.LinkMode.PASSING, links.LinkMode.SLOW)
+        assert (await ask(link) == b"ping") is passes
+        link.set_mode(links.LinkMode.PASSING)
+        assert await ask(link) == b"ping"
+        await link.close()
+        server.close()
+
+    asyncio.run(pass_through())
+
+
+def test_a_short_soak_keeps_the_promises() -> None:
+    async def run() -> soak_checks.Evidence:
+        return await soak.Soak(
+            seed=3, duration_s=12.0, vms=6, quiet_end_s=3.0
+        ).run()
+
+    evidence = asyncio.run(run())
+    found = soak_checks.check_all(evidence)
+    assert len(evidence.done) > 5
+    assert len(evidence.results) > 100
+    assert not [found[name] for name in soak_checks.UNTIMED if found[name]]
+    assert "Soak, seed 3" in soak_report.render(
+        seed=3, evidence=evidence, found=found
+    )
