--- a/packages/node/marjoramledge_node/_counts.py
+++ b/packages/node/marjoramledge_node/_counts.py
@@ -43,7 +43,11 @@
 
 
 class Counts:
-    """Counters of outcomes by route, and of the time line by kind."""
+    """Counters of outcomes by route, of the time line by kind, and of costs.
+
+    ``store_calls`` are by operation and outcome, ``messages`` and
+    ``message_bytes`` are datagrams to other nodes by kind.
+    """
 
     def __init__(self) -> None:
         self.answers: collections.Counter[tuple[str, int]] = (
@@ -53,6 +57,24 @@
         self.records: collections.Counter[node.RecordKind] = (
             collections.Counter()
         )
+        self.store_calls: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self.messages: collections.Counter[node.MessageKind] = (
+            collections.Counter()
+        )
+        self.message_bytes: collections.Counter[node.MessageKind] = (
+            collections.Counter()
+        )
+
+    def note_store_call(self, operation: str, outcome: str) -> None:
+        """Count one operation at the store."""
+        self.store_calls[operation, outcome] += 1
+
+    def note_message(self, kind: node.MessageKind, size: int) -> None:
+        """Count one datagram of ``size`` bytes."""
+        self.messages[kind] += 1
+        self.message_bytes[kind] += size
 
     def note_answer(
         self, route: ids.KindName | None, status: int, elapsed_s: float
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -18,6 +18,7 @@
 from marjoramledge_store import client
 from returns import result
 
+from marjoramledge_node import _counts
 from marjoramledge_node import _engine
 from marjoramledge_node import _manifests
 from marjoramledge_node import _options
@@ -53,6 +54,8 @@
         Where changes of the store's standing are recorded.
     surroundings
         Reads configurations.
+    counts
+        Where operations at the store are counted.
     """
 
     def __init__(
@@ -64,7 +67,9 @@
         options: _options.Options,
         timeline: _timeline.Timeline,
         surroundings: _surroundings.Surroundings,
+        counts: _counts.Counts,
     ) -> None:
+        self._counts = counts
         self._engine = engine
         self._read_configuration = surroundings.read_configuration
         self._upstream = upstream
@@ -186,6 +191,7 @@
             if member == dataclasses.replace(myself, slots=slots):
                 return
         written = await self._store.put_member(myself)
+        self._count_store_call("put-member", written)
         if isinstance(written, result.Failure):
             loguru.logger.bind(event="register-failed").warning(
                 "the store has not kept this node: {}", written.failure()
@@ -254,6 +260,7 @@
             # A server that is leaving says so again and again.
             return True
         kept = await self._store.put_departure(server)
+        self._count_store_call("put-departure", kept)
         if isinstance(kept, result.Failure):
             return False
         self._kept_departure = server
@@ -263,6 +270,7 @@
         self, store: client.NodeStore
     ) -> client.FleetRows | None:
         found = await store.read_fleet(self._engine.state.node, KEPT_MEMBERS)
+        self._count_store_call("read-fleet", found)
         self._note_store(isinstance(found, result.Success))
         if isinstance(found, result.Failure):
             return None
@@ -278,6 +286,7 @@
         found = await self._store.wait_version(
             self._engine.state.versions.ref, command.wait_s
         )
+        self._count_store_call("read-version", found)
         is_success = isinstance(found, result.Success)
         self._note_store(is_success)
         if is_success:
@@ -302,6 +311,7 @@
             )
         elif self._store is not None:
             stored = await self._store.get_manifest(ref.digest)
+            self._count_store_call("read-manifest", stored)
             self._note_store(isinstance(stored, result.Success))
             fetched = stored.alt(str)
         else:
@@ -350,6 +360,16 @@
             max_bytes=max_bytes,
         )
 
+    def _count_store_call(
+        self,
+        operation: str,
+        outcome: result.Result[typing.Any, client.StoreError],
+    ) -> None:
+        told = "done"
+        if isinstance(outcome, result.Failure):
+            told = outcome.failure().name.lower()
+        self._counts.note_store_call(operation, told)
+
     def _note_store(self, is_up: bool) -> None:
         if is_up == self._is_store_up:
             return
--- a/packages/node/marjoramledge_node/_gossip_port.py
+++ b/packages/node/marjoramledge_node/_gossip_port.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from marjoramledge_node import _auth
+from marjoramledge_node import _counts
 from marjoramledge_node import _engine
 from marjoramledge_node import _wire
 
@@ -25,6 +26,8 @@
         Numbers what is sent.
     guard
         Knows what was received before.
+    counts
+        Where datagrams are counted.
     """
 
     def __init__(
@@ -34,7 +37,9 @@
         keys: _auth.KeyRing,
         stamper: _auth.Stamper,
         guard: node.ReplayGuard,
+        counts: _counts.Counts,
     ) -> None:
+        self._counts = counts
         self._engine = engine
         self._keys = keys
         self._stamper = stamper
@@ -42,7 +47,6 @@
         self._address = engine.state.membership.myself.address
         self._transport: asyncio.DatagramTransport | None = None
         self._rejected = 0
-        self._sent_bytes = 0
         engine.connect(node.SendMessage, self._send)
 
     @property
@@ -50,11 +54,6 @@
         """Datagrams without a valid key, without sense or sent again."""
         return self._rejected
 
-    @property
-    def sent_bytes(self) -> int:
-        """Bytes of all datagrams sent, without IP and UDP headers."""
-        return self._sent_bytes
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take over the socket."""
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
@@ -101,7 +100,7 @@
         datagram = seal_message(
             self._keys, self._stamper, address, command.message
         )
-        self._sent_bytes += len(datagram)
+        self._counts.note_message(command.message.kind, len(datagram))
         self._transport.sendto(datagram, (address.host, address.port))
 
 
--- a/packages/node/marjoramledge_node/_metrics_port.py
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -76,6 +76,24 @@
         for kind, count in self._counts.records.items():
             records.add_metric((kind.value,), count)
         yield records
+        store_calls = core.CounterMetricFamily(
+            "marjoramledge_store_calls",
+            "Operations at the store.",
+            labels=("operation", "outcome"),
+        )
+        for labels, count in self._counts.store_calls.items():
+            store_calls.add_metric(labels, count)
+        yield store_calls
+        for name, help_text, counter in (
+            ("messages", "Datagrams to nodes.", self._counts.messages),
+            ("message_bytes", "Their bytes.", self._counts.message_bytes),
+        ):
+            family = core.CounterMetricFamily(
+                f"marjoramledge_{name}", help_text, labels=("kind",)
+            )
+            for message_kind, count in counter.items():
+                family.add_metric((message_kind.name.lower(),), count)
+            yield family
         for name, help_text, value in self._gauges():
             yield core.GaugeMetricFamily(
                 f"marjoramledge_{name}", help_text, value
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -90,6 +90,7 @@
             options=options,
             timeline=self._timeline,
             surroundings=surroundings,
+            counts=self._counts,
         )
         run = f"{options.node_id}-{os.urandom(4).hex()}-"
         stamper = _auth.Stamper(run=run)
@@ -99,6 +100,7 @@
             keys=options.keys,
             stamper=stamper,
             guard=guard,
+            counts=self._counts,
         )
         self._caller_port = _caller_port.CallerPort(
             engine=self._engine,
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -16,6 +16,7 @@
 from aiohttp import test_utils
 from aiohttp import web
 from marjoramledge_core import ids
+from marjoramledge_core import node
 from marjoramledge_node import _counts
 from marjoramledge_node import _engine
 from marjoramledge_node import _metrics_port
@@ -158,6 +159,9 @@
     counts.note_answer(ids.KindName("page"), 200, 0.03)
     counts.note_answer(ids.KindName("page"), 503, 0.001)
     counts.note_answer(None, 404, 0.001)
+    counts.note_store_call("read-version", "no_answer")
+    counts.note_message(node.MessageKind.PING, 300)
+    counts.note_message(node.MessageKind.PING, 200)
     driver = builders.CoreDriver()
     driver.configure()
 
@@ -179,4 +183,8 @@
     assert 'marjoramledge_answers_total{route="page",status="503"} 1.0' in text
     assert 'answer_seconds_bucket{le="0.05",route="page"} 2.0' in text
     assert "marjoramledge_log_lines_left_out 3.0" in text
+    store_calls = 'operation="read-version",outcome="no_answer"'
+    assert f"store_calls_total{{{store_calls}}} 1.0" in text
+    assert 'marjoramledge_messages_total{kind="ping"} 2.0' in text
+    assert 'marjoramledge_message_bytes_total{kind="ping"} 500.0' in text
     assert "marjoramledge_configuration_version 1.0" in text
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -182,7 +182,7 @@
         for seed in (1, 1, 2)
     ]
     assert plans[0] == plans[1] != plans[2]
-    kinds = set()
+    kinds: set[soak_plan.FaultKind] = set()
     for seed in range(20):
         plan = soak_plan.draw_plan(seed=seed, duration_s=60.0, vms=6)
         assert all(
