--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 SOURCES := packages platform tests tools
 
-.PHONY: demo test measure plots check format clean
+.PHONY: demo test measure soak plots check format clean
 
 $(VENV)/.ready: constraints.txt requirements-dev.txt \
 		$(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml) \
@@ -43,6 +43,15 @@
 measure: $(VENV)/.ready
 	$(BIN)/python -m marjoramledge_standins.measure
 
+# One soak, or SEEDS of them from SEED on; reports go to build/soak.
+SEED ?= 1
+SEEDS ?= 1
+MINUTES ?= 0.75
+VMS ?= 6
+soak: $(VENV)/.ready
+	$(BIN)/python -m marjoramledge_standins.soak --seed $(SEED) \
+		--seeds $(SEEDS) --minutes $(MINUTES) --vms $(VMS)
+
 plots: $(VENV)/.ready
 	$(BIN)/pip install --quiet -c constraints.txt matplotlib
 	$(BIN)/python tools/plot_tail.py docs/plots/tail.png
