--- a/packages/standins/marjoramledge_standins/traffic.py
+++ b/packages/standins/marjoramledge_standins/traffic.py
@@ -157,8 +157,7 @@
         if self._rng.random() < self._leave_share:
             patience_s = self._rng.uniform(*LEAVES_AFTER_S)
         entry = ""
-        for _ in range(MAX_ENTRY_TRIES):
-            entry = self._choose_url()
+        for entry in self._choose_urls():
             try:
                 async with asyncio.timeout(patience_s):
                     ending, reason = await self._send(entry, call, kind)
@@ -186,11 +185,16 @@
             )
         )
 
-    def _choose_url(self) -> str:
+    def _choose_urls(self) -> list[str]:
+        """Choose the entries that a caller tries, each once."""
+        count = min(MAX_ENTRY_TRIES, len(self.urls))
         if not self._takes_turns:
-            return self._rng.choice(self.urls)
+            return self._rng.sample(self.urls, count)
         self._turn += 1
-        return self.urls[self._turn % len(self.urls)]
+        return [
+            self.urls[(self._turn + number) % len(self.urls)]
+            for number in range(count)
+        ]
 
     async def _send(
         self, entry: str, call: str, kind: CallKind
