--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -282,13 +282,14 @@
 
 
 def _fetch_again(step: _state.Step, timer: _timers.Timer) -> None:
-    members = step.state.membership.members
-    peers = [
-        member.address
-        for member in members.values()
+    alive = [
+        member
+        for member in step.state.membership.members.values()
         if member.node != step.state.node
         and member.status is _members.MemberStatus.ALIVE
     ]
+    confirmed = [member for member in alive if member.is_confirmed]
+    peers = [member.address for member in confirmed or alive]
     step.state.versions.fetch_again(timer.number, peers, step.rng, step.out)
 
 
--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -20,8 +20,13 @@
 MIN_READ_PERIOD_S: typing.Final = 2.0
 # Reads of the version row that the whole fleet makes in a second.
 FLEET_READS_PER_S: typing.Final = 10.0
-FIRST_FETCH_RETRY_S: typing.Final = 0.2
+# Three tries and more within the second after one that found nobody.
+FIRST_FETCH_RETRY_S: typing.Final = 0.1
+FETCH_RETRY_GROWTH: typing.Final = 1.5
 MAX_FETCH_RETRY_S: typing.Final = 5.0
+# Of so many tries for a content one goes to the store, which may be away from
+# this node alone; the others go to peers, most of which have it.
+STORE_TRY: typing.Final = 3
 # Bounds of a read that waits for a change.  The lower one lets a node notice
 # a wait that an outage has left without an answer before the change that
 # follows must be in force; a large fleet notices through its first member.
@@ -51,6 +56,7 @@
         self._wanted = _manifest.NO_VERSION
         self._source: _members.Address | None = None
         self._retry_s = FIRST_FETCH_RETRY_S
+        self._tries = 0
         self._read_at = 0.0
         self._read_retry_s = READ_RETRY_S
 
@@ -136,6 +142,7 @@
             return
         self._wanted = ref
         self._source = source
+        self._tries = 0
         self._retry_s = FIRST_FETCH_RETRY_S
         out.append(_commands.FetchManifest(ref=ref, source=source))
 
@@ -162,7 +169,9 @@
             _timers.TimerKind.CONFIG_FETCH,
             number=ref.version,
         )
-        self._retry_s = min(MAX_FETCH_RETRY_S, 2 * self._retry_s)
+        self._retry_s = min(
+            MAX_FETCH_RETRY_S, FETCH_RETRY_GROWTH * self._retry_s
+        )
 
     def fetch_again(
         self,
@@ -175,8 +184,8 @@
         is_current = _ids.ConfigVersion(version) == self._wanted.version
         if not is_current or version <= self._ref.version:
             return
-        # Peers and the store take turns, since either may be away.
+        self._tries += 1
         source = None
-        if peers and rng.random() < 0.5:
+        if peers and self._tries % STORE_TRY:
             source = peers[int(rng.random() * len(peers))]
         out.append(_commands.FetchManifest(ref=self._wanted, source=source))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,9 +1,13 @@
 """Membership and configuration of several cores under virtual time."""
 
 import itertools
+import random
 
+from marjoramledge_core import _timers
+from marjoramledge_core import _versions
 from marjoramledge_core import ids
 from marjoramledge_core import node
+from marjoramledge_standins import builders
 from marjoramledge_standins import virtual_network
 import pytest
 
@@ -314,3 +318,35 @@
         now=network.now,
     )
     _run_until_agreed(network, 30.0)
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_a_version_whose_teller_is_cut_off_is_asked_of_others_soon(
+    seed: int,
+) -> None:
+    # One that follows the store for others can't name what it has not read.
+    rng = random.Random(seed)
+    timers = _timers.TimerQueue()
+    versions = _versions.Versions(timers=timers, waits_for_change=True)
+    peers = [virtual_network.Network.address(number) for number in range(9)]
+    out: list[node.Command] = []
+    now = 0.0
+    ref = builders.build_ref(2)
+    versions.note_version(ref, peers[0], out)
+    # The connection attempt to the teller ends after half a second.
+    now += 0.5
+    asked: list[node.Address] = []
+    while now < 2.0:
+        versions.fetch_failed(ref, now, rng)
+        due = timers.next_at
+        assert due is not None
+        now = due
+        timer = timers.pop_due(now)
+        assert timer is not None
+        out.clear()
+        versions.fetch_again(timer.number, peers, rng, out)
+        (fetch,) = out
+        assert isinstance(fetch, node.FetchManifest)
+        if fetch.source is not None and now < 2.0:
+            asked.append(fetch.source)
+    assert len(asked) >= 3
