An experiment: patterns of trouble by load and policy, under virtual time

The virtual servers get grey modes (resets, hangs), a knee where they slow down and the figure of their VM's slowness; the experiment plays seven patterns with the real cores beside round robin, two choices and a policy that sees every queue, as a table and as a plot.

--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,7 @@
 plots: $(VENV)/.ready
 	$(BIN)/pip install --quiet -c constraints.txt matplotlib
 	$(BIN)/python tools/plot_tail.py docs/plots/tail.png
+	$(BIN)/python tools/plot_experiment.py docs/plots/experiment.png
 
 format: $(VENV)/.ready
 	$(BIN)/ruff format $(SOURCES)
--- a/packages/standins/marjoramledge_standins/driver.py
+++ b/packages/standins/marjoramledge_standins/driver.py
@@ -69,6 +69,9 @@
     restarts_cold: bool = False
     loses_cache: bool = False
     cold_concurrency: int = 2
+    grey: virtual_servers.Grey = virtual_servers.WELL
+    knee: virtual_servers.Knee = virtual_servers.NO_KNEE
+    tells_slowdown: bool = False
 
     @property
     def capacity_per_s(self) -> float:
@@ -90,8 +93,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RunResult:
-    """Outcomes of a run, and what the servers went through."""
+    """Outcomes of a run, and what the servers went through.
 
+    ``arrivals`` counts all calls; one that hangs for ever has no outcome.
+    """
+
+    arrivals: int
     outcomes: tuple[Outcome, ...]
     overruns: int
     served_s: float
@@ -137,6 +144,9 @@
                 ),
                 schedule=self.at,
                 cold_bears=scenario.cold_concurrency,
+                grey=scenario.grey if number == 0 else virtual_servers.WELL,
+                knee=scenario.knee,
+                seed=scenario.seed,
             )
             for number in range(len(scenario.server_zones))
         ]
@@ -196,8 +206,10 @@
     else:
         nodes = None
         arrive = _make_naive(world, policy)
+    arrivals = 0
     for arrival in _draw_arrivals(scenario, len(world.zones)):
         world.at(arrival.at, functools.partial(arrive, arrival))
+        arrivals += arrival.at >= START_S
     fall_at = START_S + 0.3 * scenario.duration_s
     if scenario.restarts_cold:
         world.at(fall_at, lambda: world.servers[0].restart(world.now, COLD_S))
@@ -208,6 +220,7 @@
     served_s = sum(server.served_s for server in world.servers)
     world.run(end_s + ANSWER_LIMIT_S)
     return RunResult(
+        arrivals=arrivals,
         outcomes=tuple(world.outcomes),
         overruns=sum(server.overruns for server in world.servers),
         served_s=served_s,
@@ -427,11 +440,20 @@
                 self._send(number, command)
             case node.ProbeServer():
                 self.probes += 1
-                ended = node.ProbeEnded(is_healthy=True, elapsed_s=PROBE_S)
+                ended = node.ProbeEnded(
+                    is_healthy=True,
+                    elapsed_s=PROBE_S,
+                    slowdown=self._slowdown_of(number),
+                )
                 self._world.after(PROBE_S, lambda: self.submit(number, ended))
             case _:
                 pass
 
+    def _slowdown_of(self, number: int) -> float | None:
+        if not self._scenario.tells_slowdown:
+            return None
+        return self._world.servers[number].slowdown_at(self._world.now)
+
     def _finish(self, call: str, *, is_answered: bool, reason: str) -> None:
         arrival = self._arrivals.pop(call, None)
         if arrival is not None:
@@ -469,6 +491,7 @@
                     attempt=attempt,
                     outcome=outcome,
                     head_s=self._world.now - began_at,
+                    slowdown=self._slowdown_of(number),
                 ),
             )
             if gate is not None:
--- a/packages/standins/marjoramledge_standins/virtual_servers.py
+++ b/packages/standins/marjoramledge_standins/virtual_servers.py
@@ -15,6 +15,7 @@
 
 HORIZON_S: typing.Final = 600.0
 COLD_SLOWDOWN: typing.Final = 4.0
+RESET_S: typing.Final = 0.002
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -101,6 +102,32 @@
         return speed / slowdown if slow_from <= at < slow_until else speed
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Grey:
+    """Faults of a server that says that it is well.
+
+    ``resets`` and ``hangs`` are shares of the requests: the first are broken
+    off after ``RESET_S``, the second never end by themselves.
+    """
+
+    resets: float = 0.0
+    hangs: float = 0.0
+    from_s: float = 0.0
+    until_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Knee:
+    """Above a share of its slots in use a server works slower."""
+
+    share: float = 1.0
+    slowdown: float = 1.0
+
+
+WELL: typing.Final = Grey()
+NO_KNEE: typing.Final = Knee()
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Job:
     """A request at a server."""
@@ -131,6 +158,10 @@
         Calls a function at a time.
     cold_bears
         Requests that it bears while cold.
+    grey, knee
+        Its faults, and where it slows down.
+    seed
+        Decides which requests its faults hit.
     """
 
     def __init__(
@@ -140,7 +171,13 @@
         profile: SpeedProfile,
         schedule: Schedule,
         cold_bears: int,
+        grey: Grey = WELL,
+        knee: Knee = NO_KNEE,
+        seed: int = 0,
     ) -> None:
+        self._grey = grey
+        self._knee = knee
+        self._rng = random.Random(seed)
         self._slots = slots
         self._profile = profile
         self._schedule = schedule
@@ -187,6 +224,10 @@
             if not job.is_cancelled:
                 job.on_done(False)
 
+    def slowdown_at(self, now: float) -> float:
+        """Tell how many times slower the VM works than undisturbed."""
+        return 1.0 / self._profile.speed_at(now)
+
     def is_cold(self, now: float) -> bool:
         """Tell whether the server is cold."""
         return now < self._cold_until
@@ -227,9 +268,24 @@
         self._running += 1
         self._jobs.append(job)
         slowdown = COLD_SLOWDOWN if self.is_cold(now) else 1.0
+        if self._running > self._knee.share * self._slots:
+            slowdown *= self._knee.slowdown
+        if self._grey.from_s <= now < self._grey.until_s:
+            draw = self._rng.random()
+            if draw < self._grey.hangs:
+                return
+            if draw < self._grey.hangs + self._grey.resets:
+                self._schedule(now + RESET_S, lambda: self._break_off(job))
+                return
         finish_at = self._profile.finish_at(now, slowdown * job.demand_s)
         self._schedule(finish_at, lambda: self._finish(job, finish_at))
 
+    def _break_off(self, job: Job) -> None:
+        if job in self._jobs:
+            self._jobs.remove(job)
+            self._running -= 1
+            job.on_done(False)
+
     def _finish(self, job: Job, now: float) -> None:
         if job not in self._jobs:
             return
