One fading mean, one kept member, one way to record and place a call again

The shares of faults and of excess time were the same fading sums with two names; they use one FadingMean. What the store keeps of a node was built in the node, the store's client and the stand-in; build_kept_member does. Records of a call were written out five times, and one of them, call-hedged, had forgotten the request's id: it carries it now, the only change to see. Placing again after an attempt stood twice. The soak asked for open ports with a loop beside the deployment's, counted holders of a VM where a set says it, and collected failed orders that nobody read: they are in its report now. It no longer signals a process that has ended with 0.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -150,12 +150,11 @@
     step.latency_of(call.kind).note(step.now - attempt.sent_at)
     call.advance(_state.CallPhase.ANSWERED)
     if _is_worth_telling(step, call):
-        step.record(
+        _record(
+            step,
+            call,
             _records.RecordKind.CALL_ANSWERED,
-            service=call.service,
-            call=call.call,
             peer=attempt.server.node,
-            request=call.request,
             detail=_tell_story(step, call),
         )
     call.delivered = attempt
@@ -258,12 +257,7 @@
     server = _placing.pick(step, call)
     if server is None or server.is_local:
         return
-    step.record(
-        _records.RecordKind.CALL_HEDGED,
-        service=call.service,
-        call=call.call,
-        peer=server.node,
-    )
+    _record(step, call, _records.RecordKind.CALL_HEDGED, peer=server.node)
     _placing.send(step, call, server, is_hedge=True)
 
 
@@ -318,20 +312,17 @@
         or not step.budget_of(call.service).spend()
     ):
         return False
-    step.record(
+    _record(
+        step,
+        call,
         _records.RecordKind.CALL_RETRIED,
-        service=call.service,
-        call=call.call,
         peer=attempt.server.node,
-        request=call.request,
         detail="failed answer of the backend server",
     )
     _placing.cancel(step, attempt)
     if any(other.is_open for other in call.attempts.values()):
         return True
-    call.advance(_state.CallPhase.ACCEPTED)
-    if not _placing.place(step, call):
-        _refuse(step, call, call.last_reason)
+    _place_again(step, call)
     return True
 
 
@@ -403,17 +394,14 @@
     if not is_sent_again:
         _refuse(step, call, reason)
         return
-    step.record(
+    _record(
+        step,
+        call,
         _records.RecordKind.CALL_RETRIED,
-        service=call.service,
-        call=call.call,
         peer=attempt.server.node,
-        request=call.request,
         detail=reason.value,
     )
-    call.advance(_state.CallPhase.ACCEPTED)
-    if not _placing.place(step, call):
-        _refuse(step, call, call.last_reason)
+    _place_again(step, call)
 
 
 def _pay_for_another(
@@ -457,6 +445,32 @@
                 _placing.cancel(step, attempt)
 
 
+def _place_again(step: _state.Step, call: _state.Call) -> None:
+    """Place a call whose attempt has come to nothing."""
+    call.advance(_state.CallPhase.ACCEPTED)
+    if not _placing.place(step, call):
+        _refuse(step, call, call.last_reason)
+
+
+def _record(
+    step: _state.Step,
+    call: _state.Call,
+    kind: _records.RecordKind,
+    *,
+    peer: _ids.NodeId = _ids.NO_NODE,
+    detail: str = "",
+) -> None:
+    """Record a decision on a call, under all the names that it has."""
+    step.record(
+        kind,
+        service=call.service,
+        call=call.call,
+        peer=peer,
+        request=call.request,
+        detail=detail,
+    )
+
+
 def _refuse(
     step: _state.Step, call: _state.Call, reason: _outcomes.Reason
 ) -> None:
@@ -469,12 +483,8 @@
         call.advance(_state.CallPhase.REFUSED)
         run = _outcomes.RunState.NOT_RUN
         kind = _records.RecordKind.CALL_REFUSED
-    step.record(
-        kind,
-        service=call.service,
-        call=call.call,
-        request=call.request,
-        detail=f"{reason.value}; {_tell_story(step, call)}",
+    _record(
+        step, call, kind, detail=f"{reason.value}; {_tell_story(step, call)}"
     )
     _answer(step, call.call, reason, run, kind=call.kind.name)
 
--- a/packages/core/marjoramledge_core/_excess.py
+++ b/packages/core/marjoramledge_core/_excess.py
@@ -7,9 +7,10 @@
 so that a server that was avoided is tried again.
 """
 
-import math
 import typing
 
+from marjoramledge_core import _fading
+
 FADE_S: typing.Final = 2.0
 # Usual calls that are presumed, so that one slow call among few says little.
 PRIOR_CALLS: typing.Final = 3.0
@@ -21,24 +22,14 @@
     """Fading mean of the times of calls, relative to what is usual."""
 
     def __init__(self) -> None:
-        self._at = 0.0
-        self._calls = 0.0
-        self._ratios = 0.0
+        self._ratio = _fading.FadingMean(
+            fade_s=FADE_S, prior_count=PRIOR_CALLS, prior_value=1.0
+        )
 
     def note(self, ratio: float, now: float) -> None:
         """Take in a call that took ``ratio`` times what is usual."""
-        self._fade(now)
-        self._calls += 1.0
-        self._ratios += min(MAX_RATIO, ratio)
+        self._ratio.note(min(MAX_RATIO, ratio), now)
 
     def factor(self, now: float) -> float:
         """Compute by how many times longer a call is to be expected."""
-        self._fade(now)
-        mean = (self._ratios + PRIOR_CALLS) / (self._calls + PRIOR_CALLS)
-        return max(1.0, mean)
-
-    def _fade(self, now: float) -> None:
-        fade = math.exp(-max(0.0, now - self._at) / FADE_S)
-        self._at = now
-        self._calls *= fade
-        self._ratios *= fade
+        return max(1.0, self._ratio.mean(now))
--- a/packages/core/marjoramledge_core/_faults.py
+++ b/packages/core/marjoramledge_core/_faults.py
@@ -6,9 +6,10 @@
 server that gets few calls for its faults is tried again after some seconds.
 """
 
-import math
 import typing
 
+from marjoramledge_core import _fading
+
 FADE_S: typing.Final = 4.0
 # Sound calls that are presumed, so that one failure among few says little.
 PRIOR_CALLS: typing.Final = 6.0
@@ -19,27 +20,18 @@
 
 
 class FaultShare:
-    """Fading counts of outcomes."""
+    """Fading share of faults among outcomes."""
 
     def __init__(self) -> None:
-        self._at = 0.0
-        self._calls = 0.0
-        self._faults = 0.0
+        self._share = _fading.FadingMean(
+            fade_s=FADE_S, prior_count=PRIOR_CALLS, prior_value=0.0
+        )
 
     def note(self, is_fault: bool, now: float) -> None:
         """Take in the outcome of a call."""
-        self._fade(now)
-        self._calls += 1.0
-        self._faults += is_fault
+        self._share.note(float(is_fault), now)
 
     def penalty(self, now: float) -> float:
         """Factor by which the server is to be taken as slower."""
-        self._fade(now)
-        share = self._faults / (self._calls + PRIOR_CALLS)
-        return 1.0 + PENALTY * max(0.0, share - ORDINARY_SHARE)
-
-    def _fade(self, now: float) -> None:
-        fade = math.exp(-max(0.0, now - self._at) / FADE_S)
-        self._at = now
-        self._calls *= fade
-        self._faults *= fade
+        over = self._share.mean(now) - ORDINARY_SHARE
+        return 1.0 + PENALTY * max(0.0, over)
--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -86,6 +86,30 @@
         )
 
 
+def build_kept(
+    *,
+    node: _ids.NodeId,
+    address: Address,
+    zone: _ids.ZoneName,
+    service: _ids.ServiceName,
+    slots: int,
+) -> Member:
+    """Build a member as the store keeps it.
+
+    One without a service has told of no backend server.
+    """
+    return Member(
+        node=node,
+        address=address,
+        zone=zone,
+        incarnation=KEPT_INCARNATION,
+        status=MemberStatus.ALIVE,
+        service=service,
+        server=ServerState.WARM if service else ServerState.ABSENT,
+        slots=slots,
+    )
+
+
 class MessageKind(enum.IntEnum):
     """Kinds of membership message."""
 
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -54,6 +54,7 @@
 MessageReceived = _events.MessageReceived
 ProbeEnded = _events.ProbeEnded
 KEPT_INCARNATION = _members.KEPT_INCARNATION
+build_kept_member = _members.build_kept
 KeptMembersRead = _events.KeptMembersRead
 ServerAnnounced = _events.ServerAnnounced
 ServerDraining = _events.ServerDraining
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -204,14 +204,12 @@
         service = myself.service
         if not service and hint is not None:
             service = hint.service
-        return dataclasses.replace(
-            myself,
-            incarnation=node.KEPT_INCARNATION,
-            status=node.MemberStatus.ALIVE,
+        return node.build_kept_member(
+            node=myself.node,
+            address=myself.address,
+            zone=myself.zone,
             service=service,
-            server=(
-                node.ServerState.WARM if service else node.ServerState.ABSENT
-            ),
+            slots=myself.slots,
         )
 
     async def find_server(self, hint: _options.ServerHint) -> None:
--- a/packages/standins/marjoramledge_standins/deployment.py
+++ b/packages/standins/marjoramledge_standins/deployment.py
@@ -320,13 +320,9 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + START_TIMEOUT_S
         while loop.time() < deadline:
-            try:
-                _, writer = await asyncio.open_connection(host, port)
-            except OSError:
-                await asyncio.sleep(0.05)
-                continue
-            writer.close()
-            return
+            if await is_open(host, port):
+                return
+            await asyncio.sleep(0.05)
         logs = [
             f"{path.name}: {path.read_text()[-500:]}"
             for path in sorted(self._folder.glob("*.log"))
@@ -348,6 +344,16 @@
         return await process.wait()
 
 
+async def is_open(host: str, port: int) -> bool:
+    """Tell whether a connection to a port is taken."""
+    try:
+        _, writer = await asyncio.open_connection(host, port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 def find_free_port(host: str) -> int:
     """Find a port that nobody listens on."""
     with socket.socket() as probe:
--- a/packages/standins/marjoramledge_standins/soak.py
+++ b/packages/standins/marjoramledge_standins/soak.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import collections
 import collections.abc
 import contextlib
 import dataclasses
@@ -125,15 +124,13 @@
             seed=seed,
             leave_share=LEAVE_SHARE,
         )
-        # What overlapping faults hold down; the last one to end lets go.
-        self._held: collections.Counter[tuple[str, int]] = (
-            collections.Counter()
-        )
+        # What a fault holds down; one that overlaps it leaves it alone.
+        self._held: set[tuple[str, int]] = set()
         self._operator = asyncio.Lock()
         self._done: list[soak_checks.Done] = []
         self._zones_out: list[soak_checks.ZoneOut] = []
         self._cut_by_stops: list[str] = []
-        self._notes: list[str] = []
+        self._failed_orders: list[str] = []
         self._rss_mb: dict[str, float] = {}
         self._began_at = 0.0
         self._folders = 0
@@ -205,6 +202,7 @@
             adoptions=read_adoptions(self._fleet),
             zones_out=self._zones_out,
             cut_by_stops=self._cut_by_stops,
+            failed_orders=self._failed_orders,
             rss_mb=self._rss_mb,
             quiet_from=quiet_from,
             ended_at=time.monotonic(),
@@ -234,13 +232,16 @@
     async def _hold(
         self, what: str, vm: int
     ) -> collections.abc.AsyncIterator[bool]:
-        """Hold something of a VM; true for the only one that does."""
+        """Hold something of a VM; false when another fault does."""
         key = (what, vm)
-        self._held[key] += 1
+        if key in self._held:
+            yield False
+            return
+        self._held.add(key)
         try:
-            yield self._held[key] == 1
+            yield True
         finally:
-            self._held[key] -= 1
+            self._held.remove(key)
 
     async def _kill_node(self, fault: soak_plan.Fault) -> None:
         await self._end_node(fault, signal.SIGKILL)
@@ -284,7 +285,9 @@
         process: asyncio.subprocess.Process | None,
     ) -> None:
         async with self._hold(what, fault.vm) as is_only:
-            if not is_only or process is None or process.returncode:
+            if not is_only or process is None:
+                return
+            if process.returncode is not None:
                 return
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(fault.for_s)
@@ -368,7 +371,7 @@
     async def _run_command(self, *arguments: str) -> int:
         status, output = await self._fleet.run_command(*arguments)
         if status:
-            self._notes.append(
+            self._failed_orders.append(
                 f"{arguments[0]} exited with {status}: {output}"
             )
         return status
@@ -376,7 +379,7 @@
     async def _wait_until_open(self, vm: deployment.Vm) -> None:
         """Wait until a node takes callers, or a while at most."""
         for _ in range(READY_TRIES):
-            if await _is_open(vm.host, vm.caller_port):
+            if await deployment.is_open(vm.host, vm.caller_port):
                 return
             await asyncio.sleep(READY_TRY_S)
 
@@ -424,15 +427,6 @@
     raise AssertionError("an operator's command fails again and again")
 
 
-async def _is_open(host: str, port: int) -> bool:
-    try:
-        _, writer = await asyncio.open_connection(host, port)
-    except OSError:
-        return False
-    writer.close()
-    return True
-
-
 def read_adoptions(
     fleet: deployment.Deployment,
 ) -> list[soak_checks.Adoption]:
--- a/packages/standins/marjoramledge_standins/soak_checks.py
+++ b/packages/standins/marjoramledge_standins/soak_checks.py
@@ -62,7 +62,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Evidence:
-    """All that a soak has seen."""
+    """All that a soak has seen.
+
+    ``failed_orders`` are commands of the operator that failed, as they may
+    while the store is away; they speak against nothing.
+    """
 
     vms: collections.abc.Sequence[deployment.Vm]
     results: collections.abc.Sequence[traffic.CallResult]
@@ -74,6 +78,7 @@
     rss_mb: collections.abc.Mapping[str, float]
     quiet_from: float
     ended_at: float
+    failed_orders: collections.abc.Sequence[str] = ()
 
     def is_disturbed(self, vm: int, start: float, end: float) -> bool:
         """Tell whether an unplanned fault hit a VM in a span of time."""
--- a/packages/standins/marjoramledge_standins/soak_report.py
+++ b/packages/standins/marjoramledge_standins/soak_report.py
@@ -70,7 +70,8 @@
         f"<p>Calls a second by how they ended: {legend}</p>"
         f"{_draw(evidence)}"
         "<table border=1><tr><th>promise</th><th>broken</th><th>by</th></tr>"
-        f"{rows}</table>"
+        f"{rows}</table><h2>Orders that failed</h2>"
+        f"<pre>{html.escape(chr(10).join(evidence.failed_orders))}</pre>"
     )
 
 
--- a/packages/standins/marjoramledge_standins/virtual_network.py
+++ b/packages/standins/marjoramledge_standins/virtual_network.py
@@ -246,8 +246,12 @@
         self.store.writes += 1
         self.store.reads += 1
         myself = self.nodes[address].membership.myself
-        self.store.members[myself.node] = dataclasses.replace(
-            myself, incarnation=node.KEPT_INCARNATION
+        self.store.members[myself.node] = node.build_kept_member(
+            node=myself.node,
+            address=myself.address,
+            zone=myself.zone,
+            service=myself.service,
+            slots=myself.slots,
         )
         rows = tuple(self.store.members.values())
         self._reply(address, node.KeptMembersRead(members=rows))
--- a/packages/store/marjoramledge_store/_client.py
+++ b/packages/store/marjoramledge_store/_client.py
@@ -195,7 +195,7 @@
             rows = json.loads(reply.body)["value"]
             return result.Success(
                 tuple(
-                    _kept.build_member(
+                    _kept.read_member(
                         ids.NodeId(str(row["RowKey"])),
                         host=row["Host"],
                         port=row["Port"],
--- a/packages/store/marjoramledge_store/_followed.py
+++ b/packages/store/marjoramledge_store/_followed.py
@@ -199,7 +199,7 @@
         fields = json.loads(value)
         if key.startswith(_MEMBER_PREFIX):
             name = ids.NodeId(key.removeprefix(_MEMBER_PREFIX))
-            members.append(_kept.build_member(name, **fields))
+            members.append(_kept.read_member(name, **fields))
         elif key.startswith(_DEPARTURE_PREFIX):
             server = ids.ServerId(key.removeprefix(_DEPARTURE_PREFIX))
             departures.append(
--- a/packages/store/marjoramledge_store/_kept.py
+++ b/packages/store/marjoramledge_store/_kept.py
@@ -1,4 +1,4 @@
-"""What is kept of a node, built from the fields of its row.
+"""What is kept of a node, read from the fields of its row.
 
 Both kinds of store keep the same of a node, each in rows of its own form.
 """
@@ -7,7 +7,7 @@
 from marjoramledge_core import node
 
 
-def build_member(
+def read_member(
     name: ids.NodeId,
     *,
     host: object,
@@ -16,7 +16,7 @@
     service: object = "",
     slots: int | str = 0,
 ) -> node.Member:
-    """Build a member that only the store tells of.
+    """Read a member that only the store tells of.
 
     Rows of earlier versions lack the service and the slots.
 
@@ -25,14 +25,10 @@
     ValueError, TypeError
         A field is not what it must be.
     """
-    return node.Member(
+    return node.build_kept_member(
         node=name,
         address=node.Address(host=str(host), port=int(port)),
         zone=ids.ZoneName(str(zone)),
-        incarnation=node.KEPT_INCARNATION,
-        status=node.MemberStatus.ALIVE,
         service=ids.ServiceName(str(service)),
-        # Without a service it has told of no backend server.
-        server=(node.ServerState.WARM if service else node.ServerState.ABSENT),
         slots=int(slots),
     )
