Record how a version reaches a node, and when the event loop stalls

The incident's logs could not tell when a node heard of a version and from whom, how long a fetch took and how many bytes it brought, how long reading it stopped the loop, nor what documents are sent. config-heard, config-fetched and loop-stalled say so; document_bytes counts by kind.

Ruled out: a timer of its own for the stalls (20 wake-ups a second a node); the engine's own wake-ups are compared with when they were due.

--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -43,6 +43,9 @@
     host: str
     port: int
 
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
 
 # Incarnation of what the store has kept of a node; nodes count from one.
 KEPT_INCARNATION: typing.Final = 0
--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -14,6 +14,7 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _manifest
 from marjoramledge_core import _members
+from marjoramledge_core import _records
 from marjoramledge_core import _settings
 from marjoramledge_core import _timers
 
@@ -144,6 +145,12 @@
         self._source = source
         self._tries = 0
         self._retry_s = FIRST_FETCH_RETRY_S
+        teller = "the store" if source is None else str(source)
+        record = _records.Record(
+            kind=_records.RecordKind.CONFIG_HEARD,
+            detail=f"version {ref.version} from {teller}",
+        )
+        out.append(_commands.WriteRecord(record=record))
         out.append(_commands.FetchManifest(ref=ref, source=source))
 
     def adopt(
--- a/packages/node/marjoramledge_node/_counts.py
+++ b/packages/node/marjoramledge_node/_counts.py
@@ -46,7 +46,8 @@
     """Counters of outcomes by route, of the time line by kind, and of costs.
 
     ``store_calls`` are by operation and outcome, ``messages`` and
-    ``message_bytes`` are datagrams to other nodes by kind.
+    ``message_bytes`` are datagrams to other nodes by kind, and
+    ``document_bytes`` what peers and operators were sent by kind.
     """
 
     def __init__(self) -> None:
@@ -66,6 +67,7 @@
         self.message_bytes: collections.Counter[node.MessageKind] = (
             collections.Counter()
         )
+        self.document_bytes: collections.Counter[str] = collections.Counter()
 
     def note_store_call(self, operation: str, outcome: str) -> None:
         """Count one operation at the store."""
@@ -76,6 +78,10 @@
         self.messages[kind] += 1
         self.message_bytes[kind] += size
 
+    def note_document(self, target: str, size: int) -> None:
+        """Count one document of ``size`` bytes; its target names its kind."""
+        self.document_bytes[target.split("/")[1]] += size
+
     def note_answer(
         self, route: ids.KindName | None, status: int, elapsed_s: float
     ) -> None:
--- a/packages/node/marjoramledge_node/_engine.py
+++ b/packages/node/marjoramledge_node/_engine.py
@@ -15,6 +15,10 @@
 
 from marjoramledge_node import _mailbox
 
+# A wake-up that comes this late means that the event loop stood still: other
+# work of one turn takes some milliseconds.
+STALL_S: typing.Final = 0.05
+
 Consumer = collections.abc.Callable[[typing.Any], None]
 
 
@@ -123,8 +127,19 @@
 
     def _wake(self) -> None:
         self._timer = None
+        self._note_lateness(self._clock() - self._timer_at)
         self.submit(node.TimePassed())
 
+    def _note_lateness(self, late_s: float) -> None:
+        """Record that the event loop came late to a wake-up."""
+        if late_s < STALL_S:
+            return
+        record = node.Record(
+            kind=node.RecordKind.LOOP_STALLED,
+            detail=f"a wake-up came {late_s:.3f} s late",
+        )
+        self._consumers[node.WriteRecord](node.WriteRecord(record=record))
+
     def _post_to_call(
         self,
         command: (
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -298,6 +298,7 @@
 
     async def _fetch_manifest(self, command: node.FetchManifest) -> None:
         ref = command.ref
+        began_at = self._engine.now()
         fetched: result.Result[bytes, str]
         if command.source is not None:
             fetched = await self._ask_peer(
@@ -314,9 +315,11 @@
             fetched = stored.alt(str)
         else:
             fetched = result.Failure("no store is set")
+        fetched_at = self._engine.now()
         parsed = fetched.bind(
             lambda content: self._read_configuration(content, ref.digest)
         )
+        self._record_fetch(command, fetched, fetched_at - began_at, fetched_at)
         if isinstance(parsed, result.Failure):
             self._engine.submit(
                 node.ManifestFailed(ref=ref, detail=parsed.failure())
@@ -324,6 +327,30 @@
             return
         self._adopt(ref, fetched.unwrap(), parsed.unwrap())
 
+    def _record_fetch(
+        self,
+        command: node.FetchManifest,
+        fetched: result.Result[bytes, str],
+        fetch_s: float,
+        fetched_at: float,
+    ) -> None:
+        """Record what a fetch brought and what it cost."""
+        source = command.source or "the store"
+        outcome = "failed"
+        if isinstance(fetched, result.Success):
+            read_s = self._engine.now() - fetched_at
+            size = len(fetched.unwrap())
+            outcome = f"{size} bytes, read in {read_s:.3f} s"
+        self._timeline.write(
+            node.Record(
+                kind=node.RecordKind.CONFIG_FETCHED,
+                detail=(
+                    f"version {command.ref.version} from {source} "
+                    f"in {fetch_s:.3f} s: {outcome}"
+                ),
+            )
+        )
+
     async def _probe_server(self, command: node.ProbeServer) -> None:
         server = command.server
         began_at = self._engine.now()
--- a/packages/node/marjoramledge_node/_metrics_port.py
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -94,6 +94,14 @@
             for message_kind, count in counter.items():
                 family.add_metric((message_kind.name.lower(),), count)
             yield family
+        documents = core.CounterMetricFamily(
+            "marjoramledge_document_bytes",
+            "Bytes of documents to nodes and operators.",
+            labels=("kind",),
+        )
+        for document_kind, size in self._counts.document_bytes.items():
+            documents.add_metric((document_kind,), size)
+        yield documents
         for name, help_text, value in self._gauges():
             yield core.GaugeMetricFamily(
                 f"marjoramledge_{name}", help_text, value
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -18,6 +18,7 @@
 from marjoramledge_node import _auth
 from marjoramledge_node import _bodies
 from marjoramledge_node import _cancellation
+from marjoramledge_node import _counts
 from marjoramledge_node import _engine
 from marjoramledge_node import _headers
 from marjoramledge_node import _options
@@ -52,6 +53,8 @@
     find_document
         Finds what a method, a target and a body ask for; None when there is
         no such document.
+    counts
+        Where the bytes of documents are counted.
     """
 
     def __init__(
@@ -62,7 +65,9 @@
         keys: _auth.KeyRing,
         guard: node.ReplayGuard,
         find_document: DocumentSource,
+        counts: _counts.Counts,
     ) -> None:
+        self._counts = counts
         self._engine = engine
         self._upstream = upstream
         self._keys = keys
@@ -108,6 +113,7 @@
         document = self._find_document(request.method, request.raw_path, body)
         if document is None:
             return web.Response(status=404)
+        self._counts.note_document(request.raw_path, len(document))
         return web.Response(body=document)
 
     def _is_new_offer(self, request: web.BaseRequest, attempt: str) -> bool:
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -120,6 +120,7 @@
                 keys=options.keys,
                 guard=guard,
                 find_document=self._fleet.find_document,
+                counts=self._counts,
             )
         )
         self._local = _local_port.make_server(
