--- a/packages/standins/marjoramledge_standins/builders.py
+++ b/packages/standins/marjoramledge_standins/builders.py
@@ -75,6 +75,11 @@
     )
 
 
+def wire_size(content: bytes) -> int:
+    """Tell the bytes that a configuration takes between two nodes."""
+    return len(content)
+
+
 def build_ref(version: int) -> configuration.VersionRef:
     """Name a version."""
     return configuration.VersionRef(
--- a/packages/standins/marjoramledge_standins/driver.py
+++ b/packages/standins/marjoramledge_standins/driver.py
@@ -72,6 +72,7 @@
     grey: virtual_servers.Grey = virtual_servers.WELL
     knee: virtual_servers.Knee = virtual_servers.NO_KNEE
     tells_slowdown: bool = False
+    announced_slots: int | None = None
 
     @property
     def capacity_per_s(self) -> float:
@@ -389,7 +390,7 @@
             service=ids.ServiceName(self._scenario.service),
             host="127.0.0.1",
             port=9000,
-            slots=self._scenario.slots,
+            slots=self._scenario.announced_slots or self._scenario.slots,
             connections=1000,
             cold_concurrency=self._scenario.cold_concurrency,
             is_cold=False,
--- a/packages/standins/marjoramledge_standins/experiment.py
+++ b/packages/standins/marjoramledge_standins/experiment.py
@@ -148,14 +148,15 @@
         pattern=pattern,
         load=load,
         policy=policy,
-        in_target=statistics.median(map(_share_in_target, results)),
+        in_target=statistics.median(map(share_in_target, results)),
         failed=statistics.median(map(_share_failed, results)),
         p50_ms=statistics.median(_quantile_ms(r, 0.5) for r in results),
         p99_ms=statistics.median(_quantile_ms(r, 0.99) for r in results),
     )
 
 
-def _share_in_target(result: driver.RunResult) -> float:
+def share_in_target(result: driver.RunResult) -> float:
+    """Tell which part of the calls was answered within its target."""
     good = sum(
         outcome.is_answered and outcome.latency_s <= TARGET_S
         for outcome in result.outcomes
--- a/packages/standins/marjoramledge_standins/virtual_network.py
+++ b/packages/standins/marjoramledge_standins/virtual_network.py
@@ -97,17 +97,25 @@
             identity=node.Identity(
                 node=ids.NodeId(f"n{number}"),
                 address=address,
-                zone=ids.ZoneName("north" if number % 2 else "south"),
+                zone=ids.ZoneName(self.zone_of(number)),
                 incarnation=incarnation,
             ),
             seeds=seeds,
-            options=node.Options(stop_limit_s=30.0),
+            options=self.make_options(),
             now=self.now,
         )
         self.submit(
             address, node.ServerAnnounced(server=builders.build_server())
         )
 
+    def make_options(self) -> node.Options:
+        """Make the options of a node that starts."""
+        return node.Options(stop_limit_s=30.0)
+
+    def zone_of(self, number: int) -> str:
+        """Name the zone of a node."""
+        return "north" if number % 2 else "south"
+
     def kill(self, number: int) -> None:
         """End a node without a word."""
         del self.nodes[self.address(number)]
--- /dev/null
+++ b/tests/test_control_traffic.py
@@ -0,0 +1,95 @@
+"""What a node tells the fleet while its backend server loses answers."""
+
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from marjoramledge_node import _auth
+from marjoramledge_node import _gossip_port
+from marjoramledge_standins import builders
+from marjoramledge_standins import deployment
+import pytest
+
+PEERS = 87
+LOST_PER_S = 10
+SECONDS = 60
+# What a node may send for control.
+CONTROL_BYTES_PER_S = 6000.0
+UDP_HEADER_BYTES = 28
+PROBE_S = 0.002
+
+
+class _Gate:
+    """A node of a large fleet whose server breaks some answers off."""
+
+    def __init__(self) -> None:
+        self.driver = builders.CoreDriver()
+        self.driver.configure()
+        self.driver.submit(
+            node.ServerAnnounced(server=builders.build_server())
+        )
+        for number in range(1, PEERS + 1):
+            self.driver.learn_peer(f"n{number}")
+        self.sent_bytes = 0
+        self._keys = _auth.parse_keys(deployment.KEYS).unwrap()
+        self._stamper = _auth.Stamper(run="vm-0000-01234567-")
+
+    def submit(self, event: node.Event) -> None:
+        """Take a step; count what is told of requests; answer probes."""
+        for command in self.driver.submit(event):
+            if isinstance(command, node.SendMessage):
+                self._count(command)
+            elif isinstance(command, node.ProbeServer):
+                self.driver.now += PROBE_S
+                self.submit(
+                    node.ProbeEnded(is_healthy=True, elapsed_s=PROBE_S)
+                )
+
+    def _count(self, command: node.SendMessage) -> None:
+        if not command.message.suspicions:
+            return
+        content = _gossip_port.seal_message(
+            self._keys, self._stamper, command.address, command.message
+        )
+        self.sent_bytes += len(content) + UDP_HEADER_BYTES
+
+    def lose_answer(self, number: int, *names: str) -> None:
+        """Run some requests; the first one's answer is lost."""
+        attempts = [f"a{number}.{place}" for place in range(len(names))]
+        for attempt, name in zip(attempts, names, strict=True):
+            self.submit(
+                node.WorkOffered(
+                    attempt=ids.AttemptId(attempt),
+                    host="shop.example",
+                    method="GET",
+                    path="/pages/1",
+                    deadline_s=5.0,
+                    is_patient=False,
+                    fingerprint=ids.Fingerprint(name),
+                )
+            )
+        outcome = node.ServerOutcome.BROKE_OFF
+        for attempt in attempts:
+            if self.driver.state.gate.find(ids.AttemptId(attempt)):
+                self.submit(
+                    node.WorkEnded(
+                        attempt=ids.AttemptId(attempt),
+                        outcome=outcome,
+                        head_s=0.1,
+                    )
+                )
+                outcome = node.ServerOutcome.ANSWERED
+
+
+# Guards against lost answers of a living server that are told to all nodes
+# as deaths, until the link is full and configurations come late.
+@pytest.mark.parametrize("is_alike", [False, True])
+def test_lost_answers_keep_control_traffic_in_its_bound(
+    is_alike: bool,
+) -> None:
+    gate = _Gate()
+    for number in range(SECONDS * LOST_PER_S):
+        names = [
+            "page" if is_alike else f"{number}.{place}" for place in range(3)
+        ]
+        gate.lose_answer(number, *names)
+        gate.driver.now += 1.0 / LOST_PER_S
+    assert gate.sent_bytes <= CONTROL_BYTES_PER_S * SECONDS
