Tell a presumed death only once a probe confirms it, where the last was none

Cause: each broken answer of a living server was told to every node as a death, with the whole set of deaths that a request had ever been there at, taken back by a second round, and cleared by a third. The sets only grew. At 88 nodes one gate sent 1.4 MB/s, all that its link of 10 Mbit/s carries, and could neither fetch the configuration nor send calls. Class: state that only grows, sent whole to everyone for each event of a busy path.

Now a message carries only what is new, a node remembers at most 64 deaths of a request, and a gate whose last presumed death was taken back within 60 s probes first and tells after.

Ruled out: processor time (8 % of the share), the event loop (stalls of 0.04 to 0.08 s).

--- a/packages/core/marjoramledge_core/_deaths.py
+++ b/packages/core/marjoramledge_core/_deaths.py
@@ -3,44 +3,66 @@
 A broken call is the first sign of a death.  The death is presumed at once and
 told before the call's own failure is, since a caller may send the same
 request again within a millisecond; a probe then confirms it or has it
-withdrawn.  All calls that break in one death count as one.
+withdrawn.  All calls that break in one death count as one.  Telling all nodes
+costs a message for each, so where the last death was none, the probe comes
+first.
 """
 
 import collections.abc
+import typing
 
 from marjoramledge_core import _commands
 from marjoramledge_core import _ids
 from marjoramledge_core import _records
 from marjoramledge_core import _state
 
+# A server whose presumed death has been taken back within this time is probed
+# before another one is told: it loses answers, but lives.
+VERIFY_FIRST_S: typing.Final = 60.0
+
 
 def presume(step: _state.Step, broken: _ids.Fingerprint) -> None:
     """Presume a death because a call broke, and have it checked."""
-    gate = step.state.gate
-    if step.state.presumed_death is not None or gate.server is None:
+    state = step.state
+    gate = state.gate
+    if state.presumed_death is not None or gate.server is None:
         return
-    death = _name_death(step)
-    step.state.presumed_death = death
-    note_death(step, death, [broken, *gate.running_fingerprints()])
+    presumed = _state.PresumedDeath(
+        death=_name_death(step),
+        ran=(broken, *gate.running_fingerprints()),
+        is_told=step.now - state.death_withdrawn_at >= VERIFY_FIRST_S,
+    )
+    state.presumed_death = presumed
+    if presumed.is_told:
+        note_death(step, presumed.death, presumed.ran)
     step.out.append(_commands.ProbeServer(server=gate.server))
 
 
 def confirm(step: _state.Step) -> None:
     """Take in that the backend server has died."""
     ran = step.state.gate.take_broken(step.now)
-    if step.state.presumed_death is not None:
-        step.state.presumed_death = None
+    presumed = step.state.presumed_death
+    if presumed is None:
+        ran.extend(step.state.gate.running_fingerprints())
+        note_death(step, _name_death(step), ran)
         return
-    ran.extend(step.state.gate.running_fingerprints())
-    note_death(step, _name_death(step), ran)
+    step.state.presumed_death = None
+    if not presumed.is_told:
+        note_death(step, presumed.death, presumed.ran)
 
 
 def withdraw(step: _state.Step) -> None:
     """Take in that the backend server lives after all."""
-    death = step.state.presumed_death
-    if death is not None:
-        step.state.presumed_death = None
-        step.tell_suspicions(step.state.quarantine.withdraw(death, step.now))
+    presumed = step.state.presumed_death
+    if presumed is None:
+        return
+    step.state.presumed_death = None
+    step.state.death_withdrawn_at = step.now
+    step.record(_records.RecordKind.DEATH_WITHDRAWN, detail=presumed.death)
+    if presumed.is_told:
+        step.tell_suspicions(
+            step.state.quarantine.withdraw(presumed.death, step.now)
+        )
 
 
 def note_death(
--- a/packages/core/marjoramledge_core/_news.py
+++ b/packages/core/marjoramledge_core/_news.py
@@ -64,7 +64,9 @@
         times = RIDES_FOR_FEW
         if not is_known_to_most:
             times = _count_transmissions(known)
-        self._suspicions.pop(suspicion.fingerprint, None)
+        riding = self._suspicions.pop(suspicion.fingerprint, None)
+        if riding is not None:
+            suspicion = riding[0].join(suspicion)
         self._suspicions[suspicion.fingerprint] = (suspicion, times)
         while len(self._suspicions) > _quarantine.MAX_SUSPECTS:
             del self._suspicions[next(iter(self._suspicions))]
--- a/packages/core/marjoramledge_core/_quarantine.py
+++ b/packages/core/marjoramledge_core/_quarantine.py
@@ -26,14 +26,17 @@
 SUSPICION_S: typing.Final = 600.0
 MAX_SUSPECTS: typing.Final = 512
 MAX_TOLD: typing.Final = 8
+# Deaths that are remembered of one request.  Two that speak against it decide;
+# excused ones are kept for as long as old news of them may still come.
+MAX_DEATHS: typing.Final = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Suspicion:
-    """What nodes tell one another of a suspected request.
+    """What nodes tell one another of a suspected request: what is new of it.
 
-    ``excused`` are the deaths after which a backend server has answered it.
-    Both sets only grow, so views are joined by union, in any order and any
+    ``excused`` are the deaths after which a backend server has answered it,
+    or that were none.  What is told is joined by union, in any order and any
     number of times.
     """
 
@@ -41,16 +44,60 @@
     deaths: frozenset[_ids.DeathId]
     excused: frozenset[_ids.DeathId]
 
-    @property
-    def blamed(self) -> frozenset[_ids.DeathId]:
-        """Deaths that still speak against the request."""
-        return self.deaths - self.excused
+    def join(self, later: "Suspicion") -> "Suspicion":
+        """Join what is still to be told with what came later."""
+        return Suspicion(
+            fingerprint=self.fingerprint,
+            deaths=self.deaths | later.deaths,
+            excused=self.excused | later.excused,
+        )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Record:
-    suspicion: Suspicion
+    """What one node knows of a request; oldest death first.
+
+    ``deaths`` tells of each whether an answer has excused the request.
+    """
+
     noted_at: float
+    deaths: dict[_ids.DeathId, bool] = dataclasses.field(default_factory=dict)
+
+    @property
+    def blamed(self) -> frozenset[_ids.DeathId]:
+        """Deaths that still speak against the request."""
+        return frozenset(
+            death
+            for death, is_excused in self.deaths.items()
+            if not is_excused
+        )
+
+    def merge(self, told: Suspicion) -> Suspicion | None:
+        """Take in what is told; return what of it is new, if any."""
+        deaths = frozenset(told.deaths - self.deaths.keys())
+        excused = frozenset(
+            death
+            for death in told.excused
+            if not self.deaths.get(death, False)
+        )
+        if not deaths and not excused:
+            return None
+        self.deaths.update(dict.fromkeys(sorted(deaths), False))
+        self.deaths.update(dict.fromkeys(sorted(excused), True))
+        while len(self.deaths) > MAX_DEATHS:
+            self._forget_death()
+        return Suspicion(
+            fingerprint=told.fingerprint, deaths=deaths, excused=excused
+        )
+
+    def _forget_death(self) -> None:
+        """Forget the oldest death, of those that are excused if any is."""
+        oldest = next(iter(self.deaths))
+        for death, is_excused in self.deaths.items():
+            if is_excused:
+                oldest = death
+                break
+        del self.deaths[oldest]
 
 
 class Quarantine:
@@ -71,7 +118,7 @@
     def is_suspect(self, fingerprint: _ids.Fingerprint, now: float) -> bool:
         """Tell whether a request has been there at a death, uncleared."""
         record = self._find(fingerprint, now)
-        return record is not None and bool(record.suspicion.blamed)
+        return record is not None and bool(record.blamed)
 
     def refuse_for_s(
         self, fingerprint: _ids.Fingerprint, now: float
@@ -80,7 +127,7 @@
         record = self._find(fingerprint, now)
         if record is None:
             return None
-        if len(record.suspicion.blamed) < DEATHS_TO_QUARANTINE:
+        if len(record.blamed) < DEATHS_TO_QUARANTINE:
             return None
         return record.noted_at + QUARANTINE_S - now
 
@@ -93,67 +140,55 @@
         """Take in a death and what ran; return the suspicions to tell."""
         known = [f for f in ran if self.is_suspect(f, now)]
         blamed = known or list(ran)
-        told = []
-        for fingerprint in sorted(set(blamed))[:MAX_TOLD]:
-            known_of = self._suspicion_of(fingerprint, now)
-            noted = dataclasses.replace(
-                known_of, deaths=known_of.deaths | {death}
-            )
-            told.append(self._put(noted, now))
-        return tuple(told)
+        return self.take(
+            (
+                Suspicion(
+                    fingerprint=fingerprint,
+                    deaths=frozenset((death,)),
+                    excused=frozenset(),
+                )
+                for fingerprint in sorted(set(blamed))[:MAX_TOLD]
+            ),
+            now,
+        )
 
     def withdraw(
         self, death: _ids.DeathId, now: float
     ) -> tuple[Suspicion, ...]:
         """Take back a death that was none; return what is to be told."""
-        told = []
-        for record in list(self._records.values()):
-            suspicion = record.suspicion
-            if death in suspicion.blamed:
-                excused = suspicion.excused | {death}
-                told.append(
-                    self._put(
-                        dataclasses.replace(suspicion, excused=excused), now
-                    )
-                )
-        return tuple(told)
+        return self.take(
+            [
+                _excuse(fingerprint, frozenset((death,)))
+                for fingerprint, record in self._records.items()
+                if death in record.blamed
+            ],
+            now,
+        )
 
     def note_answered(
         self, fingerprint: _ids.Fingerprint, now: float
     ) -> tuple[Suspicion, ...]:
         """Take in that a server answered; return the clearance to tell."""
-        if not self.is_suspect(fingerprint, now):
+        record = self._find(fingerprint, now)
+        if record is None or not record.blamed:
             return ()
-        suspicion = self._suspicion_of(fingerprint, now)
-        cleared = dataclasses.replace(suspicion, excused=suspicion.deaths)
-        return (self._put(cleared, now),)
+        return self.take([_excuse(fingerprint, record.blamed)], now)
 
     def take(
         self, told: collections.abc.Iterable[Suspicion], now: float
     ) -> tuple[Suspicion, ...]:
-        """Take in what a peer tells; return what was news."""
+        """Take in what is told; return what of it was news."""
         news = []
         for suspicion in told:
-            known = self._suspicion_of(suspicion.fingerprint, now)
-            merged = Suspicion(
-                fingerprint=known.fingerprint,
-                deaths=known.deaths | suspicion.deaths,
-                excused=known.excused | suspicion.excused,
-            )
-            if merged != known:
-                news.append(self._put(merged, now))
+            fingerprint = suspicion.fingerprint
+            record = self._find(fingerprint, now) or _Record(noted_at=now)
+            new = record.merge(suspicion)
+            if new is not None:
+                record.noted_at = now
+                self._put(fingerprint, record)
+                news.append(new)
         return tuple(news)
 
-    def _suspicion_of(
-        self, fingerprint: _ids.Fingerprint, now: float
-    ) -> Suspicion:
-        record = self._find(fingerprint, now)
-        if record is not None:
-            return record.suspicion
-        return Suspicion(
-            fingerprint=fingerprint, deaths=frozenset(), excused=frozenset()
-        )
-
     def _find(
         self, fingerprint: _ids.Fingerprint, now: float
     ) -> _Record | None:
@@ -162,19 +197,24 @@
             return None
         is_old = now - record.noted_at > SUSPICION_S
         has_served = now - record.noted_at > QUARANTINE_S and (
-            len(record.suspicion.blamed) >= DEATHS_TO_QUARANTINE
+            len(record.blamed) >= DEATHS_TO_QUARANTINE
         )
         if is_old or has_served:
             del self._records[fingerprint]
             return None
         return record
 
-    def _put(self, suspicion: Suspicion, now: float) -> Suspicion:
-        self._records.pop(suspicion.fingerprint, None)
-        self._records[suspicion.fingerprint] = _Record(
-            suspicion=suspicion, noted_at=now
-        )
+    def _put(self, fingerprint: _ids.Fingerprint, record: _Record) -> None:
+        self._records.pop(fingerprint, None)
+        self._records[fingerprint] = record
         if len(self._records) > MAX_SUSPECTS:
             del self._records[next(iter(self._records))]
             self._dropped += 1
-        return suspicion
+
+
+def _excuse(
+    fingerprint: _ids.Fingerprint, deaths: frozenset[_ids.DeathId]
+) -> Suspicion:
+    return Suspicion(
+        fingerprint=fingerprint, deaths=frozenset(), excused=deaths
+    )
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -24,6 +24,7 @@
     SERVER_UNREACHABLE = "server-unreachable"
     SERVER_FELL_COLD = "server-fell-cold"
     SERVER_DIED = "server-died"
+    DEATH_WITHDRAWN = "death-withdrawn"
     REQUEST_QUARANTINED = "request-quarantined"
     PEER_EJECTED = "peer-ejected"
     PEER_READMITTED = "peer-readmitted"
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 import random
 import typing
 
@@ -141,6 +142,19 @@
     fingerprint: _ids.Fingerprint
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PresumedDeath:
+    """A death of the backend server here that a probe is to confirm.
+
+    ``ran`` are the requests that ran then, and ``is_told`` says whether the
+    other nodes have been told already.
+    """
+
+    death: _ids.DeathId
+    ran: tuple[_ids.Fingerprint, ...]
+    is_told: bool
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class NodeState:
     """Everything that one node's decisions depend on."""
@@ -163,7 +177,8 @@
     budgets: dict[_ids.ServiceName, _budget.RetryBudget]
     deaths: int = 0
     ordinary_answers: int = 0
-    presumed_death: _ids.DeathId | None = None
+    presumed_death: PresumedDeath | None = None
+    death_withdrawn_at: float = -math.inf
     is_drained_by_order: bool = False
     cold_start_timer: _timers.Timer | None = None
     stop_phase: StopPhase = StopPhase.RUNNING
