Fetch a content once, whatever its number

Cause: a node that starts reads the operator's rows under the store's newest number, and each greater number started a download, although the content was under way. Class: work keyed by a name that changes more often than what it names. Downloads and their retries go by digest now.

--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -179,7 +179,7 @@
     was_open = step.is_zone_open()
     if not state.versions.adopt(event.ref, event.configuration):
         return
-    state.membership.set_config(event.ref)
+    state.membership.set_config(state.versions.ref)
     state.membership.tell_now(step.rng, step.out)
     step.record(
         _records.RecordKind.CONFIG_ADOPTED,
--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -55,9 +55,10 @@
         self._configuration: _settings.Configuration | None = None
         self._ref = _manifest.NO_VERSION
         self._wanted = _manifest.NO_VERSION
-        self._source: _members.Address | None = None
         self._retry_s = FIRST_FETCH_RETRY_S
         self._tries = 0
+        self._content_number = 0
+        self._fetching: set[_ids.Digest] = set()
         self._read_at = 0.0
         self._read_retry_s = READ_RETRY_S
 
@@ -142,7 +143,10 @@
         if ref.version <= max(self._ref.version, self._wanted.version):
             return
         self._wanted = ref
-        self._source = source
+        if ref.digest in self._fetching:
+            # The store's versions go on while the content stays the same.
+            return
+        self._content_number += 1
         self._tries = 0
         self._retry_s = FIRST_FETCH_RETRY_S
         teller = "the store" if source is None else str(source)
@@ -151,7 +155,7 @@
             detail=f"version {ref.version} from {teller}",
         )
         out.append(_commands.WriteRecord(record=record))
-        out.append(_commands.FetchManifest(ref=ref, source=source))
+        self._fetch(source, out)
 
     def adopt(
         self,
@@ -159,8 +163,12 @@
         configuration: _settings.Configuration,
     ) -> bool:
         """Put a version in force; false when it is not newer."""
+        self._fetching.discard(ref.digest)
         if ref.version <= self._ref.version:
             return False
+        if ref.digest == self._wanted.digest:
+            newest = max(ref.version, self._wanted.version)
+            ref = dataclasses.replace(ref, version=newest)
         self._ref = ref
         self._configuration = configuration
         return True
@@ -169,12 +177,13 @@
         self, ref: _manifest.VersionRef, now: float, rng: random.Random
     ) -> None:
         """Plan another try for a version that is still wanted."""
-        if ref != self._wanted or ref.version <= self._ref.version:
+        self._fetching.discard(ref.digest)
+        if ref.digest != self._wanted.digest or self._is_in_force():
             return
         self._timers.set(
             now + self._retry_s * rng.uniform(0.5, 1.5),
             _timers.TimerKind.CONFIG_FETCH,
-            number=ref.version,
+            number=self._content_number,
         )
         self._retry_s = min(
             MAX_FETCH_RETRY_S, FETCH_RETRY_GROWTH * self._retry_s
@@ -182,17 +191,31 @@
 
     def fetch_again(
         self,
-        version: int,
+        content_number: int,
         peers: list[_members.Address],
         rng: random.Random,
         out: list[_commands.Command],
     ) -> None:
-        """Try once more to fetch a version, from a peer or from the store."""
-        is_current = _ids.ConfigVersion(version) == self._wanted.version
-        if not is_current or version <= self._ref.version:
+        """Try once more to fetch a content, from a peer or from the store."""
+        is_current = content_number == self._content_number
+        if not is_current or self._is_in_force():
+            return
+        if self._wanted.digest in self._fetching:
             return
         self._tries += 1
         source = None
         if peers and self._tries % STORE_TRY:
             source = peers[int(rng.random() * len(peers))]
+        self._fetch(source, out)
+
+    def _fetch(
+        self,
+        source: _members.Address | None,
+        out: list[_commands.Command],
+    ) -> None:
+        self._fetching.add(self._wanted.digest)
         out.append(_commands.FetchManifest(ref=self._wanted, source=source))
+
+    def _is_in_force(self) -> bool:
+        """Tell whether what is wanted, or something newer, is in force."""
+        return self._wanted.version <= self._ref.version
