Send configurations packed from node to node

Cause: a content of 1,176 routes, 250 KB, went whole to each of 78 nodes over links of 10 Mbit/s that carry calls, up to three times from one node at once; 19 MB for one timeout changed, 2.2 s of 2.5 s without any other trouble. Class: transfers sized by the whole instead of by what a link can spare.

Weighed: differences between versions (smaller for one timeout, but not for 1,156 new routes, and a node that starts needs the whole); more readers of the store (its bytes are priced, and each reads 350 KB).

--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -18,6 +18,7 @@
 from marjoramledge_store import client
 from returns import result
 
+from marjoramledge_node import _contents
 from marjoramledge_node import _counts
 from marjoramledge_node import _engine
 from marjoramledge_node import _manifests
@@ -37,6 +38,26 @@
 KEPT_MEMBERS: typing.Final = 128
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Read:
+    """A configuration, and its content as peers are sent it."""
+
+    declared: configuration.Configuration
+    packed: bytes
+
+
+def _read_content(
+    content: bytes, read: collections.abc.Callable[[], _manifests.Read]
+) -> result.Result[_Read, str]:
+    try:
+        declared = read()
+    except Exception as error:  # A reader's fault must not end the fetches.
+        return result.Failure(f"can't be read: {error!r}")
+    return declared.map(
+        lambda value: _Read(declared=value, packed=_contents.pack(content))
+    )
+
+
 class Fleet:
     """Exchange of documents with peers and the store.
 
@@ -76,7 +97,8 @@
         self._store = store
         self._options = options
         self._timeline = timeline
-        self._manifest = b""
+        self._reader = _contents.Reader()
+        self._packed = b""
         self._is_store_up = True
         self._fleet_read = asyncio.Event()
         self._kept_departure: node.ServerStart | None = None
@@ -91,7 +113,7 @@
         for command, operation in consumers.items():
             engine.connect(command, self._start_task_with(operation))
 
-    def find_document(
+    async def find_document(
         self, method: str, target: str, body: bytes
     ) -> bytes | None:
         """Find what a peer or an operator asks for."""
@@ -105,42 +127,42 @@
             )
             return _wire.encode_members(state.membership.members.values())
         if method == "PUT" and target.startswith(_peer_port.MANIFEST_TARGET):
-            return self._take_manifest(target, body)
+            return await self._take_manifest(target, body)
         if target == _peer_port.DRAIN_TARGET and method in ("PUT", "DELETE"):
             self._engine.submit(node.DrainOrdered(is_drained=method == "PUT"))
             return b"{}"
         if (method, target) == ("GET", _peer_port.STATUS_TARGET):
             return json.dumps(self._describe()).encode()
         current = _peer_port.manifest_target(state.versions.ref.digest)
-        if (method, target) == ("GET", current) and self._manifest:
-            return self._manifest
+        if (method, target) == ("GET", current) and self._packed:
+            return self._packed
         return None
 
-    def _take_manifest(self, target: str, content: bytes) -> bytes | None:
+    async def _take_manifest(
+        self, target: str, content: bytes
+    ) -> bytes | None:
         """Take in a version that an operator's command has had accepted."""
         digest = ids.Digest(target.removeprefix(_peer_port.MANIFEST_TARGET))
         manifest = configuration.decode_manifest(content, digest)
         if isinstance(manifest, result.Failure):
             return None
-        parsed = _manifests.read_documents(manifest.unwrap())
-        if isinstance(parsed, result.Failure):
-            return None
-        ref = configuration.VersionRef(
-            version=manifest.unwrap().version, digest=digest
+        accepted = manifest.unwrap()
+        read = await self._reader.run(
+            lambda: _read_content(
+                content, lambda: _manifests.read_documents(accepted)
+            )
         )
-        self._adopt(ref, content, parsed.unwrap())
+        if isinstance(read, result.Failure):
+            return None
+        ref = configuration.VersionRef(version=accepted.version, digest=digest)
+        self._adopt(ref, read.unwrap())
         return b"{}"
 
-    def _adopt(
-        self,
-        ref: configuration.VersionRef,
-        content: bytes,
-        declared: configuration.Configuration,
-    ) -> None:
+    def _adopt(self, ref: configuration.VersionRef, read: _Read) -> None:
         if ref.version > self._engine.state.versions.ref.version:
-            self._manifest = content
+            self._packed = read.packed
         self._engine.submit(
-            node.ManifestFetched(ref=ref, configuration=declared)
+            node.ManifestFetched(ref=ref, configuration=read.declared)
         )
 
     async def close(self) -> None:
@@ -148,6 +170,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._reader.close()
 
     def _start_task_with(
         self,
@@ -316,16 +339,34 @@
         else:
             fetched = result.Failure("no store is set")
         fetched_at = self._engine.now()
-        parsed = fetched.bind(
-            lambda content: self._read_configuration(content, ref.digest)
+        read = await self._reader.run(
+            lambda: fetched.bind(
+                lambda content: self._read_fetched(command, content)
+            )
         )
         self._record_fetch(command, fetched, fetched_at - began_at, fetched_at)
-        if isinstance(parsed, result.Failure):
+        if isinstance(read, result.Failure):
             self._engine.submit(
-                node.ManifestFailed(ref=ref, detail=parsed.failure())
+                node.ManifestFailed(ref=ref, detail=read.failure())
             )
             return
-        self._adopt(ref, fetched.unwrap(), parsed.unwrap())
+        self._adopt(ref, read.unwrap())
+
+    def _read_fetched(
+        self, command: node.FetchManifest, fetched: bytes
+    ) -> result.Result[_Read, str]:
+        """Read what a fetch brought; peers send it packed."""
+        unpacked: result.Result[bytes, str] = result.Success(fetched)
+        if command.source is not None:
+            unpacked = _contents.unpack(
+                fetched, configuration.MAX_MANIFEST_BYTES
+            )
+        return unpacked.bind(
+            lambda content: _read_content(
+                content,
+                lambda: self._read_configuration(content, command.ref.digest),
+            )
+        )
 
     def _record_fetch(
         self,
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -34,7 +34,9 @@
 # configuration.
 MAX_DOCUMENT_BYTES: typing.Final = configuration.MAX_MANIFEST_BYTES
 
-DocumentSource = collections.abc.Callable[[str, str, bytes], bytes | None]
+DocumentSource = collections.abc.Callable[
+    [str, str, bytes], collections.abc.Awaitable[bytes | None]
+]
 
 
 class PeerPort:
@@ -110,7 +112,9 @@
                     return self._reject()
         if not self._is_authentic(request, "", body):
             return self._reject()
-        document = self._find_document(request.method, request.raw_path, body)
+        document = await self._find_document(
+            request.method, request.raw_path, body
+        )
         if document is None:
             return web.Response(status=404)
         self._counts.note_document(request.raw_path, len(document))
--- a/packages/standins/marjoramledge_standins/builders.py
+++ b/packages/standins/marjoramledge_standins/builders.py
@@ -5,6 +5,7 @@
 from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
+from marjoramledge_node import peers
 
 INVENTORY = """
 organisation = "garden"
@@ -77,7 +78,7 @@
 
 def wire_size(content: bytes) -> int:
     """Tell the bytes that a configuration takes between two nodes."""
-    return len(content)
+    return len(peers.pack_content(content))
 
 
 def build_ref(version: int) -> configuration.VersionRef:
