Learn where a backend server slows down, and hold no more calls there

Cause: the gate lets as many calls run as slots are announced, and a server that is nearly full works 1.7 times slower: 4 calls at 1.7 are less in a second than 3 at 1. Class: a declared capacity taken for a measured one.

--- a/packages/core/marjoramledge_core/_fading.py
+++ b/packages/core/marjoramledge_core/_fading.py
@@ -34,6 +34,16 @@
         self._count += 1.0
         self._sum += value
 
+    def count(self, now: float) -> float:
+        """Tell how many values still count."""
+        self._fade(now)
+        return self._count
+
+    def total(self, now: float) -> float:
+        """Tell the sum of the values that still count."""
+        self._fade(now)
+        return self._sum
+
     def mean(self, now: float) -> float:
         """Compute the mean at a moment."""
         self._fade(now)
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -13,6 +13,7 @@
 import typing
 
 from marjoramledge_core import _cold
+from marjoramledge_core import _crowding
 from marjoramledge_core import _excess
 from marjoramledge_core import _faults
 from marjoramledge_core import _ids
@@ -51,6 +52,11 @@
 # Age at which a figure of how slow a VM is no longer helps: such states last
 # some tenths of a second.
 SLOWDOWN_PROBE_S: typing.Final = 0.1
+# How often the limit that crowding sets is chosen anew: some calls' time.
+CROWDING_PERIOD_S: typing.Final = 0.1
+# A call says nothing of crowding when its VM became so much slower or faster
+# while it ran.
+STEADY_RATIO: typing.Final = 1.3
 # A wait below this would be lost in the rounding of the clock.
 MIN_START_WAIT_S: typing.Final = 0.001
 
@@ -171,6 +177,9 @@
         self._faults = _faults.FaultShare()
         self._excess = _excess.ExcessTime()
         self._kind_times: dict[_ids.KindName, _KindTime] = {}
+        self._crowding = _crowding.Crowding(slots=1)
+        self._crowding_limit = 1
+        self._crowding_at = 0.0
         self._cold_rate = _cold.ColdRate()
         self._cold_until = 0.0
         self._service: _settings.Service | None = None
@@ -203,7 +212,7 @@
     @property
     def limit(self) -> int:
         """Calls that may run at once."""
-        return self._limit.current
+        return min(self._limit.current, self._crowding_limit)
 
     @property
     def usual_s(self) -> float:
@@ -225,7 +234,7 @@
         return (
             self._state in _members.ACCEPTING_STATES
             and not self._waiting
-            and len(self._running) < self._limit.current
+            and len(self._running) < self.limit
             and self._cold_wait_s(now) <= 0.0
         )
 
@@ -233,7 +242,7 @@
         """Describe the load at this moment."""
         return _reports.LoadReport(
             in_flight=len(self._running) + len(self._waiting),
-            limit=self._limit.current,
+            limit=self.limit,
             service_s=self._effective_s(now) or self._expected_usual_s,
         )
 
@@ -254,6 +263,9 @@
         self._cold_until = now + server.cold_left_s
         if same and self.accepts_work:
             return
+        if self._crowding.slots != server.slots:
+            self._crowding = _crowding.Crowding(slots=server.slots)
+            self._crowding_limit = server.slots
         self._limit = _limit.ConcurrencyLimit(
             slots=server.slots,
             cold_concurrency=server.cold_concurrency,
@@ -326,7 +338,7 @@
 
     def next_start_at(self, now: float) -> float | None:
         """Tell when a call that waits for a cold server may start."""
-        if not self._waiting or len(self._running) >= self._limit.current:
+        if not self._waiting or len(self._running) >= self.limit:
             return None
         return now + max(MIN_START_WAIT_S, self._cold_wait_s(now))
 
@@ -536,6 +548,7 @@
         if outcome is _outcomes.ServerOutcome.ANSWERED:
             self._heard_at = now
             self._speed.note_finished(head_s, now)
+            self._note_crowding(work, head_s, now)
             self._note_kind(work.kind.name, head_s, now)
             self._limit.note_success(head_s, len(self._running), now)
         elif outcome is _outcomes.ServerOutcome.UNREACHABLE:
@@ -553,6 +566,26 @@
         elapsed_s = now - work.started_at
         if elapsed_s > usual_s > 0.0:
             self._excess.note(elapsed_s / usual_s, now)
+            self._note_crowding(work, elapsed_s, now)
+
+    def _note_crowding(
+        self, work: _queue.Work, elapsed_s: float, now: float
+    ) -> None:
+        """Learn from a call's time how crowded the server may be."""
+        usual_s = self._usual_of(work)
+        slowdown = self._speed.relative_slowdown
+        is_steady = (
+            slowdown < STEADY_RATIO * work.slowdown
+            and work.slowdown < STEADY_RATIO * slowdown
+        )
+        is_cold = work.started_at < self._cold_until
+        if not is_steady or is_cold or min(usual_s, elapsed_s) <= 0.0:
+            return
+        ratio = elapsed_s / (usual_s * slowdown)
+        self._crowding.note(work.running, ratio, now)
+        if now - self._crowding_at >= CROWDING_PERIOD_S:
+            self._crowding_at = now
+            self._crowding_limit = self._crowding.choose_limit(now)
 
     def _note_kind(
         self, name: _ids.KindName, elapsed_s: float, now: float
@@ -577,18 +610,20 @@
         self._cold_rate.note_start(now)
         self._speed.note_change(len(self._running), now)
         self._running[work.attempt] = work
+        work.running = len(self._running)
+        work.slowdown = self._speed.relative_slowdown
         name = work.kind.name
         self._running_by_kind[name] = self._running_by_kind.get(name, 0) + 1
 
     def _is_queue_long(self) -> bool:
-        most = max(1.0, IMPATIENT_QUEUE_PER_SLOT * self._limit.current)
+        most = max(1.0, IMPATIENT_QUEUE_PER_SLOT * self.limit)
         return len(self._waiting) >= most
 
     def _start_waiting(self, now: float) -> list[_queue.Work]:
         started = []
         while (
             self._waiting
-            and len(self._running) < self._limit.current
+            and len(self._running) < self.limit
             and self._cold_wait_s(now) <= 0.0
         ):
             work = self._queue.take()
--- a/packages/core/marjoramledge_core/_queue.py
+++ b/packages/core/marjoramledge_core/_queue.py
@@ -24,7 +24,8 @@
     ``call`` is set when the call entered at this same node.  ``target_at`` is
     when its answer must be there to be worth its full value.  ``is_patient``
     tells that the call has nowhere else to go and rather waits than comes
-    back.
+    back.  ``running`` and ``slowdown`` are the calls that ran when it
+    started, itself included, and how slow the VM was relative to the usual.
     """
 
     attempt: _ids.AttemptId
@@ -36,6 +37,8 @@
     offered_at: float
     target_at: float = math.inf
     started_at: float = 0.0
+    running: int = 0
+    slowdown: float = 1.0
     is_suspect: bool = False
 
 
--- a/packages/core/marjoramledge_core/_speed.py
+++ b/packages/core/marjoramledge_core/_speed.py
@@ -36,6 +36,13 @@
         """When the server last told how slow its VM is; None if never."""
         return self._slowdown_at if self._usual_slowdown else None
 
+    @property
+    def relative_slowdown(self) -> float:
+        """How slow the VM is now, relative to the usual; 1 if untold."""
+        if not self._usual_slowdown:
+            return 1.0
+        return self._slowdown / self._usual_slowdown
+
     @property
     def mean_s(self) -> float:
         """Mean time of a call over the long window, in seconds."""
