Record changes of a server's limit, and what was expected when a call was sent

Why SHORT lasts could not be told: the limit that a gate learnt is on a gauge only, and a call's story gave the expectation at its end, which for a server that had become slow meanwhile looks like a mad choice (expected 4.5 s).

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -503,8 +503,8 @@
     """Tell what decided a call: its attempts, budget and configuration."""
     tried = ", ".join(
         f"{attempt.server.node} at {attempt.sent_at - call.arrived_at:.3f} s"
-        f" (expected {attempt.server.latency_s:.3f} s,"
-        f" told {step.now - attempt.server.reported_at:.3f} s ago)"
+        f" (expected {attempt.expected_s:.3f} s,"
+        f" told {attempt.told_s:.3f} s ago)"
         for attempt in call.attempts.values()
     )
     candidates = step.state.directory.candidates(call.service)
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -229,6 +229,10 @@
         """Whether the backend server may be given new work at all."""
         return self._state in _members.ACCEPTING_STATES
 
+    def describe_crowding(self) -> str:
+        """Tell what the limit that crowding sets was chosen from."""
+        return str(self._crowding)
+
     def has_room(self, now: float) -> bool:
         """Tell whether an offered call would start at once."""
         return (
--- a/packages/core/marjoramledge_core/_placing.py
+++ b/packages/core/marjoramledge_core/_placing.py
@@ -89,6 +89,8 @@
         sent_at=step.now,
         service=call.service,
         has_move=not is_patient,
+        expected_s=server.latency_s,
+        told_s=step.now - server.reported_at,
     )
     call.attempts[attempt_id] = attempt
     call.tried.add(server.node)
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -92,6 +92,8 @@
 
     ``is_open`` holds until its outcome is known or no longer wanted;
     ``has_move`` tells that a move to another server is paid for.
+    ``expected_s`` and ``told_s`` are the time that the server was expected
+    to take, and the age of what that was known from.
     """
 
     attempt: _ids.AttemptId
@@ -99,6 +101,8 @@
     service: _ids.ServiceName
     sent_at: float
     has_move: bool
+    expected_s: float
+    told_s: float
     is_open: bool = True
 
 
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -109,7 +109,13 @@
         step.tell_suspicions(
             step.state.quarantine.note_answered(ended.fingerprint, step.now)
         )
+    limit = gate.limit
     ending = gate.end(event.attempt, event.outcome, event.head_s, step.now)
+    if gate.limit != limit:
+        step.record(
+            _records.RecordKind.LIMIT_CHANGED,
+            detail=f"{limit} to {gate.limit} calls; {gate.describe_crowding()}",
+        )
     for work in ending.started:
         start_work(step, work)
     _plan_cold_start(step)
