--- a/packages/standins/marjoramledge_standins/driver.py
+++ b/packages/standins/marjoramledge_standins/driver.py
@@ -513,6 +513,7 @@
         self._gate_of[command.attempt] = peer
         arrival = self._arrivals[command.call]
         remaining_s = command.deadline_at - self._world.now
+        target_s = command.target_at - self._world.now
         self._world.after(
             self._world.delay_s(number, peer),
             lambda: self.submit(
@@ -525,6 +526,7 @@
                     deadline_s=remaining_s,
                     is_patient=command.is_patient,
                     fingerprint=ids.Fingerprint(command.call),
+                    target_s=target_s,
                 ),
             ),
         )
