--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -13,18 +13,14 @@
 import typing
 
 from marjoramledge_core import _cold
-from marjoramledge_core import _crowding
-from marjoramledge_core import _excess
-from marjoramledge_core import _faults
 from marjoramledge_core import _ids
 from marjoramledge_core import _limit
-from marjoramledge_core import _load
 from marjoramledge_core import _members
 from marjoramledge_core import _outcomes
+from marjoramledge_core import _pace
 from marjoramledge_core import _queue
 from marjoramledge_core import _reports
 from marjoramledge_core import _settings
-from marjoramledge_core import _speed
 
 # A call with another server to go to waits only as long as about one call
 # takes here, and only behind few others: a burst of a noisy neighbour ends
@@ -38,25 +34,11 @@
 # Calls that broke off this long before a server was found dead ran on it.
 DEATH_WINDOW_S: typing.Final = 2.0
 MAX_BROKEN: typing.Final = 256
-# A change of speed by this factor is told to the other nodes at once.
-NEWS_RATIO: typing.Final = 1.6
-# A cancelled call that had run for this many times the usual was hanging.
-HANG_RATIO: typing.Final = 8.0
-# Most weight of the latest call in the mean time of its kind, the window of
-# that mean, long against what makes a VM slow, and the kinds kept.
-KIND_WEIGHT: typing.Final = 0.1
-KIND_WINDOW_S: typing.Final = 10.0
-MAX_KINDS: typing.Final = 512
 # Departed starts that are remembered; late announcements of them are few.
 MAX_DEPARTED: typing.Final = 256
 # Age at which a figure of how slow a VM is no longer helps: such states last
 # some tenths of a second.
 SLOWDOWN_PROBE_S: typing.Final = 0.1
-# How often the limit that crowding sets is chosen anew: some calls' time.
-CROWDING_PERIOD_S: typing.Final = 0.1
-# A call says nothing of crowding when its VM became so much slower or faster
-# while it ran.
-STEADY_RATIO: typing.Final = 1.3
 # A wait below this would be lost in the rounding of the clock.
 MIN_START_WAIT_S: typing.Final = 0.001
 
@@ -64,19 +46,6 @@
     {_outcomes.ServerOutcome.SHED, _outcomes.ServerOutcome.BROKE_OFF}
 )
 
-# A call that ended so may have had to take longer than it ran.
-_CUT_OFF: typing.Final = frozenset(
-    {_outcomes.ServerOutcome.CANCELLED, _outcomes.ServerOutcome.ERRORED}
-)
-
-_FAULTS: typing.Final = frozenset(
-    {
-        _outcomes.ServerOutcome.ERRORED,
-        _outcomes.ServerOutcome.SHED,
-        _outcomes.ServerOutcome.BROKE_OFF,
-    }
-)
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServerStart:
@@ -140,23 +109,6 @@
     became_unreachable: bool = False
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _KindTime:
-    """Mean time of the calls of a kind over a long window."""
-
-    mean_s: float
-    at: float
-    count: int = 0
-
-    def note(self, elapsed_s: float, now: float) -> None:
-        self.count += 1
-        weight = min(KIND_WEIGHT, (now - self.at) / KIND_WINDOW_S)
-        # Until the window is full, this is the plain mean.
-        weight = max(weight, 1.0 / self.count)
-        self.mean_s += weight * (elapsed_s - self.mean_s)
-        self.at = now
-
-
 class Gate:
     """State of the gate."""
 
@@ -171,19 +123,11 @@
         self._waiting: dict[_ids.AttemptId, _queue.Work] = {}
         self._running_by_kind: dict[_ids.KindName, int] = {}
         self._heard_at = 0.0
-        self._speed = _speed.SpeedEstimate()
+        self._pace = _pace.Pace()
         self._probe_s = 0.0
-        self._told_service_s = 0.0
-        self._faults = _faults.FaultShare()
-        self._excess = _excess.ExcessTime()
-        self._kind_times: dict[_ids.KindName, _KindTime] = {}
-        self._crowding = _crowding.Crowding(slots=1)
-        self._crowding_limit = 1
-        self._crowding_at = 0.0
         self._cold_rate = _cold.ColdRate()
         self._cold_until = 0.0
         self._service: _settings.Service | None = None
-        self._expected_usual_s = _load.INITIAL_LATENCY_S
         self._departed: dict[_ids.ServerId, int] = {}
         self._broken: collections.deque[tuple[float, _ids.Fingerprint]] = (
             collections.deque(maxlen=MAX_BROKEN)
@@ -212,12 +156,12 @@
     @property
     def limit(self) -> int:
         """Calls that may run at once."""
-        return min(self._limit.current, self._crowding_limit)
+        return min(self._limit.current, self._pace.limit)
 
     @property
     def usual_s(self) -> float:
         """Mean time of a call over a long time, in seconds."""
-        return self._speed.mean_s or self._expected_usual_s
+        return self._pace.usual_s
 
     @property
     def heard_at(self) -> float:
@@ -229,9 +173,9 @@
         """Whether the backend server may be given new work at all."""
         return self._state in _members.ACCEPTING_STATES
 
-    def describe_crowding(self) -> str:
+    def describe_limit(self) -> str:
         """Tell what the limit that crowding sets was chosen from."""
-        return str(self._crowding)
+        return self._pace.describe_limit()
 
     def has_room(self, now: float) -> bool:
         """Tell whether an offered call would start at once."""
@@ -247,7 +191,7 @@
         return _reports.LoadReport(
             in_flight=len(self._running) + len(self._waiting),
             limit=self.limit,
-            service_s=self._effective_s(now) or self._expected_usual_s,
+            service_s=self._pace.reported_s(len(self._running), now),
         )
 
     def announce(self, server: Server, now: float) -> None:
@@ -267,9 +211,7 @@
         self._cold_until = now + server.cold_left_s
         if same and self.accepts_work:
             return
-        if self._crowding.slots != server.slots:
-            self._crowding = _crowding.Crowding(slots=server.slots)
-            self._crowding_limit = server.slots
+        self._pace.set_slots(server.slots)
         self._limit = _limit.ConcurrencyLimit(
             slots=server.slots,
             cold_concurrency=server.cold_concurrency,
@@ -332,7 +274,7 @@
         measured.
         """
         self._service = service
-        self._expected_usual_s = expected_s or _load.INITIAL_LATENCY_S
+        self._pace.set_expected(expected_s)
 
     def distrust_warmth(self, now: float) -> None:
         """Take the backend server as cold until it says otherwise."""
@@ -389,34 +331,16 @@
         """
         spare_s = work.target_at - work.offered_at
         if spare_s < math.inf:
-            spare_s = max(0.0, spare_s - self._expected_s(work, now))
+            spare_s = max(
+                0.0,
+                spare_s - self._pace.expected_s(work, len(self._running), now),
+            )
         if work.is_patient:
             return min(MAX_QUEUE_WAIT_S, spare_s)
-        usual_s = IMPATIENT_WAIT_CALLS * self._speed.mean_s
+        usual_s = IMPATIENT_WAIT_CALLS * self._pace.mean_s
         usual_s = min(MAX_QUEUE_WAIT_S, max(MIN_QUEUE_WAIT_S, usual_s))
         return min(usual_s, spare_s)
 
-    def _effective_s(self, now: float) -> float:
-        """Time of a call here, longer by the share of calls that fail."""
-        service_s = self._speed.service_s(len(self._running), now)
-        return service_s * self._faults.penalty(now) * self._excess.factor(now)
-
-    def _is_fault(
-        self, work: _queue.Work, outcome: _outcomes.ServerOutcome, now: float
-    ) -> bool:
-        if outcome is _outcomes.ServerOutcome.CANCELLED:
-            usual_s = self._usual_of(work)
-            return now - work.started_at > HANG_RATIO * usual_s > 0.0
-        return outcome in _FAULTS
-
-    def _expected_s(self, work: _queue.Work, now: float) -> float:
-        """Estimate how long a call of a kind takes here at present."""
-        usual_s = self._usual_of(work)
-        if not self._speed.mean_s:
-            return usual_s
-        now_s = self._speed.service_s(len(self._running), now)
-        return usual_s * min(1.0, now_s / self._speed.mean_s)
-
     def end(
         self,
         attempt: _ids.AttemptId,
@@ -437,13 +361,12 @@
         now
             Monotonic time in seconds.
         """
-        self._speed.note_change(len(self._running), now)
+        running = len(self._running)
         work = self._running.pop(attempt, None)
         if work is None:
             raise AssertionError(f"attempt {attempt} is not running")
         self._running_by_kind[work.kind.name] -= 1
-        if outcome is not _outcomes.ServerOutcome.UNREACHABLE:
-            self._faults.note(self._is_fault(work, outcome, now), now)
+        self._pace.note_end(work, outcome, running, now)
         ending = Ending(started=[], refused=[])
         if outcome is _outcomes.ServerOutcome.BROKE_OFF:
             self._broken.append((now, work.fingerprint))
@@ -470,7 +393,7 @@
         A server that tells how slow its VM is answers probes at once, at no
         cost to a slot, and is asked whenever its answers do not tell it.
         """
-        if self._speed.slowdown_at is not None:
+        if self._pace.slowdown_at is not None:
             return SLOWDOWN_PROBE_S
         slots = 1 if self._server is None else self._server.slots
         by_share_s = self._probe_s / (slots * measuring.slot_share)
@@ -478,18 +401,12 @@
 
     def note_slowdown(self, slowdown: float, now: float) -> bool:
         """Take in how slow the VM is; tell whether that is news to others."""
-        self._speed.note_slowdown(slowdown, now)
-        service_s = self._effective_s(now)
-        told_s = self._told_service_s
-        if told_s / NEWS_RATIO < service_s < told_s * NEWS_RATIO:
-            return False
-        self._told_service_s = service_s
-        return service_s > 0.0
+        return self._pace.note_slowdown(slowdown, len(self._running), now)
 
     @property
     def slowdown_at(self) -> float | None:
         """When the server last told how slow its VM is; None if never."""
-        return self._speed.slowdown_at
+        return self._pace.slowdown_at
 
     def note_probe(
         self,
@@ -547,13 +464,15 @@
         now: float,
         ending: Ending,
     ) -> None:
-        if outcome in _CUT_OFF:
-            self._note_cut_off(work, now)
+        self._pace.learn(
+            work,
+            outcome,
+            head_s,
+            now,
+            was_cold=work.started_at < self._cold_until,
+        )
         if outcome is _outcomes.ServerOutcome.ANSWERED:
             self._heard_at = now
-            self._speed.note_finished(head_s, now)
-            self._note_crowding(work, head_s, now)
-            self._note_kind(work.kind.name, head_s, now)
             self._limit.note_success(head_s, len(self._running), now)
         elif outcome is _outcomes.ServerOutcome.UNREACHABLE:
             if self.accepts_work:
@@ -562,60 +481,14 @@
                 ending.refused = self.drop_waiting()
         elif outcome in _FAILURES:
             ending.fell_cold = self._limit.note_shed(
-                self._speed.mean_s, len(self._running), now
+                self._pace.mean_s, len(self._running), now
             )
 
-    def _note_cut_off(self, work: _queue.Work, now: float) -> None:
-        usual_s = self._usual_of(work)
-        elapsed_s = now - work.started_at
-        if elapsed_s > usual_s > 0.0:
-            self._excess.note(elapsed_s / usual_s, now)
-            self._note_crowding(work, elapsed_s, now)
-
-    def _note_crowding(
-        self, work: _queue.Work, elapsed_s: float, now: float
-    ) -> None:
-        """Learn from a call's time how crowded the server may be."""
-        usual_s = self._usual_of(work)
-        slowdown = self._speed.relative_slowdown
-        is_steady = (
-            slowdown < STEADY_RATIO * work.slowdown
-            and work.slowdown < STEADY_RATIO * slowdown
-        )
-        is_cold = work.started_at < self._cold_until
-        if not is_steady or is_cold or min(usual_s, elapsed_s) <= 0.0:
-            return
-        ratio = elapsed_s / (usual_s * slowdown)
-        self._crowding.note(work.running, ratio, now)
-        if now - self._crowding_at >= CROWDING_PERIOD_S:
-            self._crowding_at = now
-            self._crowding_limit = self._crowding.choose_limit(now)
-
-    def _note_kind(
-        self, name: _ids.KindName, elapsed_s: float, now: float
-    ) -> None:
-        known = self._kind_times.pop(name, None)
-        if known is None:
-            known = _KindTime(mean_s=elapsed_s, at=now)
-        elif known.mean_s > 0.0:
-            self._excess.note(elapsed_s / known.mean_s, now)
-        known.note(elapsed_s, now)
-        self._kind_times[name] = known
-        while len(self._kind_times) > MAX_KINDS:
-            del self._kind_times[next(iter(self._kind_times))]
-
-    def _usual_of(self, work: _queue.Work) -> float:
-        """Mean time of a call's kind, or of all calls before its first."""
-        known = self._kind_times.get(work.kind.name)
-        return self._speed.mean_s if known is None else known.mean_s
-
     def _start(self, work: _queue.Work, now: float) -> None:
         work.started_at = now
         self._cold_rate.note_start(now)
-        self._speed.note_change(len(self._running), now)
+        self._pace.note_start(work, len(self._running), now)
         self._running[work.attempt] = work
-        work.running = len(self._running)
-        work.slowdown = self._speed.relative_slowdown
         name = work.kind.name
         self._running_by_kind[name] = self._running_by_kind.get(name, 0) + 1
 
--- /dev/null
+++ b/packages/core/marjoramledge_core/_pace.py
@@ -0,0 +1,232 @@
+"""What the gate learns of its backend server from the calls that it runs.
+
+Joins the estimates of how long calls take, what they take more than usual,
+how many fail, and how many are best run at once.  ``_gate`` tells of each
+start and end of a call and reads the figures; admission stays there.
+"""
+
+import dataclasses
+import typing
+
+from marjoramledge_core import _crowding
+from marjoramledge_core import _excess
+from marjoramledge_core import _faults
+from marjoramledge_core import _ids
+from marjoramledge_core import _load
+from marjoramledge_core import _outcomes
+from marjoramledge_core import _queue
+from marjoramledge_core import _speed
+
+# A change of speed by this factor is told to the other nodes at once.
+NEWS_RATIO: typing.Final = 1.6
+# A cancelled call that had run for this many times the usual was hanging.
+HANG_RATIO: typing.Final = 8.0
+# Most weight of the latest call in the mean time of its kind, the window of
+# that mean, long against what makes a VM slow, and the kinds kept.
+KIND_WEIGHT: typing.Final = 0.1
+KIND_WINDOW_S: typing.Final = 10.0
+MAX_KINDS: typing.Final = 512
+# How often the limit that crowding sets is chosen anew: some calls' time.
+CROWDING_PERIOD_S: typing.Final = 0.1
+# A call says nothing of crowding when its VM became so much slower or faster
+# while it ran.
+STEADY_RATIO: typing.Final = 1.3
+
+# A call that ended so may have had to take longer than it ran.
+_CUT_OFF: typing.Final = frozenset(
+    {_outcomes.ServerOutcome.CANCELLED, _outcomes.ServerOutcome.ERRORED}
+)
+_FAULTS: typing.Final = frozenset(
+    {
+        _outcomes.ServerOutcome.ERRORED,
+        _outcomes.ServerOutcome.SHED,
+        _outcomes.ServerOutcome.BROKE_OFF,
+    }
+)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _KindTime:
+    """Mean time of the calls of a kind over a long window."""
+
+    mean_s: float
+    at: float
+    count: int = 0
+
+    def note(self, elapsed_s: float, now: float) -> None:
+        self.count += 1
+        weight = min(KIND_WEIGHT, (now - self.at) / KIND_WINDOW_S)
+        # Until the window is full, this is the plain mean.
+        weight = max(weight, 1.0 / self.count)
+        self.mean_s += weight * (elapsed_s - self.mean_s)
+        self.at = now
+
+
+class Pace:
+    """Estimates of one backend server.
+
+    ``running`` is everywhere the number of calls that run at the moment.
+    """
+
+    def __init__(self) -> None:
+        self._expected_s = _load.INITIAL_LATENCY_S
+        self._speed = _speed.SpeedEstimate()
+        self._told_service_s = 0.0
+        self._faults = _faults.FaultShare()
+        self._excess = _excess.ExcessTime()
+        self._kind_times: dict[_ids.KindName, _KindTime] = {}
+        self._crowding = _crowding.Crowding(slots=1)
+        self._limit = 1
+        self._limited_at = 0.0
+
+    @property
+    def limit(self) -> int:
+        """Calls at once that the server serves best."""
+        return self._limit
+
+    @property
+    def mean_s(self) -> float:
+        """Mean time of a call over a long time; 0 when none has finished."""
+        return self._speed.mean_s
+
+    @property
+    def usual_s(self) -> float:
+        """Mean time of a call, or what it is thought to be."""
+        return self._speed.mean_s or self._expected_s
+
+    @property
+    def slowdown_at(self) -> float | None:
+        """When the server last told how slow its VM is; None if never."""
+        return self._speed.slowdown_at
+
+    def describe_limit(self) -> str:
+        """Tell what the limit was chosen from."""
+        return str(self._crowding)
+
+    def set_slots(self, slots: int) -> None:
+        """Take in the announced slots; what is known of them is kept."""
+        if self._crowding.slots != slots:
+            self._crowding = _crowding.Crowding(slots=slots)
+            self._limit = slots
+
+    def set_expected(self, expected_s: float | None) -> None:
+        """Set what a call is thought to take before any was measured."""
+        self._expected_s = expected_s or _load.INITIAL_LATENCY_S
+
+    def reported_s(self, running: int, now: float) -> float:
+        """Time of a call now, longer by what fails or takes long of late."""
+        service_s = self._speed.service_s(running, now)
+        service_s *= self._faults.penalty(now) * self._excess.factor(now)
+        return service_s or self._expected_s
+
+    def expected_s(self, work: _queue.Work, running: int, now: float) -> float:
+        """Estimate how long a call of a kind takes here at present."""
+        usual_s = self._usual_of(work)
+        if not self._speed.mean_s:
+            return usual_s
+        now_s = self._speed.service_s(running, now)
+        return usual_s * min(1.0, now_s / self._speed.mean_s)
+
+    def note_slowdown(self, slowdown: float, running: int, now: float) -> bool:
+        """Take in how slow the VM is; tell whether that is news to others."""
+        self._speed.note_slowdown(slowdown, now)
+        if not self._speed.mean_s:
+            return False
+        service_s = self.reported_s(running, now)
+        told_s = self._told_service_s
+        if told_s / NEWS_RATIO < service_s < told_s * NEWS_RATIO:
+            return False
+        self._told_service_s = service_s
+        return True
+
+    def note_start(self, work: _queue.Work, running: int, now: float) -> None:
+        """Take in a call that starts; ``running`` is without it."""
+        self._speed.note_change(running, now)
+        work.running = running + 1
+        work.slowdown = self._speed.relative_slowdown
+
+    def note_end(
+        self,
+        work: _queue.Work,
+        outcome: _outcomes.ServerOutcome,
+        running: int,
+        now: float,
+    ) -> None:
+        """Take in how a call ended; ``running`` is with it."""
+        self._speed.note_change(running, now)
+        if outcome is not _outcomes.ServerOutcome.UNREACHABLE:
+            self._faults.note(self._is_fault(work, outcome, now), now)
+
+    def learn(
+        self,
+        work: _queue.Work,
+        outcome: _outcomes.ServerOutcome,
+        head_s: float,
+        now: float,
+        *,
+        was_cold: bool,
+    ) -> None:
+        """Learn from the time that a call took."""
+        if outcome in _CUT_OFF:
+            self._learn_cut_off(work, now, was_cold=was_cold)
+        elif outcome is _outcomes.ServerOutcome.ANSWERED:
+            self._speed.note_finished(head_s, now)
+            self._learn_limit(work, head_s, now, was_cold=was_cold)
+            self._learn_kind(work.kind.name, head_s, now)
+
+    def _is_fault(
+        self, work: _queue.Work, outcome: _outcomes.ServerOutcome, now: float
+    ) -> bool:
+        if outcome is _outcomes.ServerOutcome.CANCELLED:
+            usual_s = self._usual_of(work)
+            return now - work.started_at > HANG_RATIO * usual_s > 0.0
+        return outcome in _FAULTS
+
+    def _learn_cut_off(
+        self, work: _queue.Work, now: float, *, was_cold: bool
+    ) -> None:
+        usual_s = self._usual_of(work)
+        elapsed_s = now - work.started_at
+        if elapsed_s > usual_s > 0.0:
+            self._excess.note(elapsed_s / usual_s, now)
+            self._learn_limit(work, elapsed_s, now, was_cold=was_cold)
+
+    def _learn_limit(
+        self,
+        work: _queue.Work,
+        elapsed_s: float,
+        now: float,
+        *,
+        was_cold: bool,
+    ) -> None:
+        usual_s = self._usual_of(work)
+        slowdown = self._speed.relative_slowdown
+        is_steady = (
+            slowdown < STEADY_RATIO * work.slowdown
+            and work.slowdown < STEADY_RATIO * slowdown
+        )
+        if not is_steady or was_cold or min(usual_s, elapsed_s) <= 0.0:
+            return
+        ratio = elapsed_s / (usual_s * slowdown)
+        self._crowding.note(work.running, ratio, now)
+        if now - self._limited_at >= CROWDING_PERIOD_S:
+            self._limited_at = now
+            self._limit = self._crowding.choose_limit(now)
+
+    def _learn_kind(
+        self, name: _ids.KindName, elapsed_s: float, now: float
+    ) -> None:
+        known = self._kind_times.pop(name, None)
+        if known is None:
+            known = _KindTime(mean_s=elapsed_s, at=now)
+        elif known.mean_s > 0.0:
+            self._excess.note(elapsed_s / known.mean_s, now)
+        known.note(elapsed_s, now)
+        self._kind_times[name] = known
+        while len(self._kind_times) > MAX_KINDS:
+            del self._kind_times[next(iter(self._kind_times))]
+
+    def _usual_of(self, work: _queue.Work) -> float:
+        """Mean time of a call's kind, or of all calls before its first."""
+        known = self._kind_times.get(work.kind.name)
+        return self._speed.mean_s if known is None else known.mean_s
