Trace a test that failed once: an entry passes its own server while it is slow

test_a_lost_answer_of_an_export_is_fetched_elsewhere saw one run where two are asserted, beside load. Traced: eight calls of 0.3 s make shop-0 more than twice as slow as usual; the entry beside it then sends the export to shop-1 at once, three times of three, and nothing is lost that could be fetched anew.

The test calls until a call was run at shop-0, and asks for two runs then and for one otherwise; no call may fail or be answered by shop-0.

--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -246,16 +246,26 @@
     assert len(fleet.runs_of("once")) == 1
 
 
+# Guards against an answer that is lost for good, though its request may be
+# repeated.  An entry sends past its own server while that is slow, which a
+# busy machine makes it, so calls are made until one was run there.
 def test_a_lost_answer_of_an_export_is_fetched_elsewhere(
     shared: tuple[Run, _Fleet],
 ) -> None:
     run, fleet = shared
-    status, _, body = run(
-        fleet.call("/exports/1", X_Drop_At="shop-0", X_Call_Id="again")
-    )
-    assert status == 200
-    assert json.loads(body)["server"] != "shop-0"
-    assert len(fleet.runs_of("again")) == 2
+    for number in range(WARM_TRIES):
+        call = f"again-{number}"
+        status, _, body = run(
+            fleet.call("/exports/1", X_Drop_At="shop-0", X_Call_Id=call)
+        )
+        assert status == 200
+        assert json.loads(body)["server"] != "shop-0"
+        runs = fleet.runs_of(call)
+        assert len(runs) == (2 if "shop-0" in runs else 1)
+        if "shop-0" in runs:
+            return
+        run(asyncio.sleep(0.1))
+    raise AssertionError("the server whose answers are lost ran no call")
 
 
 def test_an_answer_cut_short_is_never_passed_on_as_whole(
