Learn a server's limit from all calls, in undisturbed time

Cause: calls whose VM changed its speed were left out, a third of all, and those that met a spell between two figures counted as slow: they pile up with others, so that high numbers look slower than they are. A call's time is now the integral of the VM's told speed over its life.

--- a/packages/core/marjoramledge_core/_pace.py
+++ b/packages/core/marjoramledge_core/_pace.py
@@ -28,9 +28,6 @@
 MAX_KINDS: typing.Final = 512
 # How often the limit that crowding sets is chosen anew: some calls' time.
 CROWDING_PERIOD_S: typing.Final = 0.1
-# A call says nothing of crowding when its VM became so much slower or faster
-# while it ran.
-STEADY_RATIO: typing.Final = 1.3
 
 # A call that ended so may have had to take longer than it ran.
 _CUT_OFF: typing.Final = frozenset(
@@ -143,7 +140,7 @@
         """Take in a call that starts; ``running`` is without it."""
         self._speed.note_change(running, now)
         work.running = running + 1
-        work.slowdown = self._speed.relative_slowdown
+        work.progress_s = self._speed.progress_s(now)
 
     def note_end(
         self,
@@ -171,7 +168,7 @@
             self._learn_cut_off(work, now, was_cold=was_cold)
         elif outcome is _outcomes.ServerOutcome.ANSWERED:
             self._speed.note_finished(head_s, now)
-            self._learn_limit(work, head_s, now, was_cold=was_cold)
+            self._learn_limit(work, now, was_cold=was_cold)
             self._learn_kind(work.kind.name, head_s, now)
 
     def _is_fault(
@@ -189,26 +186,16 @@
         elapsed_s = now - work.started_at
         if elapsed_s > usual_s > 0.0:
             self._excess.note(elapsed_s / usual_s, now)
-            self._learn_limit(work, elapsed_s, now, was_cold=was_cold)
+            self._learn_limit(work, now, was_cold=was_cold)
 
     def _learn_limit(
-        self,
-        work: _queue.Work,
-        elapsed_s: float,
-        now: float,
-        *,
-        was_cold: bool,
+        self, work: _queue.Work, now: float, *, was_cold: bool
     ) -> None:
         usual_s = self._usual_of(work)
-        slowdown = self._speed.relative_slowdown
-        is_steady = (
-            slowdown < STEADY_RATIO * work.slowdown
-            and work.slowdown < STEADY_RATIO * slowdown
-        )
-        if not is_steady or was_cold or min(usual_s, elapsed_s) <= 0.0:
+        undisturbed_s = self._speed.progress_s(now) - work.progress_s
+        if was_cold or min(usual_s, undisturbed_s) <= 0.0:
             return
-        ratio = elapsed_s / (usual_s * slowdown)
-        self._crowding.note(work.running, ratio, now)
+        self._crowding.note(work.running, undisturbed_s / usual_s, now)
         if now - self._limited_at >= CROWDING_PERIOD_S:
             self._limited_at = now
             self._limit = self._crowding.choose_limit(now)
--- a/packages/core/marjoramledge_core/_queue.py
+++ b/packages/core/marjoramledge_core/_queue.py
@@ -24,8 +24,8 @@
     ``call`` is set when the call entered at this same node.  ``target_at`` is
     when its answer must be there to be worth its full value.  ``is_patient``
     tells that the call has nowhere else to go and rather waits than comes
-    back.  ``running`` and ``slowdown`` are the calls that ran when it
-    started, itself included, and how slow the VM was relative to the usual.
+    back.  ``running`` and ``progress_s`` are the calls that ran when it
+    started, itself included, and the work that had been possible by then.
     """
 
     attempt: _ids.AttemptId
@@ -38,7 +38,7 @@
     target_at: float = math.inf
     started_at: float = 0.0
     running: int = 0
-    slowdown: float = 1.0
+    progress_s: float = 0.0
     is_suspect: bool = False
 
 
--- a/packages/core/marjoramledge_core/_speed.py
+++ b/packages/core/marjoramledge_core/_speed.py
@@ -30,19 +30,13 @@
         self._slowdown = 0.0
         self._usual_slowdown = 0.0
         self._slowdown_at = 0.0
+        self._progress_s = 0.0
 
     @property
     def slowdown_at(self) -> float | None:
         """When the server last told how slow its VM is; None if never."""
         return self._slowdown_at if self._usual_slowdown else None
 
-    @property
-    def relative_slowdown(self) -> float:
-        """How slow the VM is now, relative to the usual; 1 if untold."""
-        if not self._usual_slowdown:
-            return 1.0
-        return self._slowdown / self._usual_slowdown
-
     @property
     def mean_s(self) -> float:
         """Mean time of a call over the long window, in seconds."""
@@ -53,6 +47,7 @@
 
         Only the ratio to the usual value is used, so its unit is free.
         """
+        self._progress_s = self.progress_s(now)
         since_s = now - self._slowdown_at if self._usual_slowdown else 0.0
         weight = min(1.0, since_s / LONG_WINDOW_S)
         usual = self._usual_slowdown or slowdown
@@ -60,6 +55,15 @@
         self._slowdown = slowdown
         self._slowdown_at = now
 
+    def progress_s(self, now: float) -> float:
+        """Tell how much work has been possible by now, from any start.
+
+        Seconds count for as much as the VM was faster then; the difference
+        of two moments tells the undisturbed time between them.
+        """
+        since_s = now - self._slowdown_at
+        return self._progress_s + since_s / (self._slowdown or 1.0)
+
     def note_change(self, running: int, now: float) -> None:
         """Take in that ``running`` calls have run since the last change."""
         elapsed_s = now - self._at
