--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -147,6 +147,28 @@
     _serve(trio, 2, "a.3", BYSTANDER)
 
 
+# Guards against a deadly request that goes on to a third server because the
+# news of a death waits for a probe after a false alarm.
+def test_after_a_false_alarm_a_death_is_told_once_a_probe_confirms_it() -> (
+    None
+):
+    trio = _Trio()
+    for number in (0, 1):
+        assert trio.offer(number, f"a.{number}", f"lost {number}")
+        trio.end(number, f"a.{number}", node.ServerOutcome.BROKE_OFF)
+        trio.submit(number, node.ProbeEnded(is_healthy=True, elapsed_s=0.01))
+    assert trio.offer(0, "p.0", POISON)
+    trio.end(0, "p.0", node.ServerOutcome.BROKE_OFF)
+    fingerprint = ids.Fingerprint(POISON)
+    other = trio.drivers[2]
+    assert not other.state.quarantine.is_suspect(fingerprint, other.now)
+    trio.submit(0, node.ProbeEnded(is_healthy=False, elapsed_s=0.01))
+    assert other.state.quarantine.is_suspect(fingerprint, other.now)
+    assert trio.offer(1, "q.0", POISON)
+    trio.die(1, "q.0")
+    assert not trio.offer(2, "r.0", POISON)
+
+
 def test_an_answer_clears_a_suspect_everywhere() -> None:
     trio = _Trio()
     assert trio.offer(0, "b.0", BYSTANDER)
