Close an answer that is not passed on whole in one place

The relay closes what was not read to its end. What a limit was chosen from is computed when it is told, not kept.

--- a/packages/core/marjoramledge_core/_crowding.py
+++ b/packages/core/marjoramledge_core/_crowding.py
@@ -39,25 +39,25 @@
     """
 
     def __init__(self, *, slots: int) -> None:
-        self._sums: list[tuple[float, float]] = []
         self._times = [
             _fading.FadingMean(fade_s=FADE_S, prior_count=0.0, prior_value=0.0)
             for _ in range(slots)
         ]
 
-    def __str__(self) -> str:
-        """List the calls that count, and their mean time, by number."""
-        return ", ".join(
-            f"{count:.1f} at {running} took {math.exp(total / count):.2f}"
-            for running, (count, total) in enumerate(self._sums, start=1)
-            if count >= MIN_CALLS
-        )
-
     @property
     def slots(self) -> int:
         """Calls that the backend server runs at once, as announced."""
         return len(self._times)
 
+    def describe(self, now: float) -> str:
+        """List the calls that count, and their mean time, by number."""
+        return ", ".join(
+            f"{times.count(now):.1f} at {running} took "
+            f"{math.exp(times.mean(now)):.2f}"
+            for running, times in enumerate(self._times, start=1)
+            if times.count(now) >= MIN_CALLS
+        )
+
     def note(self, running: int, ratio: float, now: float) -> None:
         """Take in a call that started as one of ``running``.
 
@@ -72,11 +72,8 @@
         Where nothing is known of the numbers below the best, the greatest of
         these is tried.
         """
-        self._sums = [
-            (times.count(now), times.total(now)) for times in self._times
-        ]
-        counts = [count for count, _ in self._sums]
-        totals = [total for _, total in self._sums]
+        counts = [times.count(now) for times in self._times]
+        totals = [times.total(now) for times in self._times]
         if sum(counts) < MIN_CALLS:
             return self.slots
         least = max(1, round(LEAST_PART * self.slots))
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -173,9 +173,9 @@
         """Whether the backend server may be given new work at all."""
         return self._state in _members.ACCEPTING_STATES
 
-    def describe_limit(self) -> str:
+    def describe_limit(self, now: float) -> str:
         """Tell what the limit that crowding sets was chosen from."""
-        return self._pace.describe_limit()
+        return self._pace.describe_limit(now)
 
     def has_room(self, now: float) -> bool:
         """Tell whether an offered call would start at once."""
--- a/packages/core/marjoramledge_core/_pace.py
+++ b/packages/core/marjoramledge_core/_pace.py
@@ -96,9 +96,9 @@
         """When the server last told how slow its VM is; None if never."""
         return self._speed.slowdown_at
 
-    def describe_limit(self) -> str:
+    def describe_limit(self, now: float) -> str:
         """Tell what the limit was chosen from."""
-        return str(self._crowding)
+        return self._crowding.describe(now)
 
     def set_slots(self, slots: int) -> None:
         """Take in the announced slots; what is known of them is kept."""
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -114,7 +114,9 @@
     if gate.limit != limit:
         step.record(
             _records.RecordKind.LIMIT_CHANGED,
-            detail=f"{limit} to {gate.limit}; {gate.describe_limit()}",
+            detail=(
+                f"{limit} to {gate.limit}; {gate.describe_limit(step.now)}"
+            ),
         )
     for work in ending.started:
         start_work(step, work)
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -352,8 +352,6 @@
                 remaining_s=command.deadline_at - self._engine.now(),
             )
         finally:
-            if outcome is node.ServerOutcome.CANCELLED:
-                answer.response.close()
             self._end_work(exchange, command.attempt, outcome, answer)
         if response is None:
             self._engine.submit(
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -221,8 +221,6 @@
                 request, node.Reason.BODY_STALLED, node.RunState.NOT_RUN
             )
         finally:
-            if outcome is node.ServerOutcome.CANCELLED and answer is not None:
-                answer.response.close()
             self._end_work(command.attempt, outcome, answer)
 
     async def _send(
--- a/packages/node/marjoramledge_node/_relay.py
+++ b/packages/node/marjoramledge_node/_relay.py
@@ -61,6 +61,26 @@
         The response, None when the answer broke off or came too late before
         any of it was passed on; and how the backend server ended it.
     """
+    outcome = node.ServerOutcome.CANCELLED
+    try:
+        response, outcome = await _relay_body(
+            request, answer, extra, closes=closes, remaining_s=remaining_s
+        )
+        return response, outcome
+    finally:
+        if outcome is not answer.outcome:
+            # Not read to its end; its sender must hear of that at once.
+            answer.response.close()
+
+
+async def _relay_body(
+    request: web.BaseRequest,
+    answer: _upstream.Answer,
+    extra: collections.abc.Mapping[str, str],
+    *,
+    closes: bool,
+    remaining_s: float,
+) -> Relayed:
     limit_s = max(0.0, remaining_s) + ANSWER_GRACE_S
     start = _NOTHING_READ
     if is_small(answer, request.method):
@@ -93,7 +113,6 @@
         cut(request)
     except ConnectionError:
         pass
-    answer.response.close()
     return flowing, node.ServerOutcome.CANCELLED
 
 
--- a/packages/standins/marjoramledge_standins/virtual_links.py
+++ b/packages/standins/marjoramledge_standins/virtual_links.py
@@ -50,7 +50,6 @@
             collections.Counter()
         )
         self.repeated_fetches = 0
-
         super().__init__(count=count, seed=seed)
 
     def make_options(self) -> node.Options:
