Record what a gate under pressure spends its slots on, and failed answers

The logs could not tell whether calls are refused for want of slots, because slots are held by runs whose callers get nothing, or though there is room: gates wrote nothing, answers with a server's failure were written only by chance, refusals did not say how many servers seemed to have room. A gate that refuses or keeps calls waiting in vain now writes gate-pressed, at most once a second.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -149,13 +149,13 @@
         return
     step.latency_of(call.kind).note(step.now - attempt.sent_at)
     call.advance(_state.CallPhase.ANSWERED)
-    if _is_worth_telling(step, call):
+    if event.is_error or _is_worth_telling(step, call):
         _record(
             step,
             call,
             _records.RecordKind.CALL_ANSWERED,
             peer=attempt.server.node,
-            detail=_tell_story(step, call),
+            detail=_tell_answer(step, call, is_error=event.is_error),
         )
     call.delivered = attempt
     for other in call.attempts.values():
@@ -499,6 +499,13 @@
     return step.state.ordinary_answers % ORDINARY_SAMPLE == 0
 
 
+def _tell_answer(
+    step: _state.Step, call: _state.Call, *, is_error: bool
+) -> str:
+    outcome = "failed answer of the backend server; " if is_error else ""
+    return outcome + _tell_story(step, call)
+
+
 def _tell_story(step: _state.Step, call: _state.Call) -> str:
     """Tell what decided a call: its attempts, budget and configuration."""
     tried = ", ".join(
@@ -508,9 +515,14 @@
         for attempt in call.attempts.values()
     )
     candidates = step.state.directory.candidates(call.service)
+    free = sum(
+        server.estimate_in_flight(step.now) < server.limit
+        for server in candidates
+    )
     return (
         f"kind {call.kind.name}, {step.now - call.arrived_at:.3f} s, "
         f"attempts [{tried}], {len(candidates)} servers known, "
+        f"{free} thought to have room, "
         f"{step.budget_of(call.service).tokens:.1f} repeats left, "
         f"configuration {step.state.versions.ref.version}"
     )
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -21,6 +21,7 @@
 from marjoramledge_core import _queue
 from marjoramledge_core import _reports
 from marjoramledge_core import _settings
+from marjoramledge_core import _tally
 
 # A call with another server to go to waits only as long as about one call
 # takes here, and only behind few others: a burst of a noisy neighbour ends
@@ -124,6 +125,7 @@
         self._running_by_kind: dict[_ids.KindName, int] = {}
         self._heard_at = 0.0
         self._pace = _pace.Pace()
+        self._tally = _tally.GateTally()
         self._probe_s = 0.0
         self._cold_rate = _cold.ColdRate()
         self._cold_until = 0.0
@@ -177,6 +179,17 @@
         """Tell what the limit that crowding sets was chosen from."""
         return self._pace.describe_limit(now)
 
+    def take_summary(self, now: float) -> str | None:
+        """Tell what was refused of late and why; None if there is nothing."""
+        summary = self._tally.take_summary(now)
+        if summary is None:
+            return None
+        return (
+            f"{len(self._running)} of {self.limit} run, "
+            f"{len(self._waiting)} wait, {self._limit.current} slots, "
+            f"{self._pace.describe(len(self._running), now)}, {summary}"
+        )
+
     def has_room(self, now: float) -> bool:
         """Tell whether an offered call would start at once."""
         return (
@@ -306,6 +319,12 @@
 
     def offer(self, work: _queue.Work, now: float) -> Offer:
         """Decide on a new call."""
+        offer = self._decide(work, now)
+        if offer.admission is Admission.REFUSED or offer.displaced is not None:
+            self._tally.note_refusal()
+        return offer
+
+    def _decide(self, work: _queue.Work, now: float) -> Offer:
         if not self.accepts_work or self._is_over_share(work):
             return Offer(admission=Admission.REFUSED)
         if self.has_room(now):
@@ -367,6 +386,7 @@
             raise AssertionError(f"attempt {attempt} is not running")
         self._running_by_kind[work.kind.name] -= 1
         self._pace.note_end(work, outcome, running, now)
+        self._tally.note_end(work, outcome, now)
         ending = Ending(started=[], refused=[])
         if outcome is _outcomes.ServerOutcome.BROKE_OFF:
             self._broken.append((now, work.fingerprint))
@@ -381,6 +401,7 @@
         if work is None:
             return False
         self._queue.remove(work)
+        self._tally.note_waited_out()
         return True
 
     def find(self, attempt: _ids.AttemptId) -> _queue.Work | None:
@@ -487,6 +508,7 @@
     def _start(self, work: _queue.Work, now: float) -> None:
         work.started_at = now
         self._cold_rate.note_start(now)
+        self._tally.note_start()
         self._pace.note_start(work, len(self._running), now)
         self._running[work.attempt] = work
         name = work.kind.name
--- a/packages/core/marjoramledge_core/_pace.py
+++ b/packages/core/marjoramledge_core/_pace.py
@@ -100,6 +100,14 @@
         """Tell what the limit was chosen from."""
         return self._crowding.describe(now)
 
+    def describe(self, running: int, now: float) -> str:
+        """Tell how long a call is thought to take, and what slows it."""
+        return (
+            f"{self.reported_s(running, now):.3f} s a call, "
+            f"{self.mean_s:.3f} s usually, "
+            f"{self._speed.describe_slowdown(now)}"
+        )
+
     def set_slots(self, slots: int) -> None:
         """Take in the announced slots; what is known of them is kept."""
         if self._crowding.slots != slots:
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -23,6 +23,7 @@
     SERVER_WITHDRAWN = "server-withdrawn"
     SERVER_UNREACHABLE = "server-unreachable"
     SERVER_FELL_COLD = "server-fell-cold"
+    GATE_PRESSED = "gate-pressed"
     LIMIT_CHANGED = "limit-changed"
     SERVER_DIED = "server-died"
     DEATH_WITHDRAWN = "death-withdrawn"
--- a/packages/core/marjoramledge_core/_speed.py
+++ b/packages/core/marjoramledge_core/_speed.py
@@ -42,6 +42,13 @@
         """Mean time of a call over the long window, in seconds."""
         return self._mean_s
 
+    def describe_slowdown(self, now: float) -> str:
+        """Tell how slow the VM is, and the age of that figure."""
+        if not self._usual_slowdown:
+            return "slowdown never told"
+        age_s = now - self._slowdown_at
+        return f"slowdown {self._slowdown:g} told {age_s:.3f} s ago"
+
     def note_slowdown(self, slowdown: float, now: float) -> None:
         """Take in how slow the VM is, as its backend server measures it.
 
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -312,6 +312,9 @@
         else configuration.measuring
     )
     gate = step.state.gate
+    summary = gate.take_summary(step.now)
+    if summary is not None:
+        step.record(_records.RecordKind.GATE_PRESSED, detail=summary)
     interval_s = gate.probe_interval_s(measuring)
     step.state.timers.set(
         step.now + interval_s, _timers.TimerKind.SERVER_PROBE
--- /dev/null
+++ b/tests/test_gate_tally.py
@@ -0,0 +1,69 @@
+"""The record of a gate that refuses calls."""
+
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from marjoramledge_standins import builders
+
+
+def _offer(driver: builders.CoreDriver, count: int) -> None:
+    for number in range(count):
+        driver.submit(
+            node.WorkOffered(
+                attempt=ids.AttemptId(f"c{number}.0"),
+                host="shop.example",
+                method="GET",
+                path="/pages/1",
+                deadline_s=5.0,
+                is_patient=False,
+                fingerprint=ids.Fingerprint(f"c{number}"),
+                target_s=0.4,
+            )
+        )
+
+
+def _end(
+    driver: builders.CoreDriver, name: str, outcome: node.ServerOutcome
+) -> None:
+    driver.submit(
+        node.WorkEnded(
+            attempt=ids.AttemptId(name), outcome=outcome, head_s=0.1
+        )
+    )
+
+
+def _summaries(driver: builders.CoreDriver) -> list[str]:
+    return [
+        command.record.detail
+        for command in driver.out
+        if isinstance(command, node.WriteRecord)
+        and command.record.kind is node.RecordKind.GATE_PRESSED
+    ]
+
+
+def _build_driver() -> builders.CoreDriver:
+    driver = builders.CoreDriver()
+    driver.configure()
+    driver.submit(node.ServerAnnounced(server=builders.build_server()))
+    driver.pass_time(2.0)
+    return driver
+
+
+def test_a_gate_under_pressure_tells_what_its_slots_were_spent_on() -> None:
+    driver = _build_driver()
+    _offer(driver, 8)
+    ran, waited = driver.state.gate.running, driver.state.gate.queued
+    driver.pass_time(0.25)
+    _end(driver, "c0.0", node.ServerOutcome.ANSWERED)
+    driver.pass_time(3.0)
+    (summary,) = _summaries(driver)
+    assert f"{8 - ran - waited} refused" in summary
+    assert "0.250 in time" in summary
+
+
+def test_a_gate_that_serves_all_it_is_offered_tells_nothing() -> None:
+    driver = _build_driver()
+    _offer(driver, 1)
+    driver.pass_time(0.1)
+    _end(driver, "c0.0", node.ServerOutcome.ANSWERED)
+    driver.pass_time(5.0)
+    assert _summaries(driver) == []
