Emulator: a large fleet, bursts, callers that return, calls within calls

The emulator played 12 servers of one service under steady arrivals, callers that never came back and servers whose runs call nobody. It plays 88 servers of two services in five zones now: a run may call the other service and holds its slot until that has ended, arrivals rise for a while, refused callers come back as they are told, and a run may keep the speed at which it began.

--- a/packages/standins/marjoramledge_standins/experiment.py
+++ b/packages/standins/marjoramledge_standins/experiment.py
@@ -16,6 +16,7 @@
 import typer
 
 from marjoramledge_standins import driver
+from marjoramledge_standins import scenarios
 from marjoramledge_standins import virtual_servers
 
 TARGET_S: typing.Final = 0.4
@@ -62,11 +63,11 @@
     quiet_s=0.375, burst_s=0.125, slowdown=7.0
 )
 _TROUBLE: typing.Final = {
-    "from_s": driver.START_S + 0.25 * DURATION_S,
-    "until_s": driver.START_S + 0.75 * DURATION_S,
+    "from_s": scenarios.START_S + 0.25 * DURATION_S,
+    "until_s": scenarios.START_S + 0.75 * DURATION_S,
 }
 
-Pattern = collections.abc.Callable[[driver.Scenario], driver.Scenario]
+Pattern = collections.abc.Callable[[scenarios.Scenario], scenarios.Scenario]
 
 
 def _change(**fields: typing.Any) -> Pattern:  # noqa: ANN401
@@ -106,9 +107,9 @@
     p99_ms: float
 
 
-def build_scenario(pattern: str, load: float, seed: int) -> driver.Scenario:
+def build_scenario(pattern: str, load: float, seed: int) -> scenarios.Scenario:
     """Build what is played."""
-    plain = driver.Scenario(
+    plain = scenarios.Scenario(
         documents={"inventory.toml": _INVENTORY, "rules.toml": _RULES},
         host="shop.example",
         service="shop",
@@ -118,10 +119,10 @@
         zone_delay_s=0.001,
         mean_demand_s=DEMAND_S,
         mix=(
-            driver.CallMix(
+            scenarios.CallMix(
                 name="page", method="GET", path="/pages/1", share=0.7
             ),
-            driver.CallMix(
+            scenarios.CallMix(
                 name="order", method="POST", path="/orders", share=0.3
             ),
         ),
@@ -155,7 +156,7 @@
     )
 
 
-def share_in_target(result: driver.RunResult) -> float:
+def share_in_target(result: scenarios.RunResult) -> float:
     """Tell which part of the calls was answered within its target."""
     good = sum(
         outcome.is_answered and outcome.latency_s <= TARGET_S
@@ -164,13 +165,13 @@
     return good / result.arrivals
 
 
-def _share_failed(result: driver.RunResult) -> float:
+def _share_failed(result: scenarios.RunResult) -> float:
     # What hangs for ever has no outcome.
     answered = sum(outcome.is_answered for outcome in result.outcomes)
     return 1.0 - answered / result.arrivals
 
 
-def _quantile_ms(result: driver.RunResult, share: float) -> float:
+def _quantile_ms(result: scenarios.RunResult, share: float) -> float:
     times = sorted(o.latency_s for o in result.outcomes if o.is_answered)
     return 1000 * times[int(share * (len(times) - 1))] if times else 0.0
 
--- /dev/null
+++ b/packages/standins/marjoramledge_standins/fleet_burst.py
@@ -0,0 +1,260 @@
+"""A large fleet through a burst, as its callers see it.
+
+88 servers of two services in five zones; one service calls the other while
+it runs; VMs are slow by turns; callers that are refused come again.  Arrivals
+rise for some seconds and fall back.  What is told is which part of the
+callers of each second were answered within the target of their kind, counted
+from their first call.  Run as
+``python -m marjoramledge_standins.fleet_burst --seed 1``.
+"""
+
+import collections
+import collections.abc
+import typing
+
+from marjoramledge_core import node
+import typer
+
+from marjoramledge_standins import driver
+from marjoramledge_standins import scenarios
+from marjoramledge_standins import virtual_servers
+
+DURATION_S: typing.Final = 15.0
+BURST: typing.Final = scenarios.Burst(from_s=2.4, until_s=7.4, factor=1.4)
+CALLS_PER_S: typing.Final = 494.0
+RETURNS: typing.Final = 2
+WINDOW_S: typing.Final = 1.0
+LATE_WORTH: typing.Final = 0.1
+BROWSE: typing.Final = "browse"
+
+# Servers of each service by zone.
+_PORTAL_SERVERS: typing.Final = {
+    "north": 11,
+    "east": 10,
+    "south": 11,
+    "west": 9,
+    "far": 9,
+}
+_CATALOGUE_SERVERS: typing.Final = {
+    "north": 8,
+    "east": 8,
+    "south": 7,
+    "west": 7,
+    "far": 8,
+}
+# Kinds: method, path, service, priority, deadline and target in ms.
+_KINDS: typing.Final = {
+    BROWSE: ("GET", "/plates", "portal", "normal", 1200, 419),
+    "approve": ("POST", "/entries", "portal", "high", 2000, 522),
+    "export": ("GET", "/exports", "catalogue", "normal", 3000, 1019),
+    "check": ("GET", "/checks", "catalogue", "high", 800, 219),
+    "index": ("GET", "/index", "catalogue", "high", 430, 128),
+}
+_TARGETS_S: typing.Final = {
+    name: kind[-1] / 1000 for name, kind in _KINDS.items()
+}
+_MIX: typing.Final = (
+    scenarios.CallMix(
+        name=BROWSE,
+        method="GET",
+        path="/plates",
+        host="portal.example",
+        share=5.1,
+        mean_demand_s=0.150,
+        inner="index",
+        inner_share=0.7,
+        patience_s=2.6,
+    ),
+    scenarios.CallMix(
+        name="approve",
+        method="POST",
+        path="/entries",
+        host="portal.example",
+        share=2.2,
+        mean_demand_s=0.190,
+        patience_s=4.1,
+        is_idempotent=False,
+    ),
+    scenarios.CallMix(
+        name="export",
+        method="GET",
+        path="/exports",
+        host="catalogue.example",
+        share=2.1,
+        mean_demand_s=0.370,
+        patience_s=6.1,
+    ),
+    scenarios.CallMix(
+        name="check",
+        method="GET",
+        path="/checks",
+        host="catalogue.example",
+        share=1.6,
+        mean_demand_s=0.059,
+        patience_s=1.6,
+    ),
+    scenarios.CallMix(
+        name="index",
+        method="GET",
+        path="/index",
+        host="catalogue.example",
+        share=0.0,
+        mean_demand_s=0.037,
+        patience_s=0.43,
+    ),
+)
+
+
+def _declare() -> dict[str, str]:
+    """Write the documents of the two services, the zones and the kinds."""
+    inventory = ['organisation = "atlas"']
+    for service, servers in (
+        ("portal", _PORTAL_SERVERS),
+        ("catalogue", _CATALOGUE_SERVERS),
+    ):
+        inventory.append(
+            f'[services.{service}]\nhosts = ["{service}.example"]\n'
+            f"servers = {sum(servers.values())}\nslots = 4\n"
+            "connections = 1000\ncold_concurrency = 2"
+        )
+    inventory.extend(
+        f'[zones.{zone}]\nregion = "isle"\ntakes_work = true'
+        for zone in _PORTAL_SERVERS
+    )
+    rules = [
+        f'[[kinds]]\nname = "{name}"\nservice = "{service}"\n'
+        f'methods = ["{method}"]\npath = "{path}"\n'
+        f'priority = "{priority}"\ndeadline_ms = {deadline}\n'
+        f"target_ms = {target}\n"
+        f"idempotent = {str(method == 'GET').lower()}\n"
+        f"hedging = {str(method == 'GET').lower()}"
+        for name, (
+            method,
+            path,
+            service,
+            priority,
+            deadline,
+            target,
+        ) in _KINDS.items()
+    ]
+    return {
+        "inventory.toml": "\n".join(inventory),
+        "rules.toml": "\n".join(rules),
+    }
+
+
+def _spread(servers: collections.abc.Mapping[str, int]) -> tuple[str, ...]:
+    return tuple(zone for zone, count in servers.items() for _ in range(count))
+
+
+def build_scenario(
+    seed: int, *, factor: float = BURST.factor
+) -> scenarios.Scenario:
+    """Build the fleet and its callers; ``factor`` is that of the burst."""
+    portal, catalogue = _spread(_PORTAL_SERVERS), _spread(_CATALOGUE_SERVERS)
+    return scenarios.Scenario(
+        documents=_declare(),
+        host="portal.example",
+        service="portal",
+        server_services=("portal",) * len(portal)
+        + ("catalogue",) * len(catalogue),
+        server_zones=portal + catalogue,
+        other_entry_zones=(),
+        slots=4,
+        zone_delay_s=0.0014,
+        mean_demand_s=0.150,
+        mix=_MIX,
+        calls_per_s=CALLS_PER_S,
+        burst=scenarios.Burst(
+            from_s=BURST.from_s, until_s=BURST.until_s, factor=factor
+        ),
+        returns=RETURNS,
+        duration_s=DURATION_S,
+        seed=seed,
+        # Neighbours hold a VM for about a third of the time, in spells that
+        # outlast a call.
+        noise=virtual_servers.Noise(
+            quiet_s=1.4, burst_s=0.76, slowdown=7.0, is_lasting=True
+        ),
+        knee=virtual_servers.Knee(share=0.8, slowdown=1.7),
+        tells_slowdown=True,
+        options=node.Options(
+            stop_limit_s=30.0,
+            repeats=node.FleetBudget(ratio=0.2, slack=216.0),
+            other_zone_cost_s=0.08,
+        ),
+    )
+
+
+def share_in_time(
+    result: scenarios.RunResult,
+    *,
+    kind: str | None = None,
+    from_s: float = 0.0,
+    until_s: float = DURATION_S,
+) -> float:
+    """Tell which part of the callers of a time was answered in target."""
+    asked = [
+        outcome
+        for outcome in result.outcomes
+        if from_s <= outcome.arrived_at - scenarios.START_S < until_s
+        and kind in (None, outcome.kind)
+    ]
+    return sum(map(_is_in_time, asked)) / len(asked)
+
+
+def worth(result: scenarios.RunResult, *, kind: str) -> float:
+    """Tell which part of what its callers are owed a kind has earned.
+
+    An answer that comes late is worth ``LATE_WORTH`` of one in time.
+    """
+    asked = [outcome for outcome in result.outcomes if outcome.kind == kind]
+    in_time = sum(map(_is_in_time, asked))
+    answered = sum(outcome.is_answered for outcome in asked)
+    earned = in_time + LATE_WORTH * (answered - in_time)
+    return earned / len(asked)
+
+
+def _is_in_time(outcome: scenarios.Outcome) -> bool:
+    target_s = _TARGETS_S[outcome.kind]
+    return outcome.is_answered and outcome.latency_s <= target_s
+
+
+def format_windows(result: scenarios.RunResult) -> str:
+    """Render what became of the callers of each second, as Markdown."""
+    windows: dict[int, collections.Counter[str]] = {}
+    for outcome in result.outcomes:
+        second = int((outcome.arrived_at - scenarios.START_S) / WINDOW_S)
+        counts = windows.setdefault(second, collections.Counter())
+        counts["asked"] += 1
+        if outcome.is_answered:
+            counts["in time" if _is_in_time(outcome) else "late"] += 1
+        else:
+            counts[outcome.reason or "failed"] += 1
+    lines = [
+        "| second | asked | in time | late | others |",
+        "|---|---|---|---|---|",
+    ]
+    for second, counts in sorted(windows.items()):
+        asked = counts.pop("asked")
+        in_time, late = counts.pop("in time", 0), counts.pop("late", 0)
+        others = ", ".join(f"{n} {name}" for name, n in counts.most_common())
+        lines.append(
+            f"| {second} | {asked} | {in_time / asked:.2f} "
+            f"| {late / asked:.2f} | {others} |"
+        )
+    return "\n".join(lines)
+
+
+def main(*, seed: int = 1, factor: float = BURST.factor) -> None:
+    """Play the fleet and print what its callers saw, second by second."""
+    result = driver.run_scenario(
+        build_scenario(seed, factor=factor), driver.Policy.OURS
+    )
+    print(format_windows(result))
+    print(f"in time: {share_in_time(result):.3f}")
+    print(f"worth of {BROWSE}: {worth(result, kind=BROWSE):.3f}")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/packages/standins/marjoramledge_standins/measure_decisions.py
+++ b/packages/standins/marjoramledge_standins/measure_decisions.py
@@ -17,6 +17,9 @@
 from marjoramledge_standins import measure_choice
 from marjoramledge_standins import measure_retries
 from marjoramledge_standins import measurement
+from marjoramledge_standins import scenarios
+from marjoramledge_standins import virtual_nodes
+from marjoramledge_standins import virtual_world
 
 SEEDS: typing.Final = (1, 2, 3, 4, 5)
 DURATION_S: typing.Final = 3.0
@@ -24,24 +27,24 @@
 EXAMPLES: typing.Final = pathlib.Path("examples")
 
 _SHOP_MIX: typing.Final = (
-    driver.CallMix(
+    scenarios.CallMix(
         name="place-order", method="POST", path="/orders", share=0.1
     ),
-    driver.CallMix(
+    scenarios.CallMix(
         name="order-status", method="GET", path="/orders/1", share=0.2
     ),
-    driver.CallMix(
+    scenarios.CallMix(
         name="catalogue-page", method="GET", path="/kits/1", share=0.6
     ),
-    driver.CallMix(
+    scenarios.CallMix(
         name="sales-export", method="GET", path="/exports/1", share=0.1
     ),
 )
 _PODANI_MIX: typing.Final = (
-    driver.CallMix(
+    scenarios.CallMix(
         name="submit-photograph", method="POST", path="/photographs", share=0.3
     ),
-    driver.CallMix(
+    scenarios.CallMix(
         name="submission-status",
         method="GET",
         path="/photographs/1",
@@ -58,9 +61,9 @@
     }
 
 
-def shopfront(seed: int, load: float) -> driver.Scenario:
+def shopfront(seed: int, load: float) -> scenarios.Scenario:
     """Shopfront of Kitabalcony: 5 servers, entered at all 9 nodes."""
-    return driver.Scenario(
+    return scenarios.Scenario(
         documents=read_documents("kitabalcony"),
         host="shopfront.kitabalcony.example",
         service="shopfront",
@@ -82,9 +85,9 @@
     )
 
 
-def podani(seed: int, load: float) -> driver.Scenario:
+def podani(seed: int, load: float) -> scenarios.Scenario:
     """Podani of the Asociace: 6 servers, entered at all 10 nodes."""
-    return driver.Scenario(
+    return scenarios.Scenario(
         documents=read_documents("cloud-atlas"),
         host="podani.atlas.example",
         service="podani",
@@ -108,16 +111,16 @@
 
 
 def run_all(
-    scenarios: collections.abc.Sequence[driver.Scenario],
+    played: collections.abc.Sequence[scenarios.Scenario],
     policy: driver.Policy,
-) -> list[driver.RunResult]:
+) -> list[scenarios.RunResult]:
     """Run scenarios, each in a process of its own."""
     with concurrent.futures.ProcessPoolExecutor(MAX_PARALLEL) as pool:
-        policies = [policy] * len(scenarios)
-        return list(pool.map(driver.run_scenario, scenarios, policies))
+        policies = [policy] * len(played)
+        return list(pool.map(driver.run_scenario, played, policies))
 
 
-def p99_ms(result: driver.RunResult, kind: str = "") -> float:
+def p99_ms(result: scenarios.RunResult, kind: str = "") -> float:
     """Compute the p99 of answered calls, of one kind or all, in ms."""
     return 1000 * measurement.quantile(
         (
@@ -146,7 +149,7 @@
     return measures
 
 
-Service = collections.abc.Callable[[int, float], driver.Scenario]
+Service = collections.abc.Callable[[int, float], scenarios.Scenario]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -176,12 +179,12 @@
 
 
 def _compare_tails(service: Service) -> list[measurement.Measure]:
-    scenarios = [service(seed, 0.8) for seed in SEEDS]
-    results = run_all(scenarios, driver.Policy.OURS)
+    played = [service(seed, 0.8) for seed in SEEDS]
+    results = run_all(played, driver.Policy.OURS)
     ours = [p99_ms(result) for result in results]
     measures = []
     for comparison in _COMPARISONS:
-        others = [p99_ms(r) for r in run_all(scenarios, comparison.policy)]
+        others = [p99_ms(r) for r in run_all(played, comparison.policy)]
         ratios = [a / b for a, b in zip(ours, others, strict=True)]
         measures.append(
             _measure(
@@ -209,12 +212,12 @@
     service: Service, top_kind: str
 ) -> list[measurement.Measure]:
     calm = run_all([service(seed, 0.5) for seed in SEEDS], driver.Policy.OURS)
-    scenarios = [service(seed, 2.0) for seed in SEEDS]
-    crowded = run_all(scenarios, driver.Policy.OURS)
+    played = [service(seed, 2.0) for seed in SEEDS]
+    crowded = run_all(played, driver.Policy.OURS)
     goodputs = [
         sum(outcome.is_answered for outcome in result.outcomes)
         / (scenario.capacity_per_s * scenario.duration_s)
-        for scenario, result in zip(scenarios, crowded, strict=True)
+        for scenario, result in zip(played, crowded, strict=True)
     ]
     ratios = [
         p99_ms(two, top_kind) / p99_ms(one, top_kind)
@@ -238,13 +241,13 @@
 
 
 def _measure_cold(service: Service) -> list[measurement.Measure]:
-    scenarios = [service(seed, 0.8) for seed in SEEDS]
+    played = [service(seed, 0.8) for seed in SEEDS]
     restarted = run_all(
-        [dataclasses.replace(s, restarts_cold=True) for s in scenarios],
+        [dataclasses.replace(s, restarts_cold=True) for s in played],
         driver.Policy.OURS,
     )
     without_sign = run_all(
-        [dataclasses.replace(s, loses_cache=True) for s in scenarios],
+        [dataclasses.replace(s, loses_cache=True) for s in played],
         driver.Policy.OURS,
     )
     name = service.__name__
@@ -266,10 +269,10 @@
 
 
 def _measure_probes(service: Service, name: str) -> list[measurement.Measure]:
-    scenarios = [service(seed, 0.001) for seed in SEEDS]
-    results = run_all(scenarios, driver.Policy.OURS)
-    servers = len(scenarios[0].server_zones)
-    watched_s = driver.START_S + DURATION_S + driver.ANSWER_LIMIT_S
+    played = [service(seed, 0.001) for seed in SEEDS]
+    results = run_all(played, driver.Policy.OURS)
+    servers = len(played[0].server_zones)
+    watched_s = scenarios.START_S + DURATION_S + virtual_world.ANSWER_LIMIT_S
     probes_per_s = max(r.probes for r in results) / servers / watched_s
     return [
         _measure(
@@ -280,7 +283,7 @@
         ),
         _measure(
             f"measuring_share_of_slots_{name}",
-            probes_per_s * driver.PROBE_S / scenarios[0].slots,
+            probes_per_s * virtual_nodes.PROBE_S / played[0].slots,
             "share",
             0.001,
         ),
--- a/packages/standins/marjoramledge_standins/virtual_servers.py
+++ b/packages/standins/marjoramledge_standins/virtual_servers.py
@@ -10,6 +10,7 @@
 import collections
 import collections.abc
 import dataclasses
+import enum
 import random
 import typing
 
@@ -20,11 +21,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Noise:
-    """A neighbour that slows the server in bursts; times are means."""
+    """A neighbour that slows the server in bursts; times are means.
+
+    ``is_lasting`` tells that a request goes on at the speed at which it
+    began, as one does whose share of the VM is set when it starts.
+    """
 
     quiet_s: float = 0.2
     burst_s: float = 0.05
     slowdown: float = 5.0
+    is_lasting: bool = False
 
     @property
     def mean_speed(self) -> float:
@@ -62,6 +68,7 @@
         rng = random.Random(seed)
         self._times: list[float] = [0.0]
         self._speeds: list[float] = [1.0]
+        self._is_lasting = noise.is_lasting
         self._straggles = (slow_from_s, slow_until_s, slowdown)
         now = 0.0
         while now < until_s:
@@ -76,6 +83,8 @@
 
     def finish_at(self, now: float, demand_s: float) -> float:
         """Time at which a demand that starts now is met."""
+        if self._is_lasting:
+            return now + demand_s / self.speed_at(now)
         position = bisect.bisect_right(self._times, now) - 1
         while True:
             speed = self._speeds[position]
@@ -128,12 +137,30 @@
 NO_KNEE: typing.Final = Knee()
 
 
+class JobEnd(enum.Enum):
+    """How a server ends a request."""
+
+    ANSWERED = enum.auto()
+    ERRORED = enum.auto()
+    BROKE_OFF = enum.auto()
+
+
+def _do_nothing() -> None:
+    pass
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Job:
-    """A request at a server."""
+    """A request at a server.
+
+    ``call_another``, if there is one, is called when its own work is done;
+    it then holds its slot until ``end_call``, and fails if that call did.
+    """
 
     demand_s: float
-    on_done: collections.abc.Callable[[bool], None]
+    on_done: collections.abc.Callable[[JobEnd], None]
+    call_another: collections.abc.Callable[[], None] | None = None
+    on_cancel: collections.abc.Callable[[], None] = _do_nothing
     is_cancelled: bool = False
 
 
@@ -222,7 +249,7 @@
         self._running = 0
         for job in jobs:
             if not job.is_cancelled:
-                job.on_done(False)
+                job.on_done(JobEnd.BROKE_OFF)
 
     def slowdown_at(self, now: float) -> float:
         """Tell how many times slower the VM works than undisturbed."""
@@ -243,7 +270,7 @@
         if self.is_cold(now) and self._running >= self._cold_bears:
             self._overruns += 1
             self.go_cold(now, self._cold_s)
-            job.on_done(False)
+            job.on_done(JobEnd.BROKE_OFF)
             return
         if self._running < self._slots:
             self._start(job, now)
@@ -253,11 +280,17 @@
     def cancel(self, job: Job, now: float) -> None:
         """Break a request off, as a caller that hangs up does."""
         job.is_cancelled = True
+        job.on_cancel()
         if job in self._jobs:
             self._jobs.remove(job)
             self._running -= 1
             self._start_waiting(now)
 
+    def end_call(self, job: Job, now: float, *, is_answered: bool) -> None:
+        """Take in the end of the call that a request has made."""
+        end = JobEnd.ANSWERED if is_answered else JobEnd.ERRORED
+        self._end(job, end, now)
+
     def _start_waiting(self, now: float) -> None:
         while self._queue and self._running < self._slots:
             waiting = self._queue.popleft()
@@ -284,13 +317,19 @@
         if job in self._jobs:
             self._jobs.remove(job)
             self._running -= 1
-            job.on_done(False)
+            job.on_done(JobEnd.BROKE_OFF)
 
     def _finish(self, job: Job, now: float) -> None:
+        if job.call_another is not None and job in self._jobs:
+            job.call_another()
+        else:
+            self._end(job, JobEnd.ANSWERED, now)
+
+    def _end(self, job: Job, end: JobEnd, now: float) -> None:
         if job not in self._jobs:
             return
         self._jobs.remove(job)
         self._running -= 1
         self._served_s += job.demand_s
         self._start_waiting(now)
-        job.on_done(True)
+        job.on_done(end)
--- /dev/null
+++ b/packages/standins/marjoramledge_standins/virtual_world.py
@@ -0,0 +1,111 @@
+"""Clock, calendar and backend servers that all policies share."""
+
+import collections.abc
+import heapq
+import typing
+
+from marjoramledge_standins import scenarios
+from marjoramledge_standins import virtual_servers
+
+SAME_ZONE_S: typing.Final = 0.0002
+ANSWER_LIMIT_S: typing.Final = 20.0
+
+
+class World:
+    """One play of a scenario.
+
+    Parameters
+    ----------
+    scenario
+        What is played.
+    """
+
+    def __init__(self, *, scenario: scenarios.Scenario) -> None:
+        self.scenario = scenario
+        self.now = 0.0
+        self._calendar: list[
+            tuple[float, int, collections.abc.Callable[[], None]]
+        ] = []
+        self._pushed = 0
+        self.outcomes: list[scenarios.Outcome] = []
+        self.sent_to_servers = 0
+        self.zones = scenario.server_zones + scenario.other_entry_zones
+        self.servers = [
+            self._create_server(number)
+            for number in range(len(scenario.server_zones))
+        ]
+
+    @property
+    def end_s(self) -> float:
+        """When calls stop to arrive."""
+        return scenarios.START_S + self.scenario.duration_s
+
+    def at(
+        self, when: float, action: collections.abc.Callable[[], None]
+    ) -> None:
+        """Do something at a time."""
+        self._pushed += 1
+        heapq.heappush(self._calendar, (when, self._pushed, action))
+
+    def after(
+        self, delay_s: float, action: collections.abc.Callable[[], None]
+    ) -> None:
+        """Do something after a delay."""
+        self.at(self.now + delay_s, action)
+
+    def run(self, until: float) -> None:
+        """Let time pass."""
+        while self._calendar and self._calendar[0][0] <= until:
+            when, _, action = heapq.heappop(self._calendar)
+            self.now = max(self.now, when)
+            action()
+        self.now = until
+
+    def delay_s(self, one: int, other: int) -> float:
+        """One-way delay between two nodes."""
+        if one == other:
+            return 0.0
+        if self.zones[one] == self.zones[other]:
+            return SAME_ZONE_S
+        return self.scenario.zone_delay_s
+
+    def finish(
+        self,
+        kind: str,
+        arrived_at: float,
+        *,
+        is_answered: bool,
+        reason: str = "",
+    ) -> None:
+        """Note what became of a call."""
+        if arrived_at < scenarios.START_S:
+            return
+        self.outcomes.append(
+            scenarios.Outcome(
+                kind=kind,
+                arrived_at=arrived_at,
+                latency_s=self.now - arrived_at,
+                is_answered=is_answered,
+                reason=reason,
+            )
+        )
+
+    def _create_server(self, number: int) -> virtual_servers.VirtualServer:
+        scenario = self.scenario
+        straggles = scenario.straggler and number == 0
+        return virtual_servers.VirtualServer(
+            slots=scenario.slots,
+            profile=virtual_servers.SpeedProfile(
+                noise=scenario.noise,
+                seed=1000 * scenario.seed + number,
+                until_s=self.end_s + ANSWER_LIMIT_S,
+                slow_from_s=scenarios.START_S + 0.3 * scenario.duration_s,
+                slow_until_s=scenarios.START_S + 0.6 * scenario.duration_s,
+                slowdown=10.0 if straggles else 1.0,
+            ),
+            schedule=self.at,
+            cold_bears=scenario.cold_concurrency,
+            grey=scenario.grey if number == 0 else virtual_servers.WELL,
+            knee=scenario.knee,
+            seed=scenario.seed,
+        )
