Begin on a slowed VM only what ends in time

Cause: gates admitted by the number of slots and not by what a call takes. expected_s was capped at the usual time, so that a free slot of a VM that told a slowdown of 7 was as good as any. Each such call is one more that others have to make up for: callers that come back, runs whose inner calls fail. Class: a metastable overload, fed by work that is begun although it is known to come to nothing.

Change: the gate learns which power of the told slowdown calls really take, and begins on a slowed VM only calls that will be in time, besides a quarter of the slots for such as have nowhere else to go. Calls that wait begin when the VM is calm. Times of calls are learnt relative to that, in place of the integral of speed while they ran, which took calls that had begun on a calm VM for faster than they were (limit-changed told of ratios of 0.04).

--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -32,6 +32,9 @@
 IMPATIENT_QUEUE_PER_SLOT: typing.Final = 0.25
 QUEUE_PER_SLOT: typing.Final = 2
 MIN_QUEUE: typing.Final = 4
+# Part of the slots that calls may hold which begin on a slowed VM and will be
+# late: they are served where nobody else could be, but not by all slots.
+LATE_SLOT_PART: typing.Final = 0.25
 # Calls that broke off this long before a server was found dead ran on it.
 DEATH_WINDOW_S: typing.Final = 2.0
 MAX_BROKEN: typing.Final = 256
@@ -327,10 +330,12 @@
     def _decide(self, work: _queue.Work, now: float) -> Offer:
         if not self.accepts_work or self._is_over_share(work):
             return Offer(admission=Admission.REFUSED)
-        if self.has_room(now):
+        if self.has_room(now) and self._may_start(work, now):
             self._start(work, now)
             return Offer(admission=Admission.STARTED)
-        if not work.is_patient and self._is_queue_long():
+        if not work.is_patient and (
+            self._pace.is_slow or self._is_queue_long()
+        ):
             return Offer(admission=Admission.REFUSED)
         if self.max_wait_s(work, now) <= 0.0:
             return Offer(admission=Admission.REFUSED)
@@ -350,10 +355,7 @@
         """
         spare_s = work.target_at - work.offered_at
         if spare_s < math.inf:
-            spare_s = max(
-                0.0,
-                spare_s - self._pace.expected_s(work, len(self._running), now),
-            )
+            spare_s = max(0.0, spare_s - self._pace.calm_s(work))
         if work.is_patient:
             return min(MAX_QUEUE_WAIT_S, spare_s)
         usual_s = IMPATIENT_WAIT_CALLS * self._pace.mean_s
@@ -514,6 +516,25 @@
         name = work.kind.name
         self._running_by_kind[name] = self._running_by_kind.get(name, 0) + 1
 
+    def _may_start(self, work: _queue.Work, now: float) -> bool:
+        """Tell whether a call may begin while the VM is as slow as it is.
+
+        A call that begins on a slowed VM holds its slot for longer, often
+        beyond the end of the spell, and keeps it from calls that would be
+        in time.
+        """
+        if not self._pace.is_slow:
+            return True
+        done_at = now + self._pace.expected_s(work, now)
+        if done_at <= min(work.target_at, work.deadline_at):
+            return True
+        most = LATE_SLOT_PART * self.limit
+        return (
+            work.is_patient
+            and done_at <= work.deadline_at
+            and len(self._running) < most
+        )
+
     def _is_queue_long(self) -> bool:
         most = max(1.0, IMPATIENT_QUEUE_PER_SLOT * self.limit)
         return len(self._waiting) >= most
@@ -525,9 +546,11 @@
             and len(self._running) < self.limit
             and self._cold_wait_s(now) <= 0.0
         ):
-            work = self._queue.take()
+            work = self._queue.take(
+                lambda waiting: self._may_start(waiting, now)
+            )
             if work is None:
-                raise AssertionError("the queue lost a waiting call")
+                break
             del self._waiting[work.attempt]
             self._start(work, now)
             started.append(work)
--- a/packages/core/marjoramledge_core/_pace.py
+++ b/packages/core/marjoramledge_core/_pace.py
@@ -15,6 +15,7 @@
 from marjoramledge_core import _load
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _queue
+from marjoramledge_core import _slowness
 from marjoramledge_core import _speed
 
 # A change of speed by this factor is told to the other nodes at once.
@@ -68,6 +69,7 @@
     def __init__(self) -> None:
         self._expected_s = _load.INITIAL_LATENCY_S
         self._speed = _speed.SpeedEstimate()
+        self._slowness = _slowness.Slowness()
         self._told_service_s = 0.0
         self._faults = _faults.FaultShare()
         self._excess = _excess.ExcessTime()
@@ -94,7 +96,12 @@
     @property
     def slowdown_at(self) -> float | None:
         """When the server last told how slow its VM is; None if never."""
-        return self._speed.slowdown_at
+        return self._slowness.told_at
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether the VM is slower at present than it usually is."""
+        return self._slowness.is_slow
 
     def describe_limit(self, now: float) -> str:
         """Tell what the limit was chosen from."""
@@ -105,7 +112,7 @@
         return (
             f"{self.reported_s(running, now):.3f} s a call, "
             f"{self.mean_s:.3f} s usually, "
-            f"{self._speed.describe_slowdown(now)}"
+            f"{self._slowness.describe(now)}"
         )
 
     def set_slots(self, slots: int) -> None:
@@ -120,21 +127,28 @@
 
     def reported_s(self, running: int, now: float) -> float:
         """Time of a call now, longer by what fails or takes long of late."""
-        service_s = self._speed.service_s(running, now)
+        if self._slowness.told_at is None:
+            service_s = self._speed.service_s(running, now)
+        else:
+            # The server's own figure is fresher than any finished call.
+            service_s = self._speed.mean_s * self._stretch(now)
         service_s *= self._faults.penalty(now) * self._excess.factor(now)
         return service_s or self._expected_s
 
-    def expected_s(self, work: _queue.Work, running: int, now: float) -> float:
-        """Estimate how long a call of a kind takes here at present."""
-        usual_s = self._usual_of(work)
-        if not self._speed.mean_s:
-            return usual_s
-        now_s = self._speed.service_s(running, now)
-        return usual_s * min(1.0, now_s / self._speed.mean_s)
+    def calm_s(self, work: _queue.Work) -> float:
+        """Estimate how long a call of a kind takes here on a calm VM."""
+        return self._usual_of(work)
+
+    def expected_s(self, work: _queue.Work, now: float) -> float:
+        """Estimate how long a call takes that starts here at present."""
+        return self._usual_of(work) * self._stretch(now)
+
+    def _stretch(self, now: float) -> float:
+        return self._slowness.stretch(self._slowness.ratio, now)
 
     def note_slowdown(self, slowdown: float, running: int, now: float) -> bool:
         """Take in how slow the VM is; tell whether that is news to others."""
-        self._speed.note_slowdown(slowdown, now)
+        self._slowness.note_told(slowdown, now)
         if not self._speed.mean_s:
             return False
         service_s = self.reported_s(running, now)
@@ -148,7 +162,7 @@
         """Take in a call that starts; ``running`` is without it."""
         self._speed.note_change(running, now)
         work.running = running + 1
-        work.progress_s = self._speed.progress_s(now)
+        work.slowdown = self._slowness.ratio
 
     def note_end(
         self,
@@ -175,9 +189,11 @@
         if outcome in _CUT_OFF:
             self._learn_cut_off(work, now, was_cold=was_cold)
         elif outcome is _outcomes.ServerOutcome.ANSWERED:
-            self._speed.note_finished(head_s, now)
-            self._learn_limit(work, now, was_cold=was_cold)
-            self._learn_kind(work.kind.name, head_s, now)
+            stretch = self._slowness.stretch(work.slowdown, now)
+            self._learn_stretch(work, head_s, now)
+            self._speed.note_finished(head_s / stretch, now)
+            self._learn_limit(work, head_s / stretch, now, was_cold=was_cold)
+            self._learn_kind(work.kind.name, head_s / stretch, now)
 
     def _is_fault(
         self, work: _queue.Work, outcome: _outcomes.ServerOutcome, now: float
@@ -192,18 +208,33 @@
     ) -> None:
         usual_s = self._usual_of(work)
         elapsed_s = now - work.started_at
-        if elapsed_s > usual_s > 0.0:
-            self._excess.note(elapsed_s / usual_s, now)
-            self._learn_limit(work, now, was_cold=was_cold)
+        stretch = self._slowness.stretch(work.slowdown, now)
+        if elapsed_s > stretch * usual_s > 0.0:
+            self._learn_stretch(work, elapsed_s, now)
+            self._excess.note(elapsed_s / stretch / usual_s, now)
+            self._learn_limit(
+                work, elapsed_s / stretch, now, was_cold=was_cold
+            )
+
+    def _learn_stretch(
+        self, work: _queue.Work, elapsed_s: float, now: float
+    ) -> None:
+        usual_s = self._usual_of(work)
+        if usual_s > 0.0:
+            self._slowness.learn(work.slowdown, elapsed_s / usual_s, now)
 
     def _learn_limit(
-        self, work: _queue.Work, now: float, *, was_cold: bool
+        self,
+        work: _queue.Work,
+        elapsed_s: float,
+        now: float,
+        *,
+        was_cold: bool,
     ) -> None:
         usual_s = self._usual_of(work)
-        undisturbed_s = self._speed.progress_s(now) - work.progress_s
-        if was_cold or min(usual_s, undisturbed_s) <= 0.0:
+        if was_cold or min(usual_s, elapsed_s) <= 0.0:
             return
-        self._crowding.note(work.running, undisturbed_s / usual_s, now)
+        self._crowding.note(work.running, elapsed_s / usual_s, now)
         if now - self._limited_at >= CROWDING_PERIOD_S:
             self._limited_at = now
             self._limit = self._crowding.choose_limit(now)
--- a/packages/core/marjoramledge_core/_queue.py
+++ b/packages/core/marjoramledge_core/_queue.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import math
 import typing
@@ -24,8 +25,8 @@
     ``call`` is set when the call entered at this same node.  ``target_at`` is
     when its answer must be there to be worth its full value.  ``is_patient``
     tells that the call has nowhere else to go and rather waits than comes
-    back.  ``running`` and ``progress_s`` are the calls that ran when it
-    started, itself included, and the work that had been possible by then.
+    back.  ``running`` and ``slowdown`` are the calls that ran when it
+    started, itself included, and how many times slower the VM was then.
     """
 
     attempt: _ids.AttemptId
@@ -38,7 +39,7 @@
     target_at: float = math.inf
     started_at: float = 0.0
     running: int = 0
-    progress_s: float = 0.0
+    slowdown: float = 1.0
     is_suspect: bool = False
 
 
@@ -82,17 +83,23 @@
                 return self._lanes[priority].pop()
         raise AssertionError("a full queue holds no work")
 
-    def take(self) -> Work | None:
-        """Remove the call to run next."""
-        if not self._length:
+    def take(
+        self, is_ready: collections.abc.Callable[[Work], bool] | None = None
+    ) -> Work | None:
+        """Remove the call to run next, among those that are ready."""
+        ready = [
+            next(filter(is_ready, lane), None) for lane in self._lanes.values()
+        ]
+        heads = [work for work in ready if work is not None]
+        if not heads:
             return None
         self._taken += 1
-        lanes = [lane for lane in self._lanes.values() if lane]
-        lane = lanes[0]
+        work = heads[0]
         if self._taken % FAIR_TURN == 0:
-            lane = min(lanes, key=lambda waiting: waiting[0].offered_at)
+            work = min(heads, key=lambda waiting: waiting.offered_at)
+        self._lanes[work.kind.priority].remove(work)
         self._length -= 1
-        return lane.popleft()
+        return work
 
     def remove(self, work: Work) -> bool:
         """Remove one call that waits; false when it does not."""
--- a/packages/core/marjoramledge_core/_speed.py
+++ b/packages/core/marjoramledge_core/_speed.py
@@ -27,50 +27,12 @@
         self._mean_s = 0.0
         self._count = 0
         self._finished_at = 0.0
-        self._slowdown = 0.0
-        self._usual_slowdown = 0.0
-        self._slowdown_at = 0.0
-        self._progress_s = 0.0
-
-    @property
-    def slowdown_at(self) -> float | None:
-        """When the server last told how slow its VM is; None if never."""
-        return self._slowdown_at if self._usual_slowdown else None
 
     @property
     def mean_s(self) -> float:
         """Mean time of a call over the long window, in seconds."""
         return self._mean_s
 
-    def describe_slowdown(self, now: float) -> str:
-        """Tell how slow the VM is, and the age of that figure."""
-        if not self._usual_slowdown:
-            return "slowdown never told"
-        age_s = now - self._slowdown_at
-        return f"slowdown {self._slowdown:g} told {age_s:.3f} s ago"
-
-    def note_slowdown(self, slowdown: float, now: float) -> None:
-        """Take in how slow the VM is, as its backend server measures it.
-
-        Only the ratio to the usual value is used, so its unit is free.
-        """
-        self._progress_s = self.progress_s(now)
-        since_s = now - self._slowdown_at if self._usual_slowdown else 0.0
-        weight = min(1.0, since_s / LONG_WINDOW_S)
-        usual = self._usual_slowdown or slowdown
-        self._usual_slowdown = usual + weight * (slowdown - usual)
-        self._slowdown = slowdown
-        self._slowdown_at = now
-
-    def progress_s(self, now: float) -> float:
-        """Tell how much work has been possible by now, from any start.
-
-        Seconds count for as much as the VM was faster then; the difference
-        of two moments tells the undisturbed time between them.
-        """
-        since_s = now - self._slowdown_at
-        return self._progress_s + since_s / (self._slowdown or 1.0)
-
     def note_change(self, running: int, now: float) -> None:
         """Take in that ``running`` calls have run since the last change."""
         elapsed_s = now - self._at
@@ -96,9 +58,6 @@
         """Seconds that a call takes; 0 when none has finished yet."""
         if not self._mean_s:
             return 0.0
-        if self._usual_slowdown:
-            # The server's own figure is fresher than any finished call.
-            return self._mean_s * self._slowdown / self._usual_slowdown
         self.note_change(running, now)
         return (self._busy_s + PRIOR_CALLS * self._mean_s) / (
             self._finished + PRIOR_CALLS
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -332,6 +332,7 @@
     _note_slowdown(step, event.slowdown)
     if event.is_healthy:
         _deaths.withdraw(step)
+        start_waiting(step)
     changed = step.state.gate.note_probe(
         event.is_healthy, event.elapsed_s, event.cold_left_s, step.now
     )
@@ -350,9 +351,10 @@
 
 def _note_slowdown(step: _state.Step, slowdown: float | None) -> None:
     gate = step.state.gate
-    if slowdown is None or not gate.note_slowdown(slowdown, step.now):
+    if slowdown is None:
         return
-    step.state.membership.tell_load(gate.report(step.now), step.out)
+    if gate.note_slowdown(slowdown, step.now):
+        step.state.membership.tell_load(gate.report(step.now), step.out)
 
 
 def _offer(step: _state.Step, work: _queue.Work) -> _gate.Admission:
