--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -415,10 +415,13 @@
     """Pay for an attempt after one that failed; false when that can't be."""
     # A refusal by the server itself has cost it work, unlike a gate's.
     is_free = call.last_reason is not _outcomes.Reason.SERVER_REFUSED
-    if run is _outcomes.RunState.NOT_RUN and is_free and attempt.has_move:
+    budget = step.budget_of(call.service)
+    if run is _outcomes.RunState.MAY_HAVE_RUN or not is_free:
+        return budget.spend()
+    if attempt.has_move:
         attempt.has_move = False
         return True
-    return step.budget_of(call.service).spend()
+    return budget.spend_move()
 
 
 def _set_timer(
--- /dev/null
+++ b/tests/test_busy_gates.py
@@ -0,0 +1,44 @@
+"""Calls that meet gates without room."""
+
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from marjoramledge_standins import builders
+
+PEERS = 8
+
+
+def _refuse(
+    driver: builders.CoreDriver, sent: node.SendToPeer
+) -> list[node.Command]:
+    return driver.submit(
+        node.AttemptFailed(
+            call=sent.call,
+            attempt=sent.attempt,
+            run=node.RunState.NOT_RUN,
+            reason=node.Reason.OVERLOADED,
+            load=node.LoadReport(in_flight=4, limit=4, service_s=0.1),
+            is_body_gone=False,
+        )
+    )
+
+
+def _build_driver() -> builders.CoreDriver:
+    driver = builders.CoreDriver()
+    driver.configure()
+    for number in range(1, PEERS + 1):
+        driver.learn_peer(f"n{number}", zone="north")
+    return driver
+
+
+# Guards against an overloaded fleet that is busy with refusing.
+def test_moves_stay_a_bounded_part_of_the_calls() -> None:
+    driver = _build_driver()
+    calls, offers = 400, 0
+    for number in range(calls):
+        commands = driver.arrive(f"c{number}")
+        while commands and isinstance(commands[0], node.SendToPeer):
+            offers += 1
+            commands = _refuse(driver, commands[0])
+    budget = driver.state.budgets[ids.ServiceName("shop")]
+    moves = budget.move_capacity + budget.moves_per_call * calls
+    assert offers <= calls + moves
