--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -6,8 +6,8 @@
 incarnation.  News rides on the probes and, since a leaving backend server
 must lose its callers at once, is also pushed to a few random members within
 ``NEWS_DELAY_S``.  Rarely, two nodes exchange all they know, which heals what
-a partition left apart.  What is still to be told is counted in ``_news``, and
-open probes are kept in ``_probes``.
+a partition left apart.  The records are in ``_roster``, what is still to be
+told is counted in ``_news``, and open probes are kept in ``_probes``.
 
 Source: Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent
 Infection-style Process Group Membership Protocol", DSN 2002; the care for a
@@ -30,6 +30,7 @@
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _records
 from marjoramledge_core import _reports
+from marjoramledge_core import _roster
 from marjoramledge_core import _timers
 
 PROBE_PERIOD_S: typing.Final = 1.0
@@ -56,9 +57,6 @@
 REGISTER_PERIOD_S: typing.Final = 300.0
 # A node that has found nobody looks again this soon.
 FIRST_REGISTER_PERIOD_S: typing.Final = 2.0
-# How long a departed member is remembered, so that old news of it is known
-# to be old and a partition can be healed through it.
-REMEMBER_DEPARTED_S: typing.Final = 600.0
 # A probe period this much late means that this node itself was paused.
 PAUSE_THRESHOLD_S: typing.Final = 2.0
 FOLLOWERS_PER_ZONE: typing.Final = 2
@@ -68,9 +66,6 @@
 # Addresses at which a node looks for groups apart from its own.
 MAX_SEEDS: typing.Final = 64
 
-_DEPARTED: typing.Final = frozenset(
-    {_members.MemberStatus.FAILED, _members.MemberStatus.LEFT}
-)
 _RECORD_OF_STATUS: typing.Final = {
     _members.MemberStatus.ALIVE: _records.RecordKind.MEMBER_JOINED,
     _members.MemberStatus.SUSPECT: _records.RecordKind.MEMBER_SUSPECTED,
@@ -101,15 +96,10 @@
         seeds: collections.abc.Iterable[_members.Address],
         timers: _timers.TimerQueue,
     ) -> None:
-        self._myself = myself
         self._seeds = [seed for seed in seeds if seed != myself.address]
         self._timers = timers
-        self._members: dict[_ids.NodeId, _members.Member] = {
-            myself.node: myself
-        }
+        self._roster = _roster.Roster(myself=myself)
         self._config = _manifest.NO_VERSION
-        self._departed_at: dict[_ids.NodeId, float] = {}
-        self._round: list[_ids.NodeId] = []
         self._probes = _probes.ProbeTable()
         self._news = _news.NewsQueue()
         self._push_is_set = False
@@ -119,36 +109,34 @@
         self._register_period_s = FIRST_REGISTER_PERIOD_S
         self._has_registered = False
         self._started_at = 0.0
-        self._revision = 0
-        self._most_present = 1
         self._heard_at = -SILENCE_S
 
     @property
     def myself(self) -> _members.Member:
         """Own record of this node."""
-        return self._myself
+        return self._roster.myself
 
     @property
     def members(
         self,
     ) -> collections.abc.Mapping[_ids.NodeId, _members.Member]:
         """All members known, departed ones included."""
-        return self._members
+        return self._roster.members
 
     @property
     def revision(self) -> int:
         """Number that grows whenever a record changes."""
-        return self._revision
+        return self._roster.revision
 
     @property
     def present_count(self) -> int:
         """Members that have not departed, this one included."""
-        return len(self._members) - len(self._departed_at)
+        return self._roster.present_count
 
     @property
     def most_present(self) -> int:
         """Most members that have been present at once."""
-        return self._most_present
+        return self._roster.most_present
 
     def is_follower(self, now: float) -> bool:
         """Tell whether this node is to follow the store for others.
@@ -157,19 +145,15 @@
         """
         if now - self._heard_at > SILENCE_S:
             return True
-        zone = [
-            member.node
-            for member in self._members.values()
-            if member.zone == self._myself.zone
-            and member.status is _members.MemberStatus.ALIVE
-            and member.is_confirmed
-        ]
-        return self._myself.node in sorted(zone)[:FOLLOWERS_PER_ZONE]
+        nodes = self._roster.list_confirmed_in_zone()
+        return self._roster.myself.node in nodes[:FOLLOWERS_PER_ZONE]
 
     @property
     def suspicion_s(self) -> float:
         """Seconds that a suspected member has to refute."""
-        return MIN_SUSPICION_S * max(1.0, math.log10(len(self._members)))
+        return MIN_SUSPICION_S * max(
+            1.0, math.log10(len(self._roster.members))
+        )
 
     def start(self, now: float) -> None:
         """Set the first timers of a node that starts."""
@@ -190,8 +174,10 @@
         Most are of the own zone, where bytes cost nothing; one or more of
         any zone carry the news on.
         """
-        told = self._pick_present(NEWS_FANOUT - 1, rng, zone=self._myself.zone)
-        for member in self._pick_present(NEWS_FANOUT, rng):
+        told = self._roster.pick_present(
+            NEWS_FANOUT - 1, rng, zone=self._roster.myself.zone
+        )
+        for member in self._roster.pick_present(NEWS_FANOUT, rng):
             if len(told) < NEWS_FANOUT and member not in told:
                 told.append(member)
         for member in told:
@@ -208,8 +194,8 @@
         they are few, since what crosses zones must not grow with the square
         of the fleet, and their answers tell them anyway.
         """
-        present = self._list_others()
-        told = [m for m in present if m.zone == self._myself.zone]
+        present = self._roster.list_others()
+        told = [m for m in present if m.zone == self._roster.myself.zone]
         if len(present) - len(told) <= MAX_FAR_TOLD:
             told = present
         for member in told:
@@ -233,16 +219,16 @@
         for suspicion in suspicions:
             self._news.add_suspicion(
                 suspicion,
-                known=len(self._members),
+                known=len(self._roster.members),
                 is_known_to_most=is_told_directly,
             )
         if not is_told_directly:
             fanout = SUSPICION_RELAY_FANOUT if is_heard else SUSPICION_FANOUT
-            told = self._pick_present(fanout, rng)
+            told = self._roster.pick_present(fanout, rng)
         elif is_heard:
             return
         else:
-            told = self._list_others()
+            told = self._roster.list_others()
         for member in told:
             self._send_lone(
                 _members.MessageKind.NEWS,
@@ -262,14 +248,16 @@
     ) -> None:
         """Publish a change of this node or of its backend server."""
         changed = dataclasses.replace(
-            self._myself,
+            self._roster.myself,
             status=status,
             service=service,
             server=server,
             slots=slots,
         )
-        if changed != self._myself:
-            self._raise_incarnation(changed, self._myself.incarnation, now)
+        if changed != self._roster.myself:
+            self._raise_incarnation(
+                changed, self._roster.myself.incarnation, now
+            )
 
     def take_kept(
         self,
@@ -284,7 +272,7 @@
         spread: every node can read it.  Later on, strangers are most likely
         gone for long, but may be a group apart from this one.
         """
-        strangers = [m for m in members if m.node not in self._members]
+        strangers = [m for m in members if m.node not in self._roster.members]
         if not strangers:
             return
         if self.present_count > 1 and now - self._started_at > KEPT_NEWS_S:
@@ -312,7 +300,9 @@
         come late, twice or in any order.  Strangers that come by the dozen
         are old news to everyone but a node that starts; they are not spread.
         """
-        strangers = {m.node for m in members if m.node not in self._members}
+        strangers = {
+            m.node for m in members if m.node not in self._roster.members
+        }
         for member in members:
             self._take_member(member, now, out)
         if len(strangers) > _news.NEWS_PER_MESSAGE:
@@ -330,7 +320,7 @@
         self.take_members(message.news, now, out)
         self._answer_outdated_sender(message)
         if message.kind is _members.MessageKind.PING:
-            if message.target != self._myself.node:
+            if message.target != self._roster.myself.node:
                 # Another node had this address before.
                 return
             self._send(
@@ -355,12 +345,13 @@
         if self._was_paused(now):
             self._restart_suspicions(now)
         self._probed_at = now
-        self._forget_departed(now)
+        for node in self._roster.forget_departed(now):
+            self._news.drop_member(node)
         self._timers.set(
             now + PROBE_PERIOD_S * rng.uniform(0.95, 1.05),
             _timers.TimerKind.MEMBER_PROBE,
         )
-        target = self._next_target(rng)
+        target = self._roster.take_next(rng)
         if target is None:
             return
         sequence = self._probes.open(target.node)
@@ -388,7 +379,9 @@
         target = self._probes.find_target(sequence)
         if target is None:
             return
-        helpers = self._pick_present(INDIRECT_PROBES, rng, without=target)
+        helpers = self._roster.pick_present(
+            INDIRECT_PROBES, rng, without=target
+        )
         if sequence > 0 and helpers:
             indirect = self._probes.go_indirect(sequence)
             for helper in helpers:
@@ -417,7 +410,7 @@
         out: list[_commands.Command],
     ) -> None:
         """Take a suspected member as failed unless it has refuted."""
-        member = self._members.get(node)
+        member = self._roster.members.get(node)
         if (
             member is None
             or member.status is not _members.MemberStatus.SUSPECT
@@ -484,7 +477,7 @@
         """Tell a few members that this node is gone for good."""
         self.update_myself(
             status=_members.MemberStatus.LEFT,
-            service=self._myself.service,
+            service=self._roster.myself.service,
             server=_members.ServerState.ABSENT,
             slots=0,
             now=now,
@@ -497,31 +490,31 @@
         now: float,
         out: list[_commands.Command],
     ) -> None:
-        if member.node == self._myself.node:
+        if member.node == self._roster.myself.node:
             self._refute(member, now)
             return
-        known = self._members.get(member.node)
+        known = self._roster.members.get(member.node)
         if known is None:
-            if member.status not in _DEPARTED:
+            if member.status not in _roster.DEPARTED:
                 self._store(member, now, out)
         elif member.supersedes(known):
             self._store(member, now, out)
 
     def _refute(self, claim: _members.Member, now: float) -> None:
-        if claim == self._myself or (
-            claim.incarnation < self._myself.incarnation
+        if claim == self._roster.myself or (
+            claim.incarnation < self._roster.myself.incarnation
         ):
             return
-        if self._myself.status is _members.MemberStatus.LEFT:
+        if self._roster.myself.status is _members.MemberStatus.LEFT:
             return
-        self._raise_incarnation(self._myself, claim.incarnation, now)
+        self._raise_incarnation(self._roster.myself, claim.incarnation, now)
 
     def _raise_incarnation(
         self, record: _members.Member, above: int, now: float
     ) -> None:
-        self._myself = dataclasses.replace(record, incarnation=above + 1)
-        self._members[record.node] = self._myself
-        self._revision += 1
+        self._roster.replace_myself(
+            dataclasses.replace(record, incarnation=above + 1)
+        )
         self._spread(record.node, now)
 
     def _store(
@@ -530,16 +523,10 @@
         now: float,
         out: list[_commands.Command],
     ) -> None:
-        known = self._members.get(member.node)
-        self._members[member.node] = member
-        self._revision += 1
+        known = self._roster.members.get(member.node)
+        self._roster.store(member, now)
         if member.is_confirmed:
             self._spread(member.node, now)
-        if member.status in _DEPARTED:
-            self._departed_at[member.node] = now
-        else:
-            self._departed_at.pop(member.node, None)
-        self._most_present = max(self._most_present, self.present_count)
         if member.status is _members.MemberStatus.SUSPECT:
             self._set_suspicion_timer(member, now)
         if known is None or known.status is not member.status:
@@ -557,7 +544,7 @@
         now: float,
         out: list[_commands.Command],
     ) -> None:
-        member = self._members.get(node)
+        member = self._roster.members.get(node)
         if member is None or member.status is not _members.MemberStatus.ALIVE:
             return
         suspect = dataclasses.replace(
@@ -579,7 +566,7 @@
         # A node that was paused heard no refutation; its old timers, which
         # are all due at once now, must not count.
         self._probes.clear()
-        for member in self._members.values():
+        for member in self._roster.members.values():
             if member.status is _members.MemberStatus.SUSPECT:
                 self._set_suspicion_timer(member, now)
 
@@ -589,79 +576,16 @@
         late = now - self._probed_at - PROBE_PERIOD_S
         return late > PAUSE_THRESHOLD_S
 
-    def _forget_departed(self, now: float) -> None:
-        expired = [
-            node
-            for node, departed_at in self._departed_at.items()
-            if now - departed_at > REMEMBER_DEPARTED_S
-        ]
-        for node in expired:
-            del self._departed_at[node]
-            del self._members[node]
-            self._news.drop_member(node)
-            self._revision += 1
-
     def _plan_sync(self, at: float) -> None:
         if self._sync_timer is not None:
             self._sync_timer.is_cancelled = True
         self._sync_timer = self._timers.set(at, _timers.TimerKind.MEMBER_SYNC)
 
-    def _next_target(self, rng: random.Random) -> _members.Member | None:
-        for _ in range(2):
-            while self._round:
-                member = self._members.get(self._round.pop())
-                if member is not None and member.status not in _DEPARTED:
-                    return member
-            self._round = [
-                node for node in self._members if node != self._myself.node
-            ]
-            rng.shuffle(self._round)
-        return None
-
-    def _list_others(self) -> list[_members.Member]:
-        return [
-            member
-            for member in self._members.values()
-            if member.status not in _DEPARTED
-            and member.node != self._myself.node
-        ]
-
-    def _pick_present(
-        self,
-        count: int,
-        rng: random.Random,
-        without: _ids.NodeId | None = None,
-        zone: _ids.ZoneName | None = None,
-    ) -> list[_members.Member]:
-        nodes = [
-            node
-            for node, member in self._members.items()
-            if zone is None or member.zone == zone
-        ]
-        picked: list[_members.Member] = []
-        # A few draws find enough of them unless most have departed.
-        for _ in range(4 * count):
-            member = self._members[nodes[int(rng.random() * len(nodes))]]
-            if (
-                member.node not in (self._myself.node, without)
-                and member.status not in _DEPARTED
-                and member not in picked
-            ):
-                picked.append(member)
-                if len(picked) == count:
-                    break
-        return picked
-
     def _pick_sync_peer(self, rng: random.Random) -> _members.Address | None:
-        known = {
-            member.address
-            for member in self._members.values()
-            if member.status is not _members.MemberStatus.LEFT
-        }
+        known = self._roster.list_addresses()
         # A seed that is no member yet may belong to a group apart from this
         # one, but it may also be long gone.
         strangers = [seed for seed in self._seeds if seed not in known]
-        known.discard(self._myself.address)
         choices = strangers
         if known and (not strangers or rng.random() < 0.5):
             choices = sorted(
@@ -689,7 +613,7 @@
     def _relay_probe(
         self, message: _members.Message, out: list[_commands.Command]
     ) -> None:
-        target = self._members.get(message.target)
+        target = self._roster.members.get(message.target)
         if target is None:
             return
         sequence = self._probes.open_relay(
@@ -708,14 +632,14 @@
     def _answer_outdated_sender(self, message: _members.Message) -> None:
         # A sender that is thought to be gone must hear so, or it cannot
         # refute; the next message to it then carries its record.
-        known = self._members.get(message.sender)
+        known = self._roster.members.get(message.sender)
         if known is not None and (
             known.status is not _members.MemberStatus.ALIVE
         ):
             self._news.add_once(message.sender)
 
     def _spread(self, node: _ids.NodeId, now: float) -> None:
-        self._news.add_member(node, known=len(self._members))
+        self._news.add_member(node, known=len(self._roster.members))
         if not self._push_is_set:
             self._push_is_set = True
             self._timers.set(now + NEWS_DELAY_S, _timers.TimerKind.NEWS)
@@ -723,11 +647,11 @@
     def _take_news(
         self, about: _ids.NodeId | None
     ) -> tuple[_members.Member, ...]:
-        first = [self._myself.node]
-        if about is not None and about in self._members:
+        first = [self._roster.myself.node]
+        if about is not None and about in self._roster.members:
             first.append(about)
         chosen = self._news.take_members(first)
-        return tuple(self._members[node] for node in chosen)
+        return tuple(self._roster.members[node] for node in chosen)
 
     def _send(
         self,
@@ -740,10 +664,10 @@
     ) -> None:
         message = _members.Message(
             kind=kind,
-            sender=self._myself.node,
-            sender_address=self._myself.address,
+            sender=self._roster.myself.node,
+            sender_address=self._roster.myself.address,
             sequence=sequence,
-            target=about or self._myself.node,
+            target=about or self._roster.myself.node,
             config=self._config,
             news=self._take_news(about),
             suspicions=self._news.take_suspicions(),
@@ -762,8 +686,8 @@
         """Send one piece of information without the news of members."""
         message = _members.Message(
             kind=kind,
-            sender=self._myself.node,
-            sender_address=self._myself.address,
+            sender=self._roster.myself.node,
+            sender_address=self._roster.myself.address,
             sequence=0,
             target=receiver.node,
             config=_manifest.NO_VERSION,
