Wake up for calls that wait only when a cold server is why

Found by reading: a gate that held calls back on a slowed VM planned to look again after 1 ms, a thousand times a second, since it took whatever waits with a free slot for waiting on a cold server; and each probe forgot the timer that was set already. The probe that tells that the VM is calm starts them anyhow. tests/test_slowed_vm.py counted over 100 wake-ups in 0.2 s where there are fewer than 10 now.

--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -302,7 +302,8 @@
         """Tell when a call that waits for a cold server may start."""
         if not self._waiting or len(self._running) >= self.limit:
             return None
-        return now + max(MIN_START_WAIT_S, self._cold_wait_s(now))
+        wait_s = self._cold_wait_s(now)
+        return now + max(MIN_START_WAIT_S, wait_s) if wait_s > 0.0 else None
 
     def start_waiting(self, now: float) -> list[_queue.Work]:
         """Start the calls that wait, as far as there is room."""
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -338,7 +338,7 @@
     _timers.TimerKind.QUEUE_WAIT: lambda step, timer: _work.queue_wait_ended(
         step, _ids.AttemptId(timer.subject)
     ),
-    _timers.TimerKind.COLD_START: lambda step, timer: _work.start_waiting(
+    _timers.TimerKind.COLD_START: lambda step, timer: _work.cold_wait_ended(
         step
     ),
     _timers.TimerKind.SERVER_PROBE: lambda step, timer: _work.probe_server(
--- a/packages/core/marjoramledge_core/_work.py
+++ b/packages/core/marjoramledge_core/_work.py
@@ -240,9 +240,14 @@
         step.out.append(_commands.ProbeServer(server=gate.server))
 
 
+def cold_wait_ended(step: _state.Step) -> None:
+    """Go on with the calls that wait for a cold server."""
+    step.state.cold_start_timer = None
+    start_waiting(step)
+
+
 def start_waiting(step: _state.Step) -> None:
     """Start the calls that wait, as far as the gate has room again."""
-    step.state.cold_start_timer = None
     for work in step.state.gate.start_waiting(step.now):
         start_work(step, work)
     _plan_cold_start(step)
--- a/tests/test_slowed_vm.py
+++ b/tests/test_slowed_vm.py
@@ -117,3 +117,20 @@
     assert slowness.stretch(SLOWDOWN, 120.0) == pytest.approx(
         expected, rel=0.15
     )
+
+
+# Guards against a node that wakes up a thousand times a second to find that
+# the VM is slow still.
+def test_calls_that_wait_for_a_calm_vm_cost_no_wake_ups() -> None:
+    driver = _build_driver()
+    _tell(driver, SLOWDOWN)
+    assert _offer(driver, "c", is_patient=True, deadline_s=0.5) == []
+    wakeups = 0
+    until = driver.now + 0.2
+    while (at := node.next_wakeup(driver.state)) is not None and at < until:
+        wakeups += 1
+        driver.now = max(driver.now, at)
+        driver.submit(node.TimePassed())
+        _tell(driver, SLOWDOWN)
+    assert driver.state.gate.queued == 1
+    assert wakeups < 10
