--- a/packages/core/marjoramledge_core/_pace.py
+++ b/packages/core/marjoramledge_core/_pace.py
@@ -136,12 +136,16 @@
         return service_s or self._expected_s
 
     def calm_s(self, work: _queue.Work) -> float:
-        """Estimate how long a call of a kind takes here on a calm VM."""
-        return self._usual_of(work)
+        """Mean time of a call's kind here on a calm VM.
+
+        Before the first call of the kind it is that of all calls.
+        """
+        known = self._kind_times.get(work.kind.name)
+        return self._speed.mean_s if known is None else known.mean_s
 
     def expected_s(self, work: _queue.Work, now: float) -> float:
         """Estimate how long a call takes that starts here at present."""
-        return self._usual_of(work) * self._stretch(now)
+        return self.calm_s(work) * self._stretch(now)
 
     def _stretch(self, now: float) -> float:
         return self._slowness.stretch(self._slowness.ratio, now)
@@ -199,14 +203,14 @@
         self, work: _queue.Work, outcome: _outcomes.ServerOutcome, now: float
     ) -> bool:
         if outcome is _outcomes.ServerOutcome.CANCELLED:
-            usual_s = self._usual_of(work)
+            usual_s = self.calm_s(work)
             return now - work.started_at > HANG_RATIO * usual_s > 0.0
         return outcome in _FAULTS
 
     def _learn_cut_off(
         self, work: _queue.Work, now: float, *, was_cold: bool
     ) -> None:
-        usual_s = self._usual_of(work)
+        usual_s = self.calm_s(work)
         elapsed_s = now - work.started_at
         stretch = self._slowness.stretch(work.slowdown, now)
         if elapsed_s > stretch * usual_s > 0.0:
@@ -219,7 +223,7 @@
     def _learn_stretch(
         self, work: _queue.Work, elapsed_s: float, now: float
     ) -> None:
-        usual_s = self._usual_of(work)
+        usual_s = self.calm_s(work)
         if usual_s > 0.0:
             self._slowness.learn(work.slowdown, elapsed_s / usual_s, now)
 
@@ -231,7 +235,7 @@
         *,
         was_cold: bool,
     ) -> None:
-        usual_s = self._usual_of(work)
+        usual_s = self.calm_s(work)
         if was_cold or min(usual_s, elapsed_s) <= 0.0:
             return
         self._crowding.note(work.running, elapsed_s / usual_s, now)
@@ -251,8 +255,3 @@
         self._kind_times[name] = known
         while len(self._kind_times) > MAX_KINDS:
             del self._kind_times[next(iter(self._kind_times))]
-
-    def _usual_of(self, work: _queue.Work) -> float:
-        """Mean time of a call's kind, or of all calls before its first."""
-        known = self._kind_times.get(work.kind.name)
-        return self._speed.mean_s if known is None else known.mean_s
--- a/packages/core/marjoramledge_core/_tally.py
+++ b/packages/core/marjoramledge_core/_tally.py
@@ -60,11 +60,13 @@
         """
         if now - self._told_at < PERIOD_S:
             return None
-        summary = self._describe(now) if self._refused + self._gave_up else ""
+        summary = None
+        if self._refused + self._gave_up:
+            summary = self._describe(now)
         self._told_at = now
         self._started = self._refused = self._gave_up = 0
         self._slot_s = dict.fromkeys(Use, 0.0)
-        return summary or None
+        return summary
 
     def _describe(self, now: float) -> str:
         slot_s = ", ".join(
--- a/packages/standins/marjoramledge_standins/fleet_burst.py
+++ b/packages/standins/marjoramledge_standins/fleet_burst.py
@@ -10,6 +10,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import typing
 
 from marjoramledge_core import node
@@ -42,67 +43,117 @@
     "west": 7,
     "far": 8,
 }
-# Kinds: method, path, service, priority, deadline and target in ms.
-_KINDS: typing.Final = {
-    BROWSE: ("GET", "/plates", "portal", "normal", 1200, 419),
-    "approve": ("POST", "/entries", "portal", "high", 2000, 522),
-    "export": ("GET", "/exports", "catalogue", "normal", 3000, 1019),
-    "check": ("GET", "/checks", "catalogue", "high", 800, 219),
-    "index": ("GET", "/index", "catalogue", "high", 430, 128),
-}
-_TARGETS_S: typing.Final = {
-    name: kind[-1] / 1000 for name, kind in _KINDS.items()
-}
-_MIX: typing.Final = (
-    scenarios.CallMix(
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Kind:
+    """A kind of request as the rules and its callers have it."""
+
+    name: str
+    method: str
+    path: str
+    service: str
+    priority: str
+    deadline_s: float
+    target_s: float
+    demand_s: float
+    patience_s: float
+    share: float = 0.0
+    inner: str | None = None
+    inner_share: float = 0.0
+
+
+_KINDS: typing.Final = (
+    _Kind(
         name=BROWSE,
         method="GET",
         path="/plates",
-        host="portal.example",
+        service="portal",
+        priority="normal",
+        deadline_s=1.2,
+        target_s=0.419,
+        demand_s=0.150,
+        patience_s=2.6,
         share=5.1,
-        mean_demand_s=0.150,
         inner="index",
         inner_share=0.7,
-        patience_s=2.6,
     ),
-    scenarios.CallMix(
+    _Kind(
         name="approve",
         method="POST",
         path="/entries",
-        host="portal.example",
-        share=2.2,
-        mean_demand_s=0.190,
+        service="portal",
+        priority="high",
+        deadline_s=2.0,
+        target_s=0.522,
+        demand_s=0.190,
         patience_s=4.1,
-        is_idempotent=False,
+        share=2.2,
     ),
-    scenarios.CallMix(
+    _Kind(
         name="export",
         method="GET",
         path="/exports",
-        host="catalogue.example",
-        share=2.1,
-        mean_demand_s=0.370,
+        service="catalogue",
+        priority="normal",
+        deadline_s=3.0,
+        target_s=1.019,
+        demand_s=0.370,
         patience_s=6.1,
+        share=2.1,
     ),
-    scenarios.CallMix(
+    _Kind(
         name="check",
         method="GET",
         path="/checks",
-        host="catalogue.example",
-        share=1.6,
-        mean_demand_s=0.059,
+        service="catalogue",
+        priority="high",
+        deadline_s=0.8,
+        target_s=0.219,
+        demand_s=0.059,
         patience_s=1.6,
+        share=1.6,
     ),
-    scenarios.CallMix(
+    _Kind(
         name="index",
         method="GET",
         path="/index",
-        host="catalogue.example",
-        share=0.0,
-        mean_demand_s=0.037,
+        service="catalogue",
+        priority="high",
+        deadline_s=0.43,
+        target_s=0.128,
+        demand_s=0.037,
         patience_s=0.43,
     ),
 )
+_TARGETS_S: typing.Final = {kind.name: kind.target_s for kind in _KINDS}
+
+
+def _mix_of(kind: _Kind) -> scenarios.CallMix:
+    return scenarios.CallMix(
+        name=kind.name,
+        method=kind.method,
+        path=kind.path,
+        host=f"{kind.service}.example",
+        share=kind.share,
+        mean_demand_s=kind.demand_s,
+        inner=kind.inner,
+        inner_share=kind.inner_share,
+        patience_s=kind.patience_s,
+        is_idempotent=kind.method == "GET",
+    )
+
+
+def _rule_of(kind: _Kind) -> str:
+    is_idempotent = str(kind.method == "GET").lower()
+    return (
+        f'[[kinds]]\nname = "{kind.name}"\nservice = "{kind.service}"\n'
+        f'methods = ["{kind.method}"]\npath = "{kind.path}"\n'
+        f'priority = "{kind.priority}"\n'
+        f"deadline_ms = {round(1000 * kind.deadline_s)}\n"
+        f"target_ms = {round(1000 * kind.target_s)}\n"
+        f"idempotent = {is_idempotent}\nhedging = {is_idempotent}"
+    )
 
 
 def _declare() -> dict[str, str]:
@@ -121,25 +172,9 @@
         f'[zones.{zone}]\nregion = "isle"\ntakes_work = true'
         for zone in _PORTAL_SERVERS
     )
-    rules = [
-        f'[[kinds]]\nname = "{name}"\nservice = "{service}"\n'
-        f'methods = ["{method}"]\npath = "{path}"\n'
-        f'priority = "{priority}"\ndeadline_ms = {deadline}\n'
-        f"target_ms = {target}\n"
-        f"idempotent = {str(method == 'GET').lower()}\n"
-        f"hedging = {str(method == 'GET').lower()}"
-        for name, (
-            method,
-            path,
-            service,
-            priority,
-            deadline,
-            target,
-        ) in _KINDS.items()
-    ]
     return {
         "inventory.toml": "\n".join(inventory),
-        "rules.toml": "\n".join(rules),
+        "rules.toml": "\n".join(map(_rule_of, _KINDS)),
     }
 
 
@@ -163,7 +198,7 @@
         slots=4,
         zone_delay_s=0.0014,
         mean_demand_s=0.150,
-        mix=_MIX,
+        mix=tuple(map(_mix_of, _KINDS)),
         calls_per_s=CALLS_PER_S,
         burst=scenarios.Burst(
             from_s=BURST.from_s, until_s=BURST.until_s, factor=factor
