--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,7 @@
 	$(BIN)/pip install --quiet -c constraints.txt matplotlib
 	$(BIN)/python tools/plot_tail.py docs/plots/tail.png
 	$(BIN)/python tools/plot_experiment.py docs/plots/experiment.png
+	$(BIN)/python tools/plot_fleet_burst.py docs/plots/fleet_burst.png
 
 format: $(VENV)/.ready
 	$(BIN)/ruff format $(SOURCES)
