--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -189,7 +189,7 @@
             return None
         return (
             f"{len(self._running)} of {self.limit} run, "
-            f"{len(self._waiting)} wait, {self._limit.current} slots, "
+            f"{len(self._waiting)} wait, ramped up to {self._limit.current}, "
             f"{self._pace.describe(len(self._running), now)}, {summary}"
         )
 
@@ -526,7 +526,7 @@
         """
         if not self._pace.is_slow:
             return True
-        done_at = now + self._pace.expected_s(work, now)
+        done_at = now + self._pace.predict_s(work, now)
         if done_at <= min(work.target_at, work.deadline_at):
             return True
         most = LATE_SLOT_PART * self.limit
--- a/packages/core/marjoramledge_core/_pace.py
+++ b/packages/core/marjoramledge_core/_pace.py
@@ -143,7 +143,7 @@
         known = self._kind_times.get(work.kind.name)
         return self._speed.mean_s if known is None else known.mean_s
 
-    def expected_s(self, work: _queue.Work, now: float) -> float:
+    def predict_s(self, work: _queue.Work, now: float) -> float:
         """Estimate how long a call takes that starts here at present."""
         return self.calm_s(work) * self._stretch(now)
 
