Tests: offer work to a gate through the driver of one core

Two new files built the same offer; the driver does it now. The older tests that offer other kinds of work keep their own. No assertion changed.

--- a/packages/standins/marjoramledge_standins/builders.py
+++ b/packages/standins/marjoramledge_standins/builders.py
@@ -153,6 +153,28 @@
             )
         )
 
+    def offer(
+        self,
+        name: str,
+        *,
+        target_s: float,
+        is_patient: bool = False,
+        deadline_s: float = 5.0,
+    ) -> list[node.Command]:
+        """Let a peer offer the first attempt of a call to the gate."""
+        return self.submit(
+            node.WorkOffered(
+                attempt=ids.AttemptId(f"{name}.0"),
+                host="shop.example",
+                method="GET",
+                path="/pages/1",
+                deadline_s=deadline_s,
+                is_patient=is_patient,
+                fingerprint=ids.Fingerprint(name),
+                target_s=target_s,
+            )
+        )
+
     def learn_peer(
         self, name: str, zone: str = "south", incarnation: int = 1
     ) -> list[node.Command]:
--- a/tests/test_gate_tally.py
+++ b/tests/test_gate_tally.py
@@ -7,18 +7,7 @@
 
 def _offer(driver: builders.CoreDriver, count: int) -> None:
     for number in range(count):
-        driver.submit(
-            node.WorkOffered(
-                attempt=ids.AttemptId(f"c{number}.0"),
-                host="shop.example",
-                method="GET",
-                path="/pages/1",
-                deadline_s=5.0,
-                is_patient=False,
-                fingerprint=ids.Fingerprint(f"c{number}"),
-                target_s=0.4,
-            )
-        )
+        driver.offer(f"c{number}", target_s=0.4)
 
 
 def _end(
--- a/tests/test_slowed_vm.py
+++ b/tests/test_slowed_vm.py
@@ -21,7 +21,7 @@
     driver.configure()
     driver.submit(node.ServerAnnounced(server=builders.build_server()))
     for number in range(20):
-        _offer(driver, f"usual{number}")
+        driver.offer(f"usual{number}", target_s=TARGET_S)
         driver.pass_time(USUAL_S)
         driver.submit(
             node.WorkEnded(
@@ -34,27 +34,6 @@
     return driver
 
 
-def _offer(
-    driver: builders.CoreDriver,
-    name: str,
-    *,
-    is_patient: bool = False,
-    deadline_s: float = 5.0,
-) -> list[node.Command]:
-    return driver.submit(
-        node.WorkOffered(
-            attempt=ids.AttemptId(f"{name}.0"),
-            host="shop.example",
-            method="GET",
-            path="/pages/1",
-            deadline_s=deadline_s,
-            is_patient=is_patient,
-            fingerprint=ids.Fingerprint(name),
-            target_s=TARGET_S,
-        )
-    )
-
-
 def _tell(driver: builders.CoreDriver, slowdown: float) -> list[node.Command]:
     return driver.submit(
         node.ProbeEnded(is_healthy=True, elapsed_s=0.001, slowdown=slowdown)
@@ -65,7 +44,7 @@
 def test_no_call_begins_on_a_slowed_vm_that_would_be_late() -> None:
     driver = _build_driver()
     _tell(driver, SLOWDOWN)
-    (answer,) = _offer(driver, "c")
+    (answer,) = driver.offer("c", target_s=TARGET_S)
     assert isinstance(answer, node.RefuseWork)
     assert driver.state.gate.running == 0
 
@@ -75,7 +54,10 @@
     driver = _build_driver()
     _tell(driver, SLOWDOWN)
     # Its deadline passes before a call that begins now would end.
-    assert _offer(driver, "c", is_patient=True, deadline_s=0.5) == []
+    assert (
+        driver.offer("c", target_s=TARGET_S, is_patient=True, deadline_s=0.5)
+        == []
+    )
     assert driver.state.gate.queued == 1
     started = [
         command
@@ -92,7 +74,9 @@
     commands = [
         command
         for number in range(4)
-        for command in _offer(driver, f"c{number}", is_patient=True)
+        for command in driver.offer(
+            f"c{number}", target_s=TARGET_S, is_patient=True
+        )
     ]
     assert sum(isinstance(c, node.StartWork) for c in commands) == 1
 
@@ -102,7 +86,7 @@
     for _ in range(600):
         driver.pass_time(0.1)
         _tell(driver, SLOWDOWN)
-    (answer,) = _offer(driver, "c")
+    (answer,) = driver.offer("c", target_s=TARGET_S)
     assert isinstance(answer, node.StartWork)
 
 
@@ -124,7 +108,10 @@
 def test_calls_that_wait_for_a_calm_vm_cost_no_wake_ups() -> None:
     driver = _build_driver()
     _tell(driver, SLOWDOWN)
-    assert _offer(driver, "c", is_patient=True, deadline_s=0.5) == []
+    assert (
+        driver.offer("c", target_s=TARGET_S, is_patient=True, deadline_s=0.5)
+        == []
+    )
     wakeups = 0
     until = driver.now + 0.2
     while (at := node.next_wakeup(driver.state)) is not None and at < until:
