--- a/packages/node/marjoramledge_node/_counts.py
+++ b/packages/node/marjoramledge_node/_counts.py
@@ -46,8 +46,9 @@
     """Counters of outcomes by route, of the time line by kind, and of costs.
 
     ``store_calls`` are by operation and outcome, ``messages`` and
-    ``message_bytes`` are datagrams to other nodes by kind, and
-    ``document_bytes`` what peers and operators were sent by kind.
+    ``message_bytes`` are datagrams to other nodes by kind,
+    ``document_bytes`` what peers and operators were sent by kind, and
+    ``faults`` what the event loop and libraries reported by kind.
     """
 
     def __init__(self) -> None:
@@ -68,6 +69,7 @@
             collections.Counter()
         )
         self.document_bytes: collections.Counter[str] = collections.Counter()
+        self.faults: collections.Counter[str] = collections.Counter()
 
     def note_store_call(self, operation: str, outcome: str) -> None:
         """Count one operation at the store."""
@@ -82,6 +84,10 @@
         """Count one document of ``size`` bytes; its target names its kind."""
         self.document_bytes[target.split("/")[1]] += size
 
+    def note_fault(self, kind: str) -> None:
+        """Count one fault that the event loop or a library reported."""
+        self.faults[kind] += 1
+
     def note_answer(
         self, route: ids.KindName | None, status: int, elapsed_s: float
     ) -> None:
--- a/packages/node/marjoramledge_node/_metrics_port.py
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -102,6 +102,14 @@
         for document_kind, size in self._counts.document_bytes.items():
             documents.add_metric((document_kind,), size)
         yield documents
+        faults = core.CounterMetricFamily(
+            "marjoramledge_faults",
+            "Faults that the event loop and libraries reported.",
+            labels=("kind",),
+        )
+        for fault_kind, count in self._counts.faults.items():
+            faults.add_metric((fault_kind,), count)
+        yield faults
         for name, help_text, value in self._gauges():
             yield core.GaugeMetricFamily(
                 f"marjoramledge_{name}", help_text, value
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import logging
 import os
 import random
 import signal
@@ -18,6 +19,7 @@
 from marjoramledge_node import _caller_port
 from marjoramledge_node import _counts
 from marjoramledge_node import _engine
+from marjoramledge_node import _faults
 from marjoramledge_node import _fleet
 from marjoramledge_node import _gossip_port
 from marjoramledge_node import _local_port
@@ -60,6 +62,11 @@
         self._timeline.stream.subscribe(
             lambda stamped: self._counts.note_record(stamped.record)
         )
+        self._fault_log = _faults.FaultLog(
+            counts=self._counts, clock=loop.time
+        )
+        loop.set_exception_handler(self._fault_log.handle_loop_fault)
+        logging.getLogger().addHandler(self._fault_log)
         self._rng = random.Random()
         self._engine = _engine.Engine(
             state=node.create_state(
@@ -143,7 +150,9 @@
             _metrics_port.MetricsPort(
                 engine=self._engine,
                 counts=self._counts,
-                lines_left_out=lambda: self._log_writer.left_out,
+                lines_left_out=lambda: (
+                    self._log_writer.left_out + self._fault_log.left_out
+                ),
             )
         )
         self._reload: _reload.Reload | None = None
