Give a socket that is handed to its transport one owner, also when cancelled

Callers saw a whole answer with status 200 that belonged to another call (MIXED), answers of two calls in turn, resets that nobody sent.

Cause: uvloop 0.22.1 closes the descriptor of a socket when its hand-over to a transport is cancelled (a caller who left, a hedge that lost, a time limit), and the Python socket closes the number a second time when it is collected. What had been opened under that number in between, a caller's connection most of all, was closed under its owner, and the next to open shared it. Class: a resource released by two owners, of which one has given the work up.

Why this works: the loop is the one place that all connect through. From its first step the hand-over's transport owns the descriptor, so a cancelled one makes the Python socket give its number up. Weighed: shielding the hand-over in a task of its own; it costs a task a connection, goes on after it was given up, and is itself cancelled when the loop ends. tools/check_imports.py keeps other modules from making loops of the library's own kind.

--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -13,12 +13,12 @@
 from aiohttp import web
 import loguru
 from marjoramledge_core import node
-import uvloop
 
 from marjoramledge_node import _auth
 from marjoramledge_node import _caller_port
 from marjoramledge_node import _counts
 from marjoramledge_node import _engine
+from marjoramledge_node import _event_loop
 from marjoramledge_node import _faults
 from marjoramledge_node import _fleet
 from marjoramledge_node import _gossip_port
@@ -294,8 +294,6 @@
 ) -> int:
     """Run a node until it is stopped; return its exit status."""
     _logs.configure_logs(options)
-    # libuv would otherwise be free to use io_uring.
-    os.environ["UV_USE_IO_URING"] = "0"
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=_event_loop.new_event_loop) as runner:
         cut_calls = runner.run(_run(options, surroundings))
     return 0 if cut_calls == 0 else 1
--- a/packages/node/marjoramledge_node/process.py
+++ b/packages/node/marjoramledge_node/process.py
@@ -2,6 +2,7 @@
 
 from marjoramledge_node import _auth
 from marjoramledge_node import _dialect
+from marjoramledge_node import _event_loop
 from marjoramledge_node import _options
 from marjoramledge_node import _process
 from marjoramledge_node import _surroundings
@@ -15,6 +16,7 @@
 ServerHint = _options.ServerHint
 Surroundings = _surroundings.Surroundings
 
+new_event_loop = _event_loop.new_event_loop
 parse_address = _options.parse_address
 parse_keys = _auth.parse_keys
 run_node = _process.run_node
--- a/packages/standins/marjoramledge_standins/bare_pass.py
+++ b/packages/standins/marjoramledge_standins/bare_pass.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 from aiohttp import web
-import uvloop
+from marjoramledge_node import process
 
 
 async def _main(host: str, port: int, target_url: str) -> None:
@@ -34,4 +34,5 @@
 
 
 if __name__ == "__main__":
-    uvloop.run(_main(sys.argv[1], int(sys.argv[2]), sys.argv[3]))
+    with asyncio.Runner(loop_factory=process.new_event_loop) as runner:
+        runner.run(_main(sys.argv[1], int(sys.argv[2]), sys.argv[3]))
--- a/packages/standins/marjoramledge_standins/measure_latency.py
+++ b/packages/standins/marjoramledge_standins/measure_latency.py
@@ -11,7 +11,7 @@
 import typing
 
 import aiohttp
-import uvloop
+from marjoramledge_node import process
 
 from marjoramledge_standins import demo
 from marjoramledge_standins import deployment
@@ -113,7 +113,7 @@
 
 
 def _call_in_turn(urls: list[str]) -> list[list[float]]:
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=process.new_event_loop) as runner:
         return runner.run(_call_each(urls))
 
 
--- a/tests/test_descriptors_of_connects.py
+++ b/tests/test_descriptors_of_connects.py
@@ -19,6 +19,7 @@
 from marjoramledge_core import node
 from marjoramledge_node import _bodies
 from marjoramledge_node import _dialect
+from marjoramledge_node import _event_loop
 from marjoramledge_node import _headers
 from marjoramledge_node import _relay
 from marjoramledge_node import _upstream
@@ -26,7 +27,6 @@
 from marjoramledge_store import client
 import multidict
 import pytest
-import uvloop
 
 HOST = "127.0.0.1"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
@@ -38,8 +38,6 @@
 TURNS_AFTER = 12
 SENTINELS_PER_TURN = 4
 
-new_event_loop = uvloop.new_event_loop
-
 Limits = list[asyncio.Timeout]
 Exchange = collections.abc.Callable[
     [int], contextlib.AbstractAsyncContextManager[asyncio.Task[None]]
@@ -310,7 +308,9 @@
         for turns in range(MAX_TURNS):
             own = folder / str(turns)
             own.mkdir()
-            with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            with asyncio.Runner(
+                loop_factory=_event_loop.new_event_loop
+            ) as runner:
                 is_complete, lost = runner.run(
                     _break_off(begin, turns, own, limits)
                 )
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -1,7 +1,8 @@
 """Checks the imports that no linter knows about.
 
-The core has no I/O: it imports neither sockets nor clocks nor loggers.  And
-modules, not objects, are imported everywhere, as the house style asks.
+The core has no I/O: it imports neither sockets nor clocks nor loggers.  One
+module makes the event loop for all.  And modules, not objects, are imported
+everywhere, as the house style asks.
 """
 
 import ast
@@ -36,25 +37,33 @@
         "uuid",
     }
 )
+# Its own loop closes the descriptors of others; see the module that mends it.
+LOOP_LIBRARY: typing.Final = "uvloop"
+LOOP_MODULE: typing.Final = "_event_loop.py"
 FORBIDDEN_CALLS_IN_CORE: typing.Final = frozenset({"open", "print", "input"})
 
 
 def find_problems(path: pathlib.Path, *, is_core: bool) -> list[str]:
     """List what is wrong with the imports of one file."""
     problems = []
+    forbidden = FORBIDDEN_IN_CORE if is_core else frozenset()
+    if path.name != LOOP_MODULE:
+        forbidden |= {LOOP_LIBRARY}
     for tree in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
-        for problem in _check_node(tree, is_core=is_core):
+        for problem in _check_node(tree, forbidden, is_core=is_core):
             problems.append(f"{path}:{problem}")
     return problems
 
 
-def _check_node(tree: ast.AST, *, is_core: bool) -> list[str]:
+def _check_node(
+    tree: ast.AST, forbidden: frozenset[str], *, is_core: bool
+) -> list[str]:
     if isinstance(tree, ast.Import):
         names = [alias.name for alias in tree.names]
-        return _check_names(tree.lineno, names, is_core=is_core)
+        return _check_names(tree.lineno, names, forbidden)
     if isinstance(tree, ast.ImportFrom):
         module = tree.module or ""
-        problems = _check_names(tree.lineno, [module], is_core=is_core)
+        problems = _check_names(tree.lineno, [module], forbidden)
         for alias in tree.names:
             if not _is_module(f"{module}.{alias.name}"):
                 problems.append(
@@ -66,11 +75,13 @@
     return []
 
 
-def _check_names(line: int, names: list[str], *, is_core: bool) -> list[str]:
+def _check_names(
+    line: int, names: list[str], forbidden: frozenset[str]
+) -> list[str]:
     return [
-        f"{line}: the core must not import {name}"
+        f"{line}: must not import {name} here"
         for name in names
-        if is_core and name.partition(".")[0] in FORBIDDEN_IN_CORE
+        if name.partition(".")[0] in forbidden
     ]
 
 
