Tell the core the end of each read and fetch, whatever error ended it

Callers would have been served by an old configuration for the rest of the node's life (CONFIG): the event loop's "File descriptor N is used by transport" is a RuntimeError, no error of the network, and left the task that reads the store, or downloads a content, without its end being told. The core begins no other read before it hears of the end of the last.

Cause: each operation told its end on the paths that it foresaw. Class: an operation that is under way for ever because nobody owns its end. Now one function runs every operation of the fleet and tells the end of those that are waited for, with a line operation-failed.

--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -29,6 +29,8 @@
 from marjoramledge_node import _upstream
 from marjoramledge_node import _wire
 
+C = typing.TypeVar("C", bound=node.Command)
+
 PEER_TIMEOUT_S: typing.Final = 2.0
 PROBE_TIMEOUT_S: typing.Final = 1.0
 # What is waited for the departed servers before one that runs is taken in.
@@ -103,15 +105,21 @@
         self._fleet_read = asyncio.Event()
         self._kept_departure: node.ServerStart | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        consumers: dict[type, typing.Any] = {
-            node.SyncMembers: self._sync_members,
-            node.RegisterMember: self._register,
-            node.ReadVersion: self._read_version,
-            node.FetchManifest: self._fetch_manifest,
-            node.ProbeServer: self._probe_server,
-        }
-        for command, operation in consumers.items():
-            engine.connect(command, self._start_task_with(operation))
+        self._connect(node.SyncMembers, self._sync_members)
+        self._connect(node.RegisterMember, self._register)
+        self._connect(node.ProbeServer, self._probe_server)
+        self._connect(
+            node.ReadVersion,
+            self._read_version,
+            lambda _command: node.VersionReadEnded(is_success=False),
+        )
+        self._connect(
+            node.FetchManifest,
+            self._fetch_manifest,
+            lambda command: node.ManifestFailed(
+                ref=command.ref, detail="the fetch broke down"
+            ),
+        )
 
     async def find_document(
         self, method: str, target: str, body: bytes
@@ -172,18 +180,38 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._reader.close()
 
-    def _start_task_with(
+    def _connect(
         self,
+        command_type: type[C],
         operation: collections.abc.Callable[
-            [typing.Any], collections.abc.Coroutine[None, None, None]
+            [C], collections.abc.Coroutine[None, None, None]
         ],
-    ) -> _engine.Consumer:
-        def start(command: node.Command) -> None:
-            task = asyncio.create_task(operation(command))
+        build_failure: collections.abc.Callable[[C], node.Event] | None = None,
+    ) -> None:
+        """Have an operation done for each command of a type.
+
+        The core begins no other operation of some types before it hears of
+        the end of the last; ``build_failure`` builds that event when the
+        operation itself could not.
+        """
+
+        async def operate(command: C) -> None:
+            try:
+                await operation(command)
+            except Exception as error:  # Whatever it is, the core waits.
+                loguru.logger.bind(
+                    event="operation-failed",
+                    operation=command_type.__name__,
+                ).error("{!r}", error)
+                if build_failure is not None:
+                    self._engine.submit(build_failure(command))
+
+        def start(command: C) -> None:
+            task = asyncio.create_task(operate(command))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-        return start
+        self._engine.connect(command_type, start)
 
     async def _sync_members(self, command: node.SyncMembers) -> None:
         members = self._engine.state.membership.members.values()
