End an attempt and free its slot, whatever error ended it

Callers saw refusals for want of room (SHORT): where sending to the own server raised the event loop's RuntimeError of a shared descriptor, the gate counted the call as running for ever; an attempt at a peer that ended so was never told to the core, and a hedge kept its call waiting until its deadline.

Cause: an exchange turned the errors of the HTTP library and of the system into outcomes and let all others leave its task. Any error is an outcome now, with a line exchange-failed; it may have run, and says nothing about the server. What a call's task still holds when it ends is given back.

--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -389,6 +389,8 @@
         if exchange.hedge is not None:
             exchange.hedge.cancel()
         self._engine.submit(node.CallEnded(call=exchange.call))
+        for attempt in exchange.local_attempts - exchange.answers.keys():
+            self._end_work(exchange, attempt, node.ServerOutcome.CANCELLED)
         for attempt in list(exchange.answers):
             self._drop_answer(exchange, attempt)
         for command in exchange.mailbox.take_all():
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -119,6 +119,12 @@
     )
 
 
+# What is left of an exchange that ended in an error of this process.
+_BROKE_DOWN: typing.Final = Fault(
+    outcome=node.ServerOutcome.CANCELLED,
+    run=node.RunState.MAY_HAVE_RUN,
+    reason=node.Reason.ANSWER_LOST,
+)
 # What is left of an exchange that proves nothing.
 _LOST: typing.Final = Fault(
     outcome=node.ServerOutcome.BROKE_OFF,
@@ -384,6 +390,9 @@
             )
         except (aiohttp.ClientError, OSError):
             return result.Failure(_LOST)
+        except Exception as error:  # Whatever it is, the core waits.
+            loguru.logger.bind(event="exchange-failed").error("{!r}", error)
+            return result.Failure(_BROKE_DOWN)
         return result.Success(
             Answer(
                 response=response,
