Blame a server only for what the other side can bring about

Cause: each failure to connect was read as the server's. Class: an abandoned or failed attempt is taken for news about the other side. The system's errors that only this process can bring about (EBADF, EMFILE and the like) end an attempt as a fault of the node: not run, nothing learnt; a probe that ends so tells nothing. Errors of this process are reported as the event loop reports its own, so that they are counted and their lines bounded.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -54,6 +54,7 @@
         _outcomes.Reason.ZONE_CLOSED,
         _outcomes.Reason.DRAINED_BY_ORDER,
         _outcomes.Reason.NODE_STOPPING,
+        _outcomes.Reason.NODE_FAULT,
         _outcomes.Reason.SERVER_REFUSED,
         _outcomes.Reason.SERVER_UNREACHABLE,
         _outcomes.Reason.PEER_UNREACHABLE,
--- a/packages/core/marjoramledge_core/_outcomes.py
+++ b/packages/core/marjoramledge_core/_outcomes.py
@@ -28,6 +28,7 @@
     DRAINED_BY_ORDER = "drained-by-order"
     NODE_STOPPING = "node-stopping"
     SERVER_REFUSED = "server-refused"
+    NODE_FAULT = "node-fault"
     SERVER_UNREACHABLE = "server-unreachable"
     PEER_UNREACHABLE = "peer-unreachable"
     ANSWER_LOST = "answer-lost"
--- a/packages/node/marjoramledge_node/_faults.py
+++ b/packages/node/marjoramledge_node/_faults.py
@@ -1,4 +1,4 @@
-"""What the event loop and the HTTP library report as gone wrong.
+"""What the event loop, the libraries and tasks report as gone wrong.
 
 Each report is counted by what it tells and written as one line of bounded
 length, and of each kind only so many lines a second: a fault of descriptors
@@ -29,7 +29,7 @@
     DESCRIPTOR_SHARED = "descriptor-shared"
     DESCRIPTOR_GONE = "descriptor-gone"
     UNCLOSED = "unclosed"
-    OTHER = "library-fault"
+    OTHER = "unexpected-error"
 
 
 class FaultLog(logging.Handler):
@@ -94,6 +94,13 @@
         )
 
 
+def report(message: str, error: Exception) -> None:
+    """Report an error of this process, as the event loop does its own."""
+    asyncio.get_running_loop().call_exception_handler(
+        {"message": message, "exception": error}
+    )
+
+
 def classify(message: str, error: BaseException | None) -> FaultKind:
     """Tell what a report is about."""
     if isinstance(error, RuntimeError) and "is used by" in str(error):
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -21,6 +21,7 @@
 from marjoramledge_node import _contents
 from marjoramledge_node import _counts
 from marjoramledge_node import _engine
+from marjoramledge_node import _faults
 from marjoramledge_node import _manifests
 from marjoramledge_node import _options
 from marjoramledge_node import _peer_port
@@ -199,10 +200,7 @@
             try:
                 await operation(command)
             except Exception as error:  # Whatever it is, the core waits.
-                loguru.logger.bind(
-                    event="operation-failed",
-                    operation=command_type.__name__,
-                ).error("{!r}", error)
+                _faults.report(f"{command_type.__name__} broke down", error)
                 if build_failure is not None:
                     self._engine.submit(build_failure(command))
 
@@ -285,8 +283,9 @@
             health_path=service.health_path,
         )
         probed = await self._upstream.probe(server, PROBE_TIMEOUT_S)
-        is_known = self._engine.state.gate.server is not None
-        if not probed.is_healthy or probed.slots is None or is_known:
+        if probed is None or not probed.is_healthy or probed.slots is None:
+            return
+        if self._engine.state.gate.server is not None:
             return
         cold_left_s = probed.cold_left_s or 0.0
         self._engine.submit(
@@ -424,6 +423,8 @@
         server = command.server
         began_at = self._engine.now()
         probed = await self._upstream.probe(server, PROBE_TIMEOUT_S)
+        if probed is None:
+            return
         elapsed_s = self._engine.now() - began_at
         self._engine.submit(
             node.ProbeEnded(
--- a/packages/node/marjoramledge_node/_refusals.py
+++ b/packages/node/marjoramledge_node/_refusals.py
@@ -24,6 +24,7 @@
     node.Reason.ZONE_CLOSED: 503,
     node.Reason.DRAINED_BY_ORDER: 503,
     node.Reason.NODE_STOPPING: 503,
+    node.Reason.NODE_FAULT: 503,
     node.Reason.SERVER_REFUSED: 503,
     node.Reason.SERVER_UNREACHABLE: 502,
     node.Reason.PEER_UNREACHABLE: 502,
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import errno
 import typing
 
 import aiohttp
@@ -21,9 +22,21 @@
 from marjoramledge_node import _bodies
 from marjoramledge_node import _connections
 from marjoramledge_node import _dialect
+from marjoramledge_node import _faults
 from marjoramledge_node import _headers
 
 CONNECT_TIMEOUT_S: typing.Final = 0.5
+# The system's errors that no other side can bring about.
+_OWN_ERRORS: typing.Final = frozenset(
+    {
+        errno.EADDRNOTAVAIL,
+        errno.EBADF,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
 BODY_IDLE_TIMEOUT_S: typing.Final = 60.0
 # A health page is a line or two.
 MAX_PROBE_BYTES: typing.Final = 65536
@@ -119,6 +132,17 @@
     )
 
 
+_NOT_CONNECTED: typing.Final = Fault(
+    outcome=node.ServerOutcome.UNREACHABLE,
+    run=node.RunState.NOT_RUN,
+    reason=node.Reason.SERVER_UNREACHABLE,
+)
+# The same for a reason on this side.
+_NOT_SENT: typing.Final = Fault(
+    outcome=node.ServerOutcome.CANCELLED,
+    run=node.RunState.NOT_RUN,
+    reason=node.Reason.NODE_FAULT,
+)
 # What is left of an exchange that ended in an error of this process.
 _BROKE_DOWN: typing.Final = Fault(
     outcome=node.ServerOutcome.CANCELLED,
@@ -241,8 +265,16 @@
             return False
         return answer.response.headers.get(name) != outgoing.headers[name]
 
-    async def probe(self, server: node.Server, timeout_s: float) -> Probe:
-        """Ask a backend server for a sign of life."""
+    async def probe(
+        self, server: node.Server, timeout_s: float
+    ) -> Probe | None:
+        """Ask a backend server for a sign of life.
+
+        Returns
+        -------
+        Probe or None
+            None when the probe says nothing about the server.
+        """
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._session.get(
@@ -257,7 +289,7 @@
             loguru.logger.bind(event="probe-failed").debug(
                 "no answer of the backend server to a probe: {!r}", error
             )
-            return Probe(is_alive=False)
+            return None if _is_own_fault(error) else Probe(is_alive=False)
 
     def _read_probe(
         self, server: node.Server, response: aiohttp.ClientResponse
@@ -380,18 +412,21 @@
                 allow_redirects=False,
                 expect100=expect,
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            return result.Failure(
-                Fault(
-                    outcome=node.ServerOutcome.UNREACHABLE,
-                    run=node.RunState.NOT_RUN,
-                    reason=node.Reason.SERVER_UNREACHABLE,
-                )
-            )
-        except (aiohttp.ClientError, OSError):
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            if _is_own_fault(error):
+                _faults.report("no socket for an exchange", error)
+                return result.Failure(_NOT_SENT)
+            return result.Failure(_NOT_CONNECTED)
+        except (aiohttp.ClientError, OSError) as error:
+            if _is_own_fault(error):
+                _faults.report("an exchange broke down", error)
+                return result.Failure(_BROKE_DOWN)
             return result.Failure(_LOST)
         except Exception as error:  # Whatever it is, the core waits.
-            loguru.logger.bind(event="exchange-failed").error("{!r}", error)
+            _faults.report("an exchange broke down", error)
             return result.Failure(_BROKE_DOWN)
         return result.Success(
             Answer(
@@ -423,8 +458,13 @@
     return b"".join(parts)
 
 
+def _is_own_fault(error: Exception) -> bool:
+    """Tell whether an error says nothing about the other side."""
+    return isinstance(error, OSError) and error.errno in _OWN_ERRORS
+
+
 def _blame_peer(fault: Fault) -> Fault:
-    if fault.run is node.RunState.MAY_HAVE_RUN:
+    if fault.reason is not node.Reason.SERVER_UNREACHABLE:
         return fault
     return dataclasses.replace(fault, reason=node.Reason.PEER_UNREACHABLE)
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -54,8 +54,12 @@
         ("Exception in callback", GONE, "descriptor-gone"),
         ("Unclosed connection", None, "unclosed"),
         ("Unclosed client session", None, "unclosed"),
-        ("Error handling request", RuntimeError("of ours"), "library-fault"),
-        ("Exception in callback", ConnectionResetError(), "library-fault"),
+        (
+            "Error handling request",
+            RuntimeError("of ours"),
+            "unexpected-error",
+        ),
+        ("Exception in callback", ConnectionResetError(), "unexpected-error"),
     ],
 )
 def test_a_report_is_counted_and_logged_by_what_it_tells(
@@ -90,7 +94,7 @@
     loop.close()
     assert len(lines) == limit + 2
     assert log.left_out == 7
-    assert counts.faults == {"library-fault": limit + 8, "unclosed": 1}
+    assert counts.faults == {"unexpected-error": limit + 8, "unclosed": 1}
     for line in lines:
         assert len(line["message"]) <= _faults.MAX_TEXT
         assert len(line.get("error", "")) <= _faults.MAX_TEXT
