Do not take a standstill of the node for a server that can't be reached

Callers saw refusals (SHORT) where a VM had stood still for half a second or more: every connecting that was under way ran into its time limit, the own server was taken for unreachable, and so were peers.

Cause: a time limit that is noticed late was read as if the other side had been given all that time. Class: an assumption about time, that the one who waits is running. A limit noticed over 20 ms late ends the attempt as a fault of the node, and a probe then tells nothing; the next one does.

Evidence: test_an_own_standstill_does_not_take_the_server_out, both loops, red before, green now.

--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -26,6 +26,9 @@
 from marjoramledge_node import _headers
 
 CONNECT_TIMEOUT_S: typing.Final = 0.5
+# A time limit that is noticed this much late ran out while this process stood
+# still, and what was waited for may have come in time.
+STANDSTILL_S: typing.Final = 0.02
 # The system's errors that no other side can bring about.
 _OWN_ERRORS: typing.Final = frozenset(
     {
@@ -275,6 +278,8 @@
         Probe or None
             None when the probe says nothing about the server.
         """
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._session.get(
@@ -289,7 +294,10 @@
             loguru.logger.bind(event="probe-failed").debug(
                 "no answer of the backend server to a probe: {!r}", error
             )
-            return None if _is_own_fault(error) else Probe(is_alive=False)
+            late_s = loop.time() - started_at - timeout_s
+            if _is_own_fault(error, late_s):
+                return None
+            return Probe(is_alive=False)
 
     def _read_probe(
         self, server: node.Server, response: aiohttp.ClientResponse
@@ -416,12 +424,13 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
-            if _is_own_fault(error):
+            late_s = loop.time() - started_at - CONNECT_TIMEOUT_S
+            if _is_own_fault(error, late_s):
                 _faults.report("no socket for an exchange", error)
                 return result.Failure(_NOT_SENT)
             return result.Failure(_NOT_CONNECTED)
         except (aiohttp.ClientError, OSError) as error:
-            if _is_own_fault(error):
+            if _is_own_fault(error, 0.0):
                 _faults.report("an exchange broke down", error)
                 return result.Failure(_BROKE_DOWN)
             return result.Failure(_LOST)
@@ -458,8 +467,13 @@
     return b"".join(parts)
 
 
-def _is_own_fault(error: Exception) -> bool:
-    """Tell whether an error says nothing about the other side."""
+def _is_own_fault(error: Exception, late_s: float) -> bool:
+    """Tell whether an error says nothing about the other side.
+
+    ``late_s`` is how long after a time limit its end was noticed, in seconds.
+    """
+    if isinstance(error, TimeoutError):
+        return late_s > STANDSTILL_S
     return isinstance(error, OSError) and error.errno in _OWN_ERRORS
 
 
