Break off an attempt also when its task has yet to begin it

Callers waited for as long as the backend server ran (SHORT, CONFIG's limit on a route's timeout) where a call was let in and ran out of time in one turn of the event loop: the cancellation came before the call's task had taken the command, found nobody, and was lost.

Cause: what breaks an attempt off was registered by the task, one turn after the core had begun the attempt. Class: an attempt that nobody owns between two owners. It is registered with the command now, and forgotten with the call.

Evidence: test_a_call_let_in_as_its_deadline_passes_is_answered, red before, green now.

--- a/packages/node/marjoramledge_node/_cancellation.py
+++ b/packages/node/marjoramledge_node/_cancellation.py
@@ -12,7 +12,7 @@
 async def run_cancellable(
     engine: _engine.Engine,
     attempt: str,
-    operation: collections.abc.Awaitable[T],
+    operation: collections.abc.Coroutine[typing.Any, typing.Any, T],
 ) -> T | None:
     """Await an operation that the core may cancel by its attempt.
 
@@ -25,6 +25,9 @@
     task = asyncio.current_task()
     if task is None:
         raise AssertionError("not inside a task")
+    if engine.is_withdrawn(attempt):
+        operation.close()
+        return None
     is_cancelled = False
 
     def cancel() -> None:
--- a/packages/node/marjoramledge_node/_engine.py
+++ b/packages/node/marjoramledge_node/_engine.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import random
 import typing
 
@@ -48,6 +49,7 @@
         self._loop = asyncio.get_running_loop()
         self._mailboxes: dict[str, _mailbox.Mailbox] = {}
         self._cancellers: dict[str, collections.abc.Callable[[], object]] = {}
+        self._withdrawn: set[str] = set()
         self._consumers: dict[type, Consumer] = {
             node.CancelAttempt: self._cancel_attempt
         }
@@ -83,8 +85,11 @@
         return mailbox
 
     def close_mailbox(self, owner: str) -> None:
-        """Forget a task's mailbox."""
-        self._mailboxes.pop(owner, None)
+        """Forget a task's mailbox, and the attempts that it was told of."""
+        mailbox = self._mailboxes.pop(owner, None)
+        if mailbox is not None:
+            for attempt in mailbox.attempts:
+                self.forget_cancel(attempt)
 
     def on_cancel(
         self, attempt: str, cancel: collections.abc.Callable[[], object]
@@ -95,6 +100,11 @@
     def forget_cancel(self, attempt: str) -> None:
         """Forget what breaks off an attempt."""
         self._cancellers.pop(attempt, None)
+        self._withdrawn.discard(attempt)
+
+    def is_withdrawn(self, attempt: str) -> bool:
+        """Tell whether an attempt was cancelled before its task began it."""
+        return attempt in self._withdrawn
 
     def submit(self, event: node.Event) -> None:
         """Take a step and pass on the commands that follow."""
@@ -150,8 +160,15 @@
         ),
     ) -> None:
         mailbox = self._mailboxes.get(command.call)
-        if mailbox is not None:
-            mailbox.put(command)
+        if mailbox is None:
+            return
+        if isinstance(command, node.RunOnServer | node.SendToPeer):
+            attempt = command.attempt
+            mailbox.attempts.append(attempt)
+            self.on_cancel(
+                attempt, functools.partial(self._withdrawn.add, attempt)
+            )
+        mailbox.put(command)
 
     def _post_to_attempt(
         self, command: node.StartWork | node.RefuseWork
--- a/packages/node/marjoramledge_node/_mailbox.py
+++ b/packages/node/marjoramledge_node/_mailbox.py
@@ -13,11 +13,15 @@
 
 
 class Mailbox:
-    """Commands that wait for one task."""
+    """Commands that wait for one task.
+
+    ``attempts`` are those that the task was told to make so far.
+    """
 
     def __init__(self) -> None:
         self._commands: collections.deque[node.Command] = collections.deque()
         self._waiter: asyncio.Future[None] | None = None
+        self.attempts: list[str] = []
         self.on_hedge: (
             collections.abc.Callable[[node.SendToPeer], None] | None
         ) = None
