End a run at its deadline where the entry can't say so

Callers saw refusals for want of room (SHORT) after a VM had been cut off: the gate kept the slots of its calls for as long as the backend server ran them, since only the entry's closed connection ended a run, and that did not arrive.

Cause: the deadline of an offer was the sender's to keep. Class: work that is given up on one side and goes on, with what it holds, on the other.

Evidence: test_a_run_whose_entry_is_cut_off_ends_at_its_deadline, red before, green now.

--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -17,7 +17,6 @@
 
 from marjoramledge_node import _auth
 from marjoramledge_node import _bodies
-from marjoramledge_node import _cancellation
 from marjoramledge_node import _counts
 from marjoramledge_node import _engine
 from marjoramledge_node import _headers
@@ -198,11 +197,7 @@
         outcome = node.ServerOutcome.CANCELLED
         answer = None
         try:
-            exchange = await _cancellation.run_cancellable(
-                self._engine,
-                command.attempt,
-                self._send(request, command),
-            )
+            exchange = await self._send_in_time(request, command)
             if exchange is None:
                 return self._refuse(
                     request,
@@ -223,6 +218,24 @@
         finally:
             self._end_work(command.attempt, outcome, answer)
 
+    async def _send_in_time(
+        self, request: web.BaseRequest, command: node.StartWork
+    ) -> _upstream.Exchange | None:
+        """Send a request on; None when its deadline passes before the answer.
+
+        The sender gives it up then, but may be cut off from this node.
+        """
+        remaining_s = max(0.0, command.deadline_at - self._engine.now())
+        limit_s = remaining_s + _relay.ANSWER_GRACE_S
+        sending = asyncio.timeout(limit_s)
+        try:
+            async with sending:
+                return await self._send(request, command)
+        except TimeoutError:
+            if not sending.expired():
+                raise
+            return None
+
     async def _send(
         self, request: web.BaseRequest, command: node.StartWork
     ) -> _upstream.Exchange:
