--- /dev/null
+++ b/tests/test_stray_answers.py
@@ -0,0 +1,115 @@
+"""Second answers that come just as their connection is used again.
+
+Guards against MIXED: a backend server that answers a request twice, whose
+second answer is taken for the answer to the next request.
+"""
+
+import socket
+import threading
+
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from marjoramledge_node import _bodies
+from marjoramledge_node import _dialect
+from marjoramledge_node import _relay
+from marjoramledge_node import _upstream
+from marjoramledge_platform import _dialect as platform_dialect
+import multidict
+import pytest
+import uvloop
+
+HOST = "127.0.0.1"
+LIMIT_S = 5.0
+FIRST = "first-request"
+SECOND = "other-request"
+
+
+class _Server:
+    """Answers the first request, and again when it is told to."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server((HOST, 0))
+        self.port: int = self._listener.getsockname()[1]
+        self.told = threading.Event()
+        self.sent = threading.Event()
+        self.ended = threading.Event()
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def _serve(self) -> None:
+        accepted, _ = self._listener.accept()
+        accepted.settimeout(LIMIT_S)
+        with accepted, self._listener:
+            accepted.recv(65536)
+            accepted.sendall(_encode_answer(FIRST))
+            self.told.wait(LIMIT_S)
+            accepted.sendall(_encode_answer(FIRST))
+            self.sent.set()
+            self.ended.wait(LIMIT_S)
+
+
+def _encode_answer(name: str) -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nRequest-Id: {name}"
+    return f"{head}\r\nContent-Length: {len(name)}\r\n\r\n{name}".encode()
+
+
+async def _ask(
+    upstream: _upstream.Upstream, port: int, name: str
+) -> bytes | None:
+    exchange = await upstream.send_to_server(
+        _upstream.Outgoing(
+            method="GET",
+            target="/",
+            headers=multidict.CIMultiDict({"Request-Id": name}),
+            body=_bodies.Body(),
+        ),
+        node.Server(
+            service=ids.ServiceName("shop"),
+            host=HOST,
+            port=port,
+            slots=1,
+            connections=1,
+            cold_concurrency=1,
+            is_cold=False,
+            health_path="/",
+        ),
+        LIMIT_S,
+    )
+    answer = exchange.value_or(None)
+    if answer is None:
+        return None
+    start = await _relay.read_start(answer, "GET")
+    return None if start is None else start.body
+
+
+async def _ask_twice(
+    dialect: _dialect.Dialect,
+) -> tuple[bytes | None, bytes | None]:
+    upstream = _upstream.Upstream(dialect=dialect, idle_connection_s=15.0)
+    server = _Server()
+    try:
+        first = await _ask(upstream, server.port, FIRST)
+        # The loop stands still meanwhile, so that it has not read the second
+        # answer when it chooses a connection for the next request.
+        server.told.set()
+        server.sent.wait(LIMIT_S)
+        return first, await _ask(upstream, server.port, SECOND)
+    finally:
+        server.ended.set()
+        await upstream.close()
+
+
+# Guards against MIXED: the second answer to another request is passed on.
+@pytest.mark.parametrize(
+    "dialect",
+    [
+        pytest.param(_dialect.OWN_DIALECT, id="own"),
+        pytest.param(platform_dialect.DIALECT, id="platform"),
+    ],
+)
+def test_a_second_answer_is_not_taken_for_that_of_the_next_request(
+    dialect: _dialect.Dialect,
+) -> None:
+    first, second = uvloop.run(_ask_twice(dialect))
+    assert first == FIRST.encode()
+    assert second is None
