Soak: connections that see every byte of their answers

A client library drops an answer that comes when no call waits. A caller on a raw connection keeps it, and tells whether a connection without an answer was new or used. The stand-in server names the call in a header of each answer, and answers are judged by header and body.

--- a/packages/standins/marjoramledge_standins/backend_server.py
+++ b/packages/standins/marjoramledge_standins/backend_server.py
@@ -9,8 +9,8 @@
 asks for an answer that never ends, in a form of ``EndlessForm``.
 
 Every request that it starts to run is written to its records before anything
-else, with the caller's ``X-Call-Id``.  ``PUT /standin`` changes its behaviour,
-see ``Behaviour``.
+else, with the caller's ``X-Call-Id``, which its answers carry as well.
+``PUT /standin`` changes its behaviour, see ``Behaviour``.
 """
 
 import asyncio
@@ -37,6 +37,7 @@
 ANNOUNCE_RETRY_S: typing.Final = 0.2
 ANNOUNCE_PERIOD_S: typing.Final = 1.0
 CHUNK: typing.Final = bytes(65536)
+CALL_HEADER: typing.Final = "X-Call-Id"
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -151,7 +152,11 @@
         self._running += 1
         self._history.append((time.monotonic(), self._running))
         try:
-            return await self._run(request)
+            response = await self._run(request)
+            call = request.headers.get(CALL_HEADER)
+            if call is not None and not response.prepared:
+                response.headers[CALL_HEADER] = call
+            return response
         except asyncio.CancelledError:
             self._record(request, "cancelled")
             raise
@@ -188,7 +193,7 @@
         return _json(
             200,
             {
-                "call": request.headers.get("X-Call-Id", ""),
+                "call": request.headers.get(CALL_HEADER, ""),
                 "server": self._name,
                 "body": body,
                 "system_headers": _find_system_headers(request),
@@ -257,7 +262,7 @@
         record = {
             "t": time.monotonic(),
             "event": event,
-            "call": request.headers.get("X-Call-Id", ""),
+            "call": request.headers.get(CALL_HEADER, ""),
             "method": request.method,
             "path": request.path,
             "is_cold": self.is_cold,
--- a/packages/standins/marjoramledge_standins/soak_report.py
+++ b/packages/standins/marjoramledge_standins/soak_report.py
@@ -14,6 +14,8 @@
 _COLOURS: typing.Final = {
     traffic.Ending.ANSWERED: "#4c9a52",
     traffic.Ending.LEFT: "#9aa0a6",
+    traffic.Ending.NOT_TAKEN: "#5f6368",
+    traffic.Ending.CUT_NEW: "#e8746a",
     traffic.Ending.SERVER_ERROR: "#d98c2b",
     traffic.Ending.REFUSED_NOT_RUN: "#3b74c0",
     traffic.Ending.MAY_HAVE_RUN: "#8a4fb0",
--- a/packages/standins/marjoramledge_standins/traffic.py
+++ b/packages/standins/marjoramledge_standins/traffic.py
@@ -17,8 +17,12 @@
 
 import aiohttp
 
+from marjoramledge_standins import backend_server
+
 CALLER_TIMEOUT_S: typing.Final = 20.0
 MAX_ENTRY_TRIES: typing.Final = 4
+# Names a call; backend servers' answers carry it too.
+CALL_HEADER: typing.Final = backend_server.CALL_HEADER
 # When callers leave that leave early: some before and some while their call
 # runs.
 LEAVES_AFTER_S: typing.Final = (0.001, 0.05)
@@ -34,6 +38,9 @@
     WRONG_ANSWER = "wrong-answer"
     LOST = "lost"
     LEFT = "left"
+    # A used or a new connection ended before anything of the answer.
+    NOT_TAKEN = "not-taken"
+    CUT_NEW = "cut-new"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -203,21 +210,25 @@
             kind.method,
             entry + kind.path,
             data=kind.body or None,
-            headers={"Host": kind.host, "X-Call-Id": call},
+            headers={"Host": kind.host, CALL_HEADER: call},
         ) as response:
             content = await response.read()
-            return _judge_answer(
+            return judge_answer(
                 call, kind, response.status, response.headers, content
             )
 
 
-def _judge_answer(
+def judge_answer(
     call: str,
     kind: CallKind,
     status: int,
     headers: collections.abc.Mapping[str, str],
     content: bytes,
 ) -> tuple[Ending, str]:
+    """Tell what a caller was left with by an answer."""
+    echo = headers.get(CALL_HEADER)
+    if echo not in (None, call):
+        return Ending.WRONG_ANSWER, f"its header names {echo}"
     reason = headers.get("Marjoramledge-Reason", "")
     run = headers.get("Marjoramledge-Run")
     if run == "not-run":
@@ -226,9 +237,12 @@
         return Ending.MAY_HAVE_RUN, reason
     if status != 200:
         return Ending.SERVER_ERROR, f"status {status}"
-    answer = json.loads(content)
-    expected = hashlib.sha256(kind.body).hexdigest()
-    if (answer["call"], answer["body"]) != (call, expected):
+    try:
+        answer = json.loads(content)
+        told = (echo, answer["call"], answer["body"])
+    except (ValueError, KeyError, TypeError):
+        return Ending.WRONG_ANSWER, repr(content[:80])
+    if told != (call, call, hashlib.sha256(kind.body).hexdigest()):
         return Ending.WRONG_ANSWER, content.decode()
     return Ending.ANSWERED, ""
 
--- /dev/null
+++ b/tests/test_raw_connections.py
@@ -0,0 +1,179 @@
+"""What a caller on a raw connection sees, and how answers are judged."""
+
+import asyncio
+import collections.abc
+import json
+
+from marjoramledge_standins import backend_server
+from marjoramledge_standins import demo
+from marjoramledge_standins import raw_connections
+from marjoramledge_standins import traffic
+import pytest
+
+HOST = "127.0.0.1"
+PAGE, _LOOKUP, ORDER = demo.KINDS
+
+Serve = collections.abc.Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter],
+    collections.abc.Awaitable[None],
+]
+
+
+def _answer(call: str, *, extra: str = "") -> bytes:
+    body = json.dumps({"call": call, "body": ""}).encode()
+    head = (
+        f"HTTP/1.1 200 OK\r\nx-call-id: {call}\r\n{extra}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+async def _start(serve: Serve) -> tuple[asyncio.Server, int]:
+    async def serve_and_close(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await serve(reader, writer)
+        writer.close()
+
+    server = await asyncio.start_server(serve_and_close, HOST, 0)
+    return server, server.sockets[0].getsockname()[1]
+
+
+async def _read_calls(reader: asyncio.StreamReader, count: int) -> list[str]:
+    calls = []
+    for _ in range(count):
+        head = await reader.readuntil(b"\r\n\r\n")
+        calls.append(head.partition(b"X-Call-Id: ")[2].split()[0].decode())
+    return calls
+
+
+def _request(call: str) -> bytes:
+    return raw_connections.format_request(
+        method="GET", path="/", host="shop", call=call, body=b""
+    )
+
+
+def _send_all(
+    serve: Serve, calls: collections.abc.Sequence[str]
+) -> tuple[list[raw_connections.Outcome], list[tuple[str, bool]]]:
+    """Send calls at once; return outcomes, and answers with who waited."""
+    noted = []
+
+    async def run() -> list[raw_connections.Outcome]:
+        server, port = await _start(serve)
+        connection = await raw_connections.open_connection(
+            host=HOST,
+            port=port,
+            note_answer=lambda answer, is_waited_for: noted.append(
+                (answer.headers["X-Call-Id"], is_waited_for)
+            ),
+        )
+        futures = [connection.send(_request(call)) for call in calls]
+        async with asyncio.timeout(5.0):
+            outcomes = await asyncio.gather(*futures)
+            await connection.wait_for_end()
+        await connection.close()
+        server.close()
+        return list(outcomes)
+
+    return asyncio.run(run()), noted
+
+
+def test_answers_come_to_the_calls_in_the_order_of_sending() -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        for call in await _read_calls(reader, 3):
+            writer.write(_answer(call))
+
+    outcomes, noted = _send_all(serve, ["a", "b", "c"])
+    assert noted == [("a", True), ("b", True), ("c", True)]
+    for outcome, call in zip(outcomes, "abc", strict=True):
+        assert isinstance(outcome, raw_connections.Answer)
+        assert outcome.headers["X-Call-Id"] == call
+
+
+def test_an_answer_that_no_call_waits_for_is_seen() -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _read_calls(reader, 1)
+        writer.write(_answer("a") + _answer("b"))
+
+    _, noted = _send_all(serve, ["a"])
+    assert noted == [("a", True), ("b", False)]
+
+
+def test_chunks_are_put_together() -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _read_calls(reader, 1)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nX-Call-Id: a\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+            b"3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n"
+        )
+
+    (outcome,), _ = _send_all(serve, ["a"])
+    assert isinstance(outcome, raw_connections.Answer)
+    assert outcome.content == b"onetwo"
+
+
+@pytest.mark.parametrize(
+    ("sent", "fates"),
+    [
+        (b"", ["new", "new", "new"]),
+        (b"HTTP/1.1 200", ["cut", "new", "new"]),
+        (_answer("a"), ["used", "used"]),
+        (_answer("a") + _answer("b")[:-1], ["cut", "used"]),
+        (_answer("a") + b"noise\r\n\r\n", ["cut", "used"]),
+    ],
+)
+def test_an_end_tells_which_calls_nothing_came_for(
+    sent: bytes, fates: list[str]
+) -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _read_calls(reader, 3)
+        writer.write(sent)
+
+    outcomes, _ = _send_all(serve, ["a", "b", "c"])
+    ends = [
+        outcome.fate.value
+        for outcome in outcomes
+        if isinstance(outcome, raw_connections.NoAnswer)
+    ]
+    assert ends == fates
+
+
+def _judge(
+    status: int, echo: str | None, call: str, kind: traffic.CallKind = PAGE
+) -> traffic.Ending:
+    body = json.dumps(
+        {
+            "call": call,
+            "body": "e3b0c44298fc1c149afbf4c8996fb924"
+            "27ae41e4649b934ca495991b7852b855",
+        }
+    )
+    headers = {} if echo is None else {backend_server.CALL_HEADER: echo}
+    ending, _ = traffic.judge_answer("a", kind, status, headers, body.encode())
+    return ending
+
+
+def test_an_answer_is_own_by_header_and_by_body() -> None:
+    wrong = traffic.Ending.WRONG_ANSWER
+    assert _judge(200, "a", "a") is traffic.Ending.ANSWERED
+    assert _judge(200, "b", "a") is wrong
+    assert _judge(200, "a", "b") is wrong
+    assert _judge(200, None, "a") is wrong
+    assert _judge(200, "a", "a", ORDER) is wrong
+    assert _judge(500, "a", "") is traffic.Ending.SERVER_ERROR
+    assert _judge(500, "b", "") is wrong
+    headers = {backend_server.CALL_HEADER: "a"}
+    for content in (b"{", b"[]", b"{}"):
+        assert traffic.judge_answer("a", PAGE, 200, headers, content)[0] is (
+            wrong
+        )
