Soak: watch the nodes' processes from outside

Ends that were late, unasked or by a signal of their own, ports that refuse, descriptors that are kept, and log lines of descriptors with two owners.

--- /dev/null
+++ b/tests/test_soak_watch.py
@@ -0,0 +1,176 @@
+"""What the soak sees of the processes of nodes, from outside."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+
+from marjoramledge_standins import deployment
+from marjoramledge_standins import soak_process_checks
+from marjoramledge_standins import soak_watch
+import pytest
+
+HOST = "127.0.0.1"
+
+
+async def _run_python(code: str) -> asyncio.subprocess.Process:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", code, stdout=asyncio.subprocess.PIPE
+    )
+    assert process.stdout is not None
+    await process.stdout.readline()
+    return process
+
+
+def _vm(process: asyncio.subprocess.Process, port: int) -> deployment.Vm:
+    return deployment.Vm(
+        plan=deployment.VmPlan(
+            name="shop-0", service="shopfront", zone="obihiro"
+        ),
+        host=HOST,
+        caller_port=port,
+        peer_port=port,
+        local_port=port,
+        server_port=port,
+        records=pathlib.Path("none"),
+        store_url="",
+        node=process,
+    )
+
+
+def _end(code: str, wait_s: float = 0.0) -> soak_watch.Seen:
+    """Run a program as a node, tell it to stop and return what was seen."""
+
+    async def run() -> soak_watch.Seen:
+        process = await _run_python(code)
+        if wait_s:
+            async with asyncio.timeout(wait_s):
+                await process.wait()
+        watch = soak_watch.Watch([_vm(process, 1)])
+        await watch.end_node(0, signal.SIGTERM)
+        return soak_watch.Seen(ends=watch.ends)
+
+    return asyncio.run(run())
+
+
+def test_a_node_that_ends_as_told_is_fine() -> None:
+    seen = _end(
+        "import signal, sys, time\n"
+        "signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))\n"
+        "print(flush=True)\ntime.sleep(60)"
+    )
+    assert len(seen.ends) == 1
+    assert not soak_process_checks.find_late_ends(seen)
+    assert not soak_process_checks.find_ends_unasked(seen)
+
+
+def test_a_node_that_outlives_its_grace_time_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(deployment, "STOP_TIMEOUT_S", 0.3)
+    seen = _end(
+        "import signal, time\n"
+        "signal.signal(signal.SIGTERM, signal.SIG_IGN)\n"
+        "print(flush=True)\ntime.sleep(60)"
+    )
+    assert soak_process_checks.find_late_ends(seen)
+    assert not soak_process_checks.find_ends_unasked(seen)
+
+
+def test_a_node_that_ends_unasked_is_found() -> None:
+    seen = _end("import os\nprint(flush=True)\nos.abort()", wait_s=10.0)
+    (found,) = soak_process_checks.find_ends_unasked(seen)
+    assert "unasked" in found
+    assert not soak_process_checks.find_late_ends(seen)
+
+
+def test_a_node_that_aborts_at_its_stop_is_found() -> None:
+    seen = _end(
+        "import os, signal, time\n"
+        "signal.signal(signal.SIGTERM, lambda *_: os.abort())\n"
+        "print(flush=True)\ntime.sleep(60)"
+    )
+    (found,) = soak_process_checks.find_ends_unasked(seen)
+    assert "badly" in found
+
+
+async def _serve(
+    _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    writer.close()
+
+
+def test_a_closed_port_of_a_running_node_is_found() -> None:
+    async def run() -> list[int]:
+        process = await _run_python("print(flush=True)\ninput()")
+        server = await asyncio.start_server(_serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        watch = soak_watch.Watch([_vm(process, port)])
+        counts = []
+        await watch.look()
+        watch.note_open(0)
+        await watch.look()
+        counts.append(len(watch.refusals))
+        server.close()
+        await server.wait_closed()
+        await watch.look()
+        counts.append(len(watch.refusals))
+        # One that was told to stop may close its ports.
+        await watch.end_node(0, signal.SIGKILL)
+        await watch.look()
+        counts.append(len(watch.refusals))
+        return counts
+
+    assert asyncio.run(run()) == [0, 3, 3]
+
+
+def test_kept_descriptors_are_counted_from_outside() -> None:
+    async def run() -> soak_watch.Seen:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            "import os\ninput()\n"
+            "kept = [os.open('/dev/null', 0) for _ in range(100)]\n"
+            "print(flush=True)\ninput()",
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        assert process.stdin is not None and process.stdout is not None
+        watch = soak_watch.Watch([_vm(process, 1)])
+        watch.note_open(0)
+        await watch.look()
+        before = soak_watch.Seen(descriptors=dict(watch.descriptors))
+        assert not soak_process_checks.find_kept_descriptors(before)
+        process.stdin.write(b"\n")
+        await process.stdout.readline()
+        await watch.settle(limit_s=0.1)
+        await watch.end_node(0, signal.SIGKILL)
+        kept = soak_watch.Seen(descriptors=dict(watch.descriptors))
+        await watch.settle(limit_s=0.1)
+        assert not watch.descriptors
+        return kept
+
+    assert soak_process_checks.find_kept_descriptors(asyncio.run(run()))
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "OSError: [Errno 9] Bad file descriptor",
+        "RuntimeError: File descriptor 35 is used by transport <TCP>",
+        "Unclosed connection",
+        "Exception in callback TCPTransport._call_connection_made",
+        "Task exception was never retrieved",
+        "Fatal write error on socket transport",
+        "Error handling request from 127.0.0.1",
+        '{"event": "x", "message": "OSError: [Errno 9] Bad file descriptor"}',
+    ],
+)
+def test_lines_of_crossed_descriptors_are_found(line: str) -> None:
+    log = '{"event": "node-started", "message": "node is running"}\n'
+    assert not soak_watch.find_crossed_lines("shop-0", log)
+    found = soak_watch.find_crossed_lines("shop-0", f"{log}{line}\n{log}")
+    assert found == [f"shop-0: {line}"]
+    assert soak_process_checks.find_crossed_descriptors(
+        soak_watch.Seen(log_lines=found)
+    )
