Soak: callers who leave soon and callers who stay to the end

Stayers use a connection, with calls one behind the other among theirs, until the other side ends it, at the end of a soak too, when all nodes are told to stop. Calls on connections that a stop ended have checks of their own; nothing that was found before is let pass now.

--- a/packages/standins/marjoramledge_standins/soak.py
+++ b/packages/standins/marjoramledge_standins/soak.py
@@ -26,9 +26,11 @@
 from marjoramledge_standins import deployment
 from marjoramledge_standins import links
 from marjoramledge_standins import measurement
+from marjoramledge_standins import soak_callers
 from marjoramledge_standins import soak_checks
 from marjoramledge_standins import soak_plan
 from marjoramledge_standins import soak_report
+from marjoramledge_standins import soak_watch
 from marjoramledge_standins import traffic
 
 CALLS_PER_S: typing.Final = 60.0
@@ -124,6 +126,15 @@
             seed=seed,
             leave_share=LEAVE_SHARE,
         )
+        self._connections = soak_callers.ConnectionCallers(
+            entries=[
+                soak_callers.Entry(host=vm.host, port=vm.caller_port)
+                for vm in self._fleet.vms
+            ],
+            kinds=demo.KINDS,
+            seed=seed,
+        )
+        self._watch = soak_watch.Watch(self._fleet.vms)
         # What a fault holds down; one that overlaps it leaves it alone.
         self._held: set[tuple[str, int]] = set()
         self._operator = asyncio.Lock()
@@ -154,7 +165,9 @@
                 shutil.copytree(
                     self._fleet.folder, self._kept_logs, dirs_exist_ok=True
                 )
+            await self._watch.stop()
             await self._callers.close()
+            await self._connections.close()
             await self._fleet.stop()
             for vm_links in self._links:
                 await asyncio.gather(
@@ -181,7 +194,11 @@
         return laid
 
     async def _play(self) -> soak_checks.Evidence:
+        for number in range(len(self._fleet.vms)):
+            self._watch.note_open(number)
+        self._watch.start()
         self._callers.start()
+        self._connections.start()
         self._began_at = time.monotonic()
         async with asyncio.TaskGroup() as tasks:
             for fault in self._faults:
@@ -190,13 +207,17 @@
         left_s = self._began_at + self._duration_s - quiet_from
         await asyncio.sleep(max(self._quiet_end_s, left_s))
         await self._callers.stop()
+        await self._connections.stop_visits()
+        await self._watch.settle()
         for vm in self._fleet.vms:
             if vm.node is not None and vm.node.returncode is None:
                 rss_mb = measurement.read_rss_mb(vm.node.pid)
                 self._rss_mb[vm.plan.name] = rss_mb
+        ended_at = time.monotonic()
+        await self._end_all()
         return soak_checks.Evidence(
             vms=self._fleet.vms,
-            results=self._callers.results,
+            results=[*self._callers.results, *self._connections.results],
             records=self._fleet.read_records(),
             done=self._done,
             adoptions=read_adoptions(self._fleet),
@@ -205,7 +226,50 @@
             failed_orders=self._failed_orders,
             rss_mb=self._rss_mb,
             quiet_from=quiet_from,
-            ended_at=time.monotonic(),
+            ended_at=ended_at,
+            seen=self._collect_seen(),
+        )
+
+    async def _end_all(self) -> None:
+        """Tell all nodes to stop while some callers hold connections."""
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(len(self._fleet.vms)):
+                tasks.create_task(self._stop_in_the_end(number))
+        await self._connections.stop()
+
+    async def _stop_in_the_end(self, number: int) -> None:
+        status = await self._watch.end_node(number, signal.SIGTERM)
+        if status > 0:
+            name = self._fleet.vms[number].plan.name
+            self._cut_by_stops.append(
+                f"the node of {name} exited with {status} in the end"
+            )
+
+    def _collect_seen(self) -> soak_watch.Seen:
+        logs = {
+            vm.plan.name: self._fleet.folder / f"{vm.plan.name}-node.log"
+            for vm in self._fleet.vms
+        }
+        return soak_watch.Seen(
+            strays=self._connections.strays,
+            echoes=[
+                *self._connections.echoes,
+                *(
+                    result.call
+                    for result in self._callers.results
+                    if result.ending is traffic.Ending.ANSWERED
+                ),
+            ],
+            log_lines=[
+                line
+                for name, path in logs.items()
+                for line in soak_watch.find_crossed_lines(
+                    name, path.read_text(errors="replace")
+                )
+            ],
+            ends=self._watch.ends,
+            refusals=self._watch.refusals,
+            descriptors=self._watch.descriptors,
         )
 
     async def _carry_out(self, fault: soak_plan.Fault) -> None:
@@ -257,15 +321,16 @@
             if not is_only or vm.node is None:
                 return
             began_at = time.monotonic()
-            status = await deployment.end_process(vm.node, number)
+            status = await self._watch.end_node(fault.vm, number)
             ended_at = time.monotonic()
             await asyncio.sleep(fault.for_s)
             await self._fleet.start_node(vm)
-            await self._wait_until_open(vm)
+            if await self._wait_until_open(vm):
+                self._watch.note_open(fault.vm)
         is_disturbed = any(
             done.fault.vm == fault.vm and done.covers(began_at, ended_at)
             for done in self._done
-            if done.fault.kind not in soak_plan.PLANNED
+            if done.fault.kind not in soak_plan.EXPLAINS_NOTHING
         )
         if number is signal.SIGTERM and status != 0 and not is_disturbed:
             self._cut_by_stops.append(
@@ -376,12 +441,17 @@
             )
         return status
 
-    async def _wait_until_open(self, vm: deployment.Vm) -> None:
+    async def _wait_until_open(self, vm: deployment.Vm) -> bool:
         """Wait until a node takes callers, or a while at most."""
         for _ in range(READY_TRIES):
             if await deployment.is_open(vm.host, vm.caller_port):
-                return
+                return True
             await asyncio.sleep(READY_TRY_S)
+        return False
+
+    async def _let_callers_leave(self, fault: soak_plan.Fault) -> None:
+        with self._connections.leaving(fault.vm, fault.share):
+            await asyncio.sleep(fault.for_s)
 
     def _next_folder(self) -> pathlib.Path:
         self._folders += 1
@@ -407,6 +477,7 @@
     _Kind.ZONE_OUT: Soak._take_zone_out,
     _Kind.CHANGE: Soak._change,
     _Kind.DRAIN_ORDER: Soak._order_drain,
+    _Kind.CALLERS_LEAVE: Soak._let_callers_leave,
 }
 
 
@@ -475,6 +546,8 @@
     if report is not None:
         text = soak_report.render(seed=seed, evidence=evidence, found=found)
         await asyncio.to_thread(_write, report, text)
+        whole = json.dumps(found, indent=1)
+        await asyncio.to_thread(_write, report.with_suffix(".json"), whole)
     print(soak_report.summarise(seed=seed, evidence=evidence, found=found))
     return found
 
--- a/packages/standins/marjoramledge_standins/soak_checks.py
+++ b/packages/standins/marjoramledge_standins/soak_checks.py
@@ -12,6 +12,8 @@
 
 from marjoramledge_standins import deployment
 from marjoramledge_standins import soak_plan
+from marjoramledge_standins import soak_process_checks
+from marjoramledge_standins import soak_watch
 from marjoramledge_standins import traffic
 
 # A fault explains what happens until so long after its end: a node is in
@@ -26,6 +28,13 @@
 REPEAT_RATIO: typing.Final = 0.1
 REPEATS_AN_ENTRY: typing.Final = 10
 MAX_RSS_MB: typing.Final = 128.0
+_NO_ANSWER: typing.Final = frozenset(
+    {
+        traffic.Ending.LOST,
+        traffic.Ending.NOT_TAKEN,
+        traffic.Ending.CUT_NEW,
+    }
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -79,13 +88,22 @@
     quiet_from: float
     ended_at: float
     failed_orders: collections.abc.Sequence[str] = ()
+    seen: soak_watch.Seen = dataclasses.field(default_factory=soak_watch.Seen)
+
+    def is_stopped(self, vm: int, start: float, end: float) -> bool:
+        """Tell whether a VM's node was stopping in a span of time."""
+        return any(
+            stop.vm == vm and stop.began_at <= end and start <= stop.ended_at
+            for stop in self.seen.ends
+            if stop.was_told
+        )
 
     def is_disturbed(self, vm: int, start: float, end: float) -> bool:
         """Tell whether an unplanned fault hit a VM in a span of time."""
         return any(
             done.fault.vm == vm and done.covers(start, end)
             for done in self.done
-            if done.fault.kind not in soak_plan.PLANNED
+            if done.fault.kind not in soak_plan.EXPLAINS_NOTHING
             and done.fault.kind not in soak_plan.OF_THE_STORE
         )
 
@@ -126,21 +144,34 @@
 
 
 def check_nothing_cut(evidence: Evidence) -> list[str]:
-    """Find calls without an answer that no unplanned fault explains."""
-    vm_of = {vm.caller_url: n for n, vm in enumerate(evidence.vms)}
+    """Find calls without an answer that no unplanned fault explains.
+
+    A stop may end a connection that serves nothing while a call is on its
+    way there; it then may not run.  New connections have a check of theirs.
+    """
+    runs = _count_runs(evidence)
     found = [
-        f"{result.call} at {result.entry} was lost: {result.reason[:80]}"
-        for result in evidence.results
+        _tell_lost(result)
+        for result in _find_unexplained(evidence)
         if result.ending is traffic.Ending.LOST
-        and not evidence.is_disturbed(
-            vm_of[result.entry],
-            result.started_at,
-            result.started_at + result.elapsed_s,
-        )
+        or runs[result.call]
+        or not _is_stopped(evidence, result)
     ]
     return [*found, *evidence.cut_by_stops]
 
 
+def check_new_connections(evidence: Evidence) -> list[str]:
+    """Find calls that did not run, on new connections that a stop cut."""
+    runs = _count_runs(evidence)
+    return [
+        _tell_lost(result)
+        for result in _find_unexplained(evidence)
+        if result.ending is traffic.Ending.CUT_NEW
+        and not runs[result.call]
+        and _is_stopped(evidence, result)
+    ]
+
+
 def check_zones_out(evidence: Evidence) -> list[str]:
     """Find work given to a zone that an order in force has taken out."""
     vm_of = {vm.plan.name: n for n, vm in enumerate(evidence.vms)}
@@ -209,7 +240,7 @@
     late = [
         result
         for result in evidence.results
-        if result.started_at >= after
+        if after <= result.started_at <= evidence.ended_at
         and result.ending is not traffic.Ending.LEFT
     ]
     served = sum(r.ending is traffic.Ending.ANSWERED for r in late)
@@ -227,17 +258,26 @@
     ]
 
 
+def _check_seen(find: soak_process_checks.Find) -> Check:
+    return lambda evidence: find(evidence.seen)
+
+
 CHECKS: typing.Final[collections.abc.Mapping[str, Check]] = {
     "run at most once": check_run_once,
     "refusals are true": check_true_refusals,
     "answers are whole and own": check_own_answers,
     "planned work cuts nothing": check_nothing_cut,
+    "a stop cuts no new connection": check_new_connections,
     "a zone that is out gets no work": check_zones_out,
     "versions never go back": check_versions,
     "cold servers are spared": check_cold_servers,
     "repeats keep to the budget": check_repeats,
     "recovery within its time": check_recovery,
     "memory is bounded": check_memory,
+    **{
+        name: _check_seen(find)
+        for name, find in soak_process_checks.FINDERS.items()
+    },
 }
 
 
@@ -249,6 +289,11 @@
     "cold servers are spared",
     "repeats keep to the budget",
     "memory is bounded",
+    *(
+        name
+        for name in soak_process_checks.FINDERS
+        if name not in soak_process_checks.TIMED
+    ),
 )
 
 
@@ -257,6 +302,40 @@
     return {name: check(evidence) for name, check in CHECKS.items()}
 
 
+def _find_unexplained(
+    evidence: Evidence,
+) -> list[traffic.CallResult]:
+    """Find calls without an answer that no unplanned fault explains."""
+    vm_of = {vm.caller_url: n for n, vm in enumerate(evidence.vms)}
+    return [
+        result
+        for result in evidence.results
+        if result.ending in _NO_ANSWER
+        and not evidence.is_disturbed(
+            vm_of[result.entry],
+            result.started_at,
+            result.started_at + result.elapsed_s,
+        )
+    ]
+
+
+def _is_stopped(evidence: Evidence, result: traffic.CallResult) -> bool:
+    """Tell whether its entry was stopping during a call."""
+    vm_of = {vm.caller_url: n for n, vm in enumerate(evidence.vms)}
+    return evidence.is_stopped(
+        vm_of[result.entry],
+        result.started_at,
+        result.started_at + result.elapsed_s,
+    )
+
+
+def _tell_lost(result: traffic.CallResult) -> str:
+    return (
+        f"{result.call} at {result.entry} was {result.ending.value}: "
+        f"{result.reason[:80]}"
+    )
+
+
 def _count_runs(evidence: Evidence) -> collections.Counter[str]:
     return collections.Counter(
         record.call for record in evidence.records if record.event == "run"
--- a/packages/standins/marjoramledge_standins/soak_plan.py
+++ b/packages/standins/marjoramledge_standins/soak_plan.py
@@ -18,6 +18,8 @@
 MAX_FAULT_S: typing.Final = 5.0
 MAX_PAUSE_S: typing.Final = 4.0
 SERIES: typing.Final = 3
+# Share of the callers that leave in a spell of it.
+LEAVE_SHARES: typing.Final = (0.2, 0.8)
 
 
 class FaultKind(enum.Enum):
@@ -38,6 +40,7 @@
     ZONE_OUT = "zone-out"
     CHANGE = "change"
     DRAIN_ORDER = "drain-order"
+    CALLERS_LEAVE = "callers-leave"
 
 
 # What operators order; it must cut nothing.
@@ -57,13 +60,17 @@
         FaultKind.STORE_LOSES_ANSWERS,
     }
 )
+# What callers do is no fault; it must cut nothing either.
+OF_THE_CALLERS: typing.Final = frozenset({FaultKind.CALLERS_LEAVE})
+EXPLAINS_NOTHING: typing.Final = PLANNED | OF_THE_CALLERS
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Fault:
     """One fault or order; times in seconds from the start of traffic.
 
-    ``vm`` is the number of the VM that it hits, or whose zone it concerns.
+    ``vm`` is the number of the VM that it hits, or whose zone it concerns;
+    ``share`` is that of the callers who leave.
     """
 
     kind: FaultKind
@@ -71,6 +78,7 @@
     at: float
     for_s: float
     how: str = ""
+    share: float = 0.0
 
     @property
     def until(self) -> float:
@@ -93,8 +101,9 @@
 ) -> tuple[Fault, ...]:
     """Draw the faults of a soak, in order of time.
 
-    One series consists of orders, which one operator gives one by one; the
-    others are of faults, one of them of the store.
+    One series consists of orders, which one operator gives one by one; one
+    of spells of callers who leave; the others are of faults, one of them of
+    the store.
     """
     rng = random.Random(seed)
     end = duration_s - quiet_end_s
@@ -102,16 +111,20 @@
     unplanned = [
         kind
         for kind in FaultKind
-        if kind not in PLANNED and kind not in OF_THE_STORE
+        if kind not in EXPLAINS_NOTHING and kind not in OF_THE_STORE
     ]
     store = sorted(OF_THE_STORE, key=lambda kind: kind.value)
     faults = []
-    for kinds in (orders, store, *[unplanned] * SERIES):
+    callers = sorted(OF_THE_CALLERS, key=lambda kind: kind.value)
+    for kinds in (orders, store, *[unplanned] * SERIES, callers):
         at = QUIET_START_S + rng.uniform(0.0, MAX_PAUSE_S)
         while at < end - MIN_FAULT_S:
             kind = rng.choice(kinds)
             for_s = min(end - at, rng.uniform(MIN_FAULT_S, MAX_FAULT_S))
             how = rng.choice(LINK_MODES) if kind in _LINKS else ""
+            share = 0.0
+            if kind in OF_THE_CALLERS:
+                share = rng.uniform(*LEAVE_SHARES)
             faults.append(
                 Fault(
                     kind=kind,
@@ -119,6 +132,7 @@
                     at=at,
                     for_s=for_s,
                     how=how,
+                    share=share,
                 )
             )
             at += for_s + rng.uniform(0.0, MAX_PAUSE_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,11 +12,14 @@
 from marjoramledge_standins import soak_checks
 from marjoramledge_standins import soak_plan
 from marjoramledge_standins import soak_report
+from marjoramledge_standins import soak_watch
 from marjoramledge_standins import traffic
 import pytest
 
 PAGE, _LOOKUP, ORDER = demo.KINDS
 
+Change = dict[str, object]
+
 
 def _result(
     call: str,
@@ -91,11 +94,29 @@
     return soak_checks.Done(fault=fault, began_at=9.0, ended_at=10.0)
 
 
+def _seen(**changes: object) -> Change:
+    return {"seen": soak_watch.Seen(**typing.cast(typing.Any, changes))}
+
+
+def _stop(began_at: float = 9.0, **changes: object) -> soak_watch.NodeEnd:
+    return dataclasses.replace(
+        soak_watch.NodeEnd(
+            vm=0,
+            was_told=True,
+            began_at=began_at,
+            ended_at=began_at + 2.0,
+            status=0,
+        ),
+        **typing.cast(typing.Any, changes),
+    )
+
+
 _LOST = _result("b", ending=traffic.Ending.LOST)
+_NOT_TAKEN = _result("b", ending=traffic.Ending.NOT_TAKEN)
+_CUT_NEW = _result("b", ending=traffic.Ending.CUT_NEW)
+_LATE = _result("late", started_at=100.0)
 _OUT = soak_checks.ZoneOut(zone="obihiro", accepted_at=20.0, until=30.0)
 
-Change = dict[str, object]
-
 
 @pytest.mark.parametrize(
     ("name", "change"),
@@ -154,6 +175,66 @@
         ),
         ("recovery within its time", {"results": [_result("a")]}),
         ("memory is bounded", {"rss_mb": {"shop-0": 200.0}}),
+        # Callers who leave explain nothing.
+        (
+            "planned work cuts nothing",
+            {
+                "results": [_LATE, _LOST],
+                "done": [_done(soak_plan.FaultKind.CALLERS_LEAVE)],
+            },
+        ),
+        # A used connection ended, and no node was stopping.
+        ("planned work cuts nothing", {"results": [_LATE, _NOT_TAKEN]}),
+        (
+            "planned work cuts nothing",
+            {
+                "results": [_LATE, _NOT_TAKEN],
+                **_seen(ends=[_stop(began_at=12.0)]),
+            },
+        ),
+        # A node was stopping, and the call ran.
+        (
+            "planned work cuts nothing",
+            {
+                "results": [_LATE, _NOT_TAKEN],
+                "records": [_record("late", at=100.0), _record("b")],
+                **_seen(ends=[_stop()]),
+            },
+        ),
+        (
+            "planned work cuts nothing",
+            {"results": [_LATE, _LOST], **_seen(ends=[_stop()])},
+        ),
+        (
+            "a stop cuts no new connection",
+            {"results": [_LATE, _CUT_NEW], **_seen(ends=[_stop()])},
+        ),
+        ("planned work cuts nothing", {"results": [_LATE, _CUT_NEW]}),
+        (
+            "planned work cuts nothing",
+            {
+                "results": [_LATE, _CUT_NEW],
+                "records": [_record("late", at=100.0), _record("b")],
+                **_seen(ends=[_stop()]),
+            },
+        ),
+        ("an answer comes where a call waits", _seen(strays=["a"])),
+        ("no call is answered twice", _seen(echoes=["a", "b", "a"])),
+        ("no descriptor has two owners", _seen(log_lines=["shop-0: Bad"])),
+        (
+            "nodes end within their grace time",
+            _seen(ends=[_stop(ended_at=19.1, status=-9)]),
+        ),
+        (
+            "nodes end when told, by themselves",
+            _seen(ends=[_stop(status=-6)]),
+        ),
+        (
+            "nodes end when told, by themselves",
+            _seen(ends=[_stop(was_told=False, status=0)]),
+        ),
+        ("running nodes take connections", _seen(refusals=["port 1"])),
+        ("descriptors are given back", _seen(descriptors={"1": (20, 120)})),
     ],
 )
 def test_each_check_finds_what_breaks_its_promise(
@@ -176,6 +257,27 @@
     assert not any(soak_checks.check_all(evidence).values())
 
 
+def test_a_stop_explains_a_used_connection_that_ended() -> None:
+    evidence = dataclasses.replace(
+        _evidence(),
+        results=[_LATE, _NOT_TAKEN],
+        seen=soak_watch.Seen(
+            ends=[_stop()],
+            echoes=["a", "late"],
+            descriptors={"1": (20, 60)},
+        ),
+    )
+    assert not any(soak_checks.check_all(evidence).values())
+
+
+def test_calls_after_the_end_say_nothing_of_recovery() -> None:
+    after = _result("c", started_at=102.0, ending=traffic.Ending.MAY_HAVE_RUN)
+    evidence = dataclasses.replace(
+        _evidence(), results=[*_evidence().results, after]
+    )
+    assert not any(soak_checks.check_all(evidence).values())
+
+
 def test_a_seed_decides_the_plan() -> None:
     plans = [
         soak_plan.draw_plan(seed=seed, duration_s=60.0, vms=6)
