--- a/packages/standins/marjoramledge_standins/soak_callers.py
+++ b/packages/standins/marjoramledge_standins/soak_callers.py
@@ -18,7 +18,9 @@
 
 # Of each VM.
 VISITS_PER_S: typing.Final = 3.0
-SPELL_VISITS_PER_S: typing.Final = 60.0
+# In a spell they come in groups, of a size between 1 and this.
+SPELL_GROUPS_PER_S: typing.Final = 16.0
+MAX_GROUP: typing.Final = 10
 STAYERS: typing.Final = 2
 MAX_CALLS: typing.Final = 7
 PIPELINE_SHARE: typing.Final = 0.3
@@ -26,6 +28,8 @@
 MAX_PAUSE_S: typing.Final = 0.3
 LEAVES_WITHIN_S: typing.Final = 0.004
 ORDER_SHARE: typing.Final = 0.5
+# A node opens a connection for each order.
+LEAVING_ORDER_SHARE: typing.Final = 0.8
 REOPEN_S: typing.Final = 0.2
 _ENDINGS: typing.Final = {
     raw_connections.Fate.CUT: traffic.Ending.LOST,
@@ -72,7 +76,8 @@
     entries
         The callers' ports, by the number of the VM.
     kinds
-        What they ask for; half of the calls are of those that run once.
+        What they ask for; half of the calls are of those that run once,
+        and more of the calls of those who leave.
     seed
         Seed of arrivals and choices.
     """
@@ -90,7 +95,8 @@
         self._rng = random.Random(seed)
         self._seed = seed
         self._calls = 0
-        self._shares: dict[int, float] = {}
+        # Of the spells that last, by the number of the VM.
+        self._shares: dict[int, list[float]] = {}
         self._results: list[traffic.CallResult] = []
         self._echoes: list[str] = []
         self._strays: list[str] = []
@@ -127,11 +133,11 @@
         self, number: int, share: float
     ) -> collections.abc.Iterator[None]:
         """Have more visitors at a VM, of which a share leaves soon."""
-        self._shares[number] = share
+        self._shares.setdefault(number, []).append(share)
         try:
             yield
         finally:
-            self._shares.pop(number, None)
+            self._shares[number].remove(share)
 
     async def stop_visits(self) -> None:
         """Have no more visitors and wait for those there are."""
@@ -156,15 +162,17 @@
     async def _arrive(self, number: int) -> None:
         next_at = time.monotonic()
         while True:
-            is_spell = number in self._shares
-            rate = SPELL_VISITS_PER_S if is_spell else VISITS_PER_S
+            share = max(self._shares.get(number, ()), default=0.0)
+            rate = SPELL_GROUPS_PER_S if share else VISITS_PER_S
             next_at += self._rng.expovariate(rate)
             await asyncio.sleep(max(0.0, next_at - time.monotonic()))
-            leaves = self._rng.random() < self._shares.get(number, 0.0)
-            visit = self._leave if leaves else self._visit
-            task = asyncio.create_task(visit(number))
-            self._visits.add(task)
-            task.add_done_callback(self._visits.discard)
+            size = self._rng.randint(1, MAX_GROUP) if share else 1
+            for _ in range(size):
+                leaves = self._rng.random() < share
+                visit = self._leave if leaves else self._visit
+                task = asyncio.create_task(visit(number))
+                self._visits.add(task)
+                task.add_done_callback(self._visits.discard)
 
     async def _open(self, number: int) -> raw_connections.Connection | None:
         entry = self._entries[number]
@@ -206,7 +214,7 @@
         connection = await self._open(number)
         if connection is None:
             return
-        call = self._draw_call(number)
+        call = self._draw_call(number, LEAVING_ORDER_SHARE)
         started_at = time.monotonic()
         future = connection.send(call.format_request())
         await _wait_closely(self._rng.uniform(0.0, LEAVES_WITHIN_S))
@@ -236,11 +244,13 @@
             return self._rng.randint(2, MAX_PIPELINED)
         return 1
 
-    def _draw_call(self, number: int) -> _Call:
+    def _draw_call(
+        self, number: int, order_share: float = ORDER_SHARE
+    ) -> _Call:
         """Draw a call; no other shares its fate for being the same."""
         self._calls += 1
         name = f"{self._seed}-{number}-{self._calls}"
-        if self._rng.random() < ORDER_SHARE:
+        if self._rng.random() < order_share:
             kind = self._rng.choice(self._orders)
             body = kind.body.replace(b"}", b', "for": "%a"}' % name)
             return _Call(name=name, kind=dataclasses.replace(kind, body=body))
--- a/packages/standins/marjoramledge_standins/soak_plan.py
+++ b/packages/standins/marjoramledge_standins/soak_plan.py
@@ -19,7 +19,8 @@
 MAX_PAUSE_S: typing.Final = 4.0
 SERIES: typing.Final = 3
 # Share of the callers that leave in a spell of it.
-LEAVE_SHARES: typing.Final = (0.2, 0.8)
+LEAVE_SHARES: typing.Final = (0.3, 0.8)
+CALLERS_SERIES: typing.Final = 2
 
 
 class FaultKind(enum.Enum):
@@ -101,9 +102,9 @@
 ) -> tuple[Fault, ...]:
     """Draw the faults of a soak, in order of time.
 
-    One series consists of orders, which one operator gives one by one; one
-    of spells of callers who leave; the others are of faults, one of them of
-    the store.
+    One series consists of orders, which one operator gives one by one; two
+    are of spells of callers who leave; the others are of faults, one of them
+    of the store.
     """
     rng = random.Random(seed)
     end = duration_s - quiet_end_s
@@ -116,7 +117,12 @@
     store = sorted(OF_THE_STORE, key=lambda kind: kind.value)
     faults = []
     callers = sorted(OF_THE_CALLERS, key=lambda kind: kind.value)
-    for kinds in (orders, store, *[unplanned] * SERIES, callers):
+    for kinds in (
+        orders,
+        store,
+        *[unplanned] * SERIES,
+        *[callers] * CALLERS_SERIES,
+    ):
         at = QUIET_START_S + rng.uniform(0.0, MAX_PAUSE_S)
         while at < end - MIN_FAULT_S:
             kind = rng.choice(kinds)
