--- a/packages/standins/marjoramledge_standins/soak.py
+++ b/packages/standins/marjoramledge_standins/soak.py
@@ -548,6 +548,9 @@
         await asyncio.to_thread(_write, report, text)
         whole = json.dumps(found, indent=1)
         await asyncio.to_thread(_write, report.with_suffix(".json"), whole)
+        calls = report.with_suffix("") / "calls.txt"
+        lines = soak_report.list_calls(evidence)
+        await asyncio.to_thread(_write, calls, "\n".join(lines))
     print(soak_report.summarise(seed=seed, evidence=evidence, found=found))
     return found
 
--- a/packages/standins/marjoramledge_standins/soak_report.py
+++ b/packages/standins/marjoramledge_standins/soak_report.py
@@ -48,6 +48,16 @@
     )
 
 
+def list_calls(evidence: soak_checks.Evidence) -> list[str]:
+    """Render each call on a line, for those who trace one."""
+    return [
+        f"{result.started_at:.6f} {result.elapsed_s:.6f} {result.call} "
+        f"{result.kind.name} {result.entry} {result.ending.value} "
+        f"{result.reason[:200]!r}"
+        for result in evidence.results
+    ]
+
+
 def render(
     *,
     seed: int,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -278,6 +278,13 @@
     assert not any(soak_checks.check_all(evidence).values())
 
 
+def test_calls_are_listed_as_they_ended() -> None:
+    evidence = dataclasses.replace(_evidence(), results=[_LOST])
+    (line,) = soak_report.list_calls(evidence)
+    assert line.split()[:4] == ["10.000000", "0.100000", "b", PAGE.name]
+    assert "lost" in line
+
+
 def test_a_seed_decides_the_plan() -> None:
     plans = [
         soak_plan.draw_plan(seed=seed, duration_s=60.0, vms=6)
