--- a/packages/standins/marjoramledge_standins/soak_report.py
+++ b/packages/standins/marjoramledge_standins/soak_report.py
@@ -14,6 +14,8 @@
 _COLOURS: typing.Final = {
     traffic.Ending.ANSWERED: "#4c9a52",
     traffic.Ending.LEFT: "#9aa0a6",
+    traffic.Ending.NOT_TAKEN: "#5f6368",
+    traffic.Ending.CUT_NEW: "#e8746a",
     traffic.Ending.SERVER_ERROR: "#d98c2b",
     traffic.Ending.REFUSED_NOT_RUN: "#3b74c0",
     traffic.Ending.MAY_HAVE_RUN: "#8a4fb0",
@@ -46,6 +48,16 @@
     )
 
 
+def list_calls(evidence: soak_checks.Evidence) -> list[str]:
+    """Render each call on a line, for those who trace one."""
+    return [
+        f"{result.started_at:.6f} {result.elapsed_s:.6f} {result.call} "
+        f"{result.kind.name} {result.entry} {result.ending.value} "
+        f"{result.reason[:200]!r}"
+        for result in evidence.results
+    ]
+
+
 def render(
     *,
     seed: int,
