--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -69,6 +69,9 @@
     def forget_cancel(self, _attempt: str) -> None:
         pass
 
+    def is_withdrawn(self, _attempt: str) -> bool:
+        return False
+
     def submit(self, event: node.Event) -> None:
         self.told.append(event)
         if isinstance(event, node.CallArrived):
