Tell the end of an answer by its connection unless it is chunked

A caller could get an answer that looked whole and was not (MIXED): one with a transfer coding other than chunked ends with its connection, but its end was not asked for, so that a reset half way was passed on as the last chunk.

Cause: any Transfer-Encoding was taken for one that tells its end.

Evidence: tests/test_encoded_answers.py, identity and gzip, red before, green now.

--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -187,7 +187,8 @@
 ) -> asyncio.Future[None] | None:
     """Find what tells how an answer without a length ends."""
     headers = response.headers
-    if "Content-Length" in headers or "Transfer-Encoding" in headers:
+    codings = headers.get("Transfer-Encoding", "").lower().split(",")
+    if "Content-Length" in headers or codings[-1].strip() == "chunked":
         return None
     return _connections.latest_closing()
 
