Give a server that spoils each new connection two of them, not all

Cause: a connection found unfit was replaced without a bound. Class: an attempt that is begun anew each time it is given up. After two new ones the exchange ends: the server takes nothing, nothing was sent.

Evidence: test_one_request_does_not_connect_without_end[speaks-first], red before, green now.

--- a/packages/node/marjoramledge_node/_connections.py
+++ b/packages/node/marjoramledge_node/_connections.py
@@ -21,6 +21,15 @@
 UNACKNOWLEDGED_S: typing.Final = 1.0
 
 
+# Connections that are opened for one exchange before it is given up: a server
+# that speaks first or closes at once would be connected to without end.
+MAX_OPENED: typing.Final = 2
+
+
+class UnfitConnectionError(aiohttp.ClientConnectionError):
+    """No new connection could carry a request; none was sent."""
+
+
 class _Protocol(client_proto.ResponseHandler):
     """Tells a reset from a close where the event loop does not.
 
@@ -82,16 +91,20 @@
         traces: list[typing.Any],
         timeout: aiohttp.ClientTimeout,  # noqa: ASYNC109
     ) -> connector.Connection:
-        while True:
+        opened = 0
+        while opened < MAX_OPENED:
             connection = await super().connect(req, traces, timeout)
             protocol = connection.protocol
             if protocol is None:
                 return connection
-            if protocol.should_close:
-                connection.close()
-                continue
-            _closing.set(self._closing_of(protocol))
-            return connection
+            if protocol not in self._closings:
+                opened += 1
+            closing = self._closing_of(protocol)
+            if not protocol.should_close:
+                _closing.set(closing)
+                return connection
+            connection.close()
+        raise UnfitConnectionError("the server closes or speaks at once")
 
     def _closing_of(
         self, protocol: client_proto.ResponseHandler
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -140,6 +140,12 @@
     run=node.RunState.NOT_RUN,
     reason=node.Reason.SERVER_UNREACHABLE,
 )
+# The same where the server ends or spoils each connection.
+_NOT_TAKEN: typing.Final = Fault(
+    outcome=node.ServerOutcome.SHED,
+    run=node.RunState.NOT_RUN,
+    reason=node.Reason.SERVER_REFUSED,
+)
 # The same for a reason on this side.
 _NOT_SENT: typing.Final = Fault(
     outcome=node.ServerOutcome.CANCELLED,
@@ -252,13 +258,7 @@
             answer.response.status, answer.response.headers
         ):
             answer.response.release()
-            return result.Failure(
-                Fault(
-                    outcome=node.ServerOutcome.SHED,
-                    run=node.RunState.NOT_RUN,
-                    reason=node.Reason.SERVER_REFUSED,
-                )
-            )
+            return result.Failure(_NOT_TAKEN)
         return exchange
 
     def _is_of_another_request(
@@ -430,6 +430,8 @@
                 _faults.report("no socket for an exchange", error)
                 return result.Failure(_NOT_SENT)
             return result.Failure(_NOT_CONNECTED)
+        except _connections.UnfitConnectionError:
+            return result.Failure(_NOT_TAKEN)
         except (aiohttp.ClientError, OSError) as error:
             if _is_own_fault(error, 0.0):
                 _faults.report("an exchange broke down", error)
