Look at a connection's socket before it carries a request

A caller could get the second answer to another request (MIXED), where backend servers repeat no request id: one that waited in the kernel as the connection was taken for the next request was read as its answer. With the platform's dialect, whose servers repeat the id, it cost that request a repeat.

Cause: the connector knew of stray bytes only what the event loop had read. Class: an assumption about order, that what came before has been seen before.

Evidence: tests/test_stray_answers.py, own dialect, red before, green now. Remains: a second answer still on its way when the next request is written; only an id that the server repeats tells it then.

--- a/packages/node/marjoramledge_node/_connections.py
+++ b/packages/node/marjoramledge_node/_connections.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextvars
 import functools
+import select
 import socket
 import typing
 import weakref
@@ -61,7 +62,7 @@
 
 
 class Connector(aiohttp.TCPConnector):
-    """Gives out no connection that brought stray bytes.
+    """Gives out no connection that brought stray bytes, read or not.
 
     Of each it knows how it will have ended, which an answer that ends with
     its connection needs, also when the end has come before the answer is
@@ -100,7 +101,7 @@
             if protocol not in self._closings:
                 opened += 1
             closing = self._closing_of(protocol)
-            if not protocol.should_close:
+            if not protocol.should_close and not _is_readable(protocol):
                 _closing.set(closing)
                 return connection
             connection.close()
@@ -118,6 +119,17 @@
         return closed
 
 
+def _is_readable(protocol: client_proto.ResponseHandler) -> bool:
+    """Tell whether bytes, or an end, wait that the loop has not read yet."""
+    transport = protocol.transport
+    if transport is None:
+        return True
+    opened: socket.socket = transport.get_extra_info("socket")
+    poll = select.poll()
+    poll.register(opened.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def latest_closing() -> asyncio.Future[None] | None:
     """Return the end of the connection that this task was last given."""
     return _closing.get()
