--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -1,4 +1,4 @@
-"""An operation that fails in a way nobody foresaw still ends its duty."""
+"""An operation that is broken off, or fails unforeseen, ends its duty."""
 
 import asyncio
 import types
@@ -20,8 +20,11 @@
 from marjoramledge_node import _timeline
 from marjoramledge_node import _upstream
 from marjoramledge_node import peers
+from marjoramledge_store import _client
+from marjoramledge_store import _guard
 from marjoramledge_store import client
 import pytest
+from returns import result
 
 KEYS = peers.parse_keys("k1:a-secret-of-this-test").unwrap()
 # Ends a test that would never end; no promise is read from it.
@@ -166,3 +169,33 @@
     engine = _Engine()
     asyncio.run(_order_and_fail(engine, command))
     assert [event for event in engine.told if isinstance(event, awaited)]
+
+
+async def _ask_after_a_broken_try() -> client.StoreError | None:
+    """Break the breaker's one try off; return how the next one ends."""
+    store = client.StoreClient(base_url="http://store.example")
+    store._breaker.failures_in_row = _guard.FAILURES_TO_OPEN
+
+    async def never(*_: object) -> typing.NoReturn:
+        await asyncio.Event().wait()
+        raise AssertionError("never comes")
+
+    async def answer(*_: object) -> result.Result[_client._Reply, typing.Any]:
+        return result.Success(_client._Reply(status=404, body=b"", etag=""))
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(store, "_send", never)
+        tried = asyncio.create_task(store.read_version())
+        await asyncio.sleep(0)
+        tried.cancel()
+        await asyncio.gather(tried, return_exceptions=True)
+        patch.setattr(store, "_send", answer)
+        asked = await store.read_version()
+    return None if isinstance(asked, result.Success) else asked.failure()
+
+
+# Guards against: the one try that the breaker lets through is given up by
+# its caller (a departure is kept for 0.6 s at most), and no operation is let
+# through any more.
+def test_a_try_of_the_store_that_is_broken_off_does_not_bar_the_next() -> None:
+    assert asyncio.run(_ask_after_a_broken_try()) is None
