Take a socket from its caller before it is handed to its transport

Cause, found in a review by measurement: a hand-over that fails otherwise (a peer that resets, a protocol that raises) closed the number as well, some turns before the error was seen; a caller that closed its own socket after a cancellation got EBADF. The loop takes the descriptor out of the caller's socket first, and who owns it is told by whether the transport's protocol has been made.

--- a/packages/node/marjoramledge_node/_event_loop.py
+++ b/packages/node/marjoramledge_node/_event_loop.py
@@ -5,34 +5,61 @@
 """
 
 import asyncio
+import collections.abc
 import os
 import socket
 import typing
 
 import uvloop
 
+ProtocolFactory = collections.abc.Callable[[], asyncio.BaseProtocol]
+Connection = tuple[typing.Any, typing.Any]
+
 
 class _Loop(uvloop.Loop):
-    """Hands a socket over to its transport, also when that is cancelled."""
+    """Hands a socket over to its transport, whatever ends that.
+
+    The library's own loop lets the caller's socket keep the number of a
+    descriptor that its transport has closed, when the hand-over is cancelled
+    or fails; the socket closes the number again when it is collected, and
+    with it whatever was opened under that number meanwhile.
+    """
 
     async def create_connection(
         self,
-        *arguments: object,
+        protocol_factory: ProtocolFactory,
+        *address: object,
         sock: socket.socket | None = None,
         **options: object,
-    ) -> tuple[typing.Any, typing.Any]:
-        """Connect, or make a transport for a socket that is connected."""
-        connect: typing.Any = super().create_connection
+    ) -> Connection:
+        """Connect, or make a transport for a socket that is connected.
+
+        The socket is empty afterwards, also when an error is raised.
+        """
+        connect: collections.abc.Callable[
+            ..., collections.abc.Awaitable[Connection]
+        ] = super().create_connection
+        if sock is None:
+            return await connect(protocol_factory, *address, **options)
+        family, kind, protocol = sock.family, sock.type, sock.proto
+        owner = socket.socket(family, kind, protocol, fileno=sock.detach())
+        is_transports = False
+
+        def make_protocol() -> asyncio.BaseProtocol:
+            nonlocal is_transports
+            made = protocol_factory()
+            is_transports = True
+            return made
+
         try:
-            opened: tuple[typing.Any, typing.Any] = await connect(
-                *arguments, sock=sock, **options
+            return await connect(
+                make_protocol, *address, sock=owner, **options
             )
-            return opened
-        except asyncio.CancelledError:
-            if sock is not None:
-                # The transport owned the descriptor and has closed it; the
-                # socket would close whatever has its number by then.
-                sock.detach()
+        except BaseException:
+            if is_transports:
+                owner.detach()
+            else:
+                owner.close()
             raise
 
 
