Let the next operation try the store when the one that tried is broken off

An operator's change, or a departure, would not have reached the product's own store for the rest of the process's life (CONFIG): the one operation that the open breaker lets through was given up by its caller, and the breaker waited for its end.

Cause: an operation that is given up told the breaker nothing. Class: as for reads and fetches, an end that nobody owns.

Evidence: test_a_try_of_the_store_that_is_broken_off_does_not_bar_the_next, red before, green now.

--- a/packages/store/marjoramledge_store/_client.py
+++ b/packages/store/marjoramledge_store/_client.py
@@ -273,7 +273,11 @@
         now = asyncio.get_running_loop().time()
         if not self._budget.spend(now) or not self._breaker.allows(now):
             return result.Failure(_errors.StoreError.UNREACHABLE)
-        outcome = await self._send(method, path, entity, body, headers)
+        try:
+            outcome = await self._send(method, path, entity, body, headers)
+        except BaseException:
+            self._breaker.note_broken_off()
+            raise
         if isinstance(outcome, result.Success):
             self._breaker.note_success()
         else:
