Reset a connection that is closed before its request was taken

A backend server worked on, or held a slot, for a caller that had left (GONE): the end of the connection waited behind the rest of a long body that the server had not read, and was not told within 5 s; bodies of 60,000 bytes were.

Cause: an exchange was given up by a close that is carried out once all has been sent. Class: the assumption that giving up is immediate. Where bytes are not acknowledged yet, the connection is reset instead.

--- a/packages/node/marjoramledge_node/_connections.py
+++ b/packages/node/marjoramledge_node/_connections.py
@@ -7,9 +7,12 @@
 
 import asyncio
 import contextvars
+import fcntl
 import functools
 import select
 import socket
+import struct
+import termios
 import typing
 import weakref
 
@@ -27,6 +30,9 @@
 MAX_OPENED: typing.Final = 2
 
 
+_RESET_ON_CLOSE: typing.Final = struct.pack("ii", 1, 0)
+
+
 class UnfitConnectionError(aiohttp.ClientConnectionError):
     """No new connection could carry a request; none was sent."""
 
@@ -54,6 +60,22 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         super().connection_lost(exc or self._reset)
 
+    def close(self) -> None:
+        """Close; at once where the other side has yet to take what was sent.
+
+        An end that waits behind a request that nobody reads would not be
+        heard.
+        """
+        transport = self.transport
+        if transport is not None:
+            opened = transport.get_extra_info("socket")
+            if transport.get_write_buffer_size() or _has_unsent(opened):
+                opened.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+                transport.abort()
+        super().close()
+
 
 # How the connection that the present task was last given will have ended.
 _closing: typing.Final[contextvars.ContextVar[asyncio.Future[None] | None]] = (
@@ -130,6 +152,12 @@
     return bool(poll.poll(0))
 
 
+def _has_unsent(opened: socket.socket) -> bool:
+    """Tell whether bytes wait that the other side has not acknowledged."""
+    unsent = fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, bytes(4))
+    return any(unsent)
+
+
 def latest_closing() -> asyncio.Future[None] | None:
     """Return the end of the connection that this task was last given."""
     return _closing.get()
