Adopt only the content that was asked for

A node could have taken the answer to another fetch for the configuration of the version that it asked for (CONFIG, ROUTE): the product's own manifests name their digest, but the reader of a deployment's content need not look at it.

Cause: that an answer belongs to its question was the reader's to check. Class: as for MIXED, an identity that nobody on the path compares. The fleet compares the digest of every content now.

Evidence: test_a_content_of_another_digest_is_not_adopted, red before, green now. test_the_loop_goes_on_while_a_configuration_is_read served a content under a digest that was not its own; it serves it under its own now, with all assertions as they were.

--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -49,6 +49,14 @@
     packed: bytes
 
 
+def _check_digest(
+    content: bytes, digest: ids.Digest
+) -> result.Result[bytes, str]:
+    if configuration.digest_of(content) != digest:
+        return result.Failure("another content than was asked for")
+    return result.Success(content)
+
+
 def _read_content(
     content: bytes, read: collections.abc.Callable[[], _manifests.Read]
 ) -> result.Result[_Read, str]:
@@ -388,7 +396,10 @@
             unpacked = _contents.unpack(
                 fetched, configuration.MAX_MANIFEST_BYTES
             )
-        return unpacked.bind(
+        named = unpacked.bind(
+            lambda content: _check_digest(content, command.ref.digest)
+        )
+        return named.bind(
             lambda content: _read_content(
                 content,
                 lambda: self._read_configuration(content, command.ref.digest),
--- a/tests/test_reading_beside_the_loop.py
+++ b/tests/test_reading_beside_the_loop.py
@@ -26,7 +26,9 @@
 # Only ends a test that would never end.
 HANG_S = 5.0
 CONTENT = b"routes " * 50_000
-REF = builders.build_ref(2)
+REF = configuration.VersionRef(
+    version=ids.ConfigVersion(2), digest=configuration.digest_of(CONTENT)
+)
 
 
 class _Stuck:
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -20,6 +20,7 @@
 from marjoramledge_node import _timeline
 from marjoramledge_node import _upstream
 from marjoramledge_node import peers
+from marjoramledge_standins import builders
 from marjoramledge_store import _client
 from marjoramledge_store import _guard
 from marjoramledge_store import client
@@ -202,3 +203,39 @@
 # through any more.
 def test_a_try_of_the_store_that_is_broken_off_does_not_bar_the_next() -> None:
     assert asyncio.run(_ask_after_a_broken_try()) is None
+
+
+class _Crossed:
+    """Sends a content that was asked for under another digest."""
+
+    async def get_manifest(
+        self, *_: object
+    ) -> result.Result[bytes, client.StoreError]:
+        return result.Success(b"another content")
+
+
+# Guards against: the answer to another fetch is adopted under the version that
+# was asked for (CONFIG), where the reader of a deployment checks no digest.
+def test_a_content_of_another_digest_is_not_adopted() -> None:
+    async def fetch(engine: _Engine) -> None:
+        fleet = _fleet.Fleet(
+            engine=engine.typed(),
+            upstream=typing.cast(_upstream.Upstream, None),
+            store=typing.cast(client.NodeStore, _Crossed()),
+            options=typing.cast(_options.Options, types.SimpleNamespace()),
+            timeline=_timeline.Timeline(),
+            surroundings=_surroundings.Surroundings(
+                read_configuration=lambda _content, _digest: result.Success(
+                    builders.build_configuration()
+                )
+            ),
+            counts=_counts.Counts(),
+        )
+        command = node.FetchManifest(ref=builders.build_ref(1), source=None)
+        engine.consumers[node.FetchManifest](command)
+        await asyncio.wait(fleet._tasks, timeout=HANG_S)
+        await fleet.close()
+
+    engine = _Engine()
+    asyncio.run(fetch(engine))
+    assert [type(event) for event in engine.told] == [node.ManifestFailed]
