Tests: a time limit that is lost with a descriptor, and a loop that spins

Cause: when a connection that opens loses its number to a transport, cancelling it raises RuntimeError inside asyncio's timeout, so nothing is broken off; libuv then has two owners of one number and its loop runs at full speed without serving anything.

--- a/tests/test_platform_descriptors.py
+++ b/tests/test_platform_descriptors.py
@@ -13,6 +13,8 @@
 import os
 import random
 import socket
+import subprocess
+import sys
 
 from aiohttp import web
 from marjoramledge_core import configuration
@@ -38,6 +40,8 @@
 HOST = "127.0.0.1"
 # Ends a test that would never end; no promise is read from it.
 HANG_S = 20.0
+# The kernel's number of the state of a connection that opens.
+TCP_SYN_SENT = 2
 REGIONS = {ids.ZoneName("north"): ids.RegionName("isle")}
 CONFIG: dict[str, object] = {"listeners": [], "clusters": []}
 
@@ -290,6 +294,78 @@
     assert uvloop.run(fetch())
 
 
+def _find_opening() -> set[int]:
+    """Find the sockets of this process whose connections still open."""
+    found = set()
+    for name in os.listdir("/proc/self/fd"):
+        try:
+            with socket.socket(fileno=os.dup(int(name))) as opened:
+                info = opened.getsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_INFO, 1
+                )
+        except OSError:
+            continue
+        if info[0] == TCP_SYN_SENT:
+            found.add(int(name))
+    return found
+
+
+@contextlib.contextmanager
+def _silent_port() -> collections.abc.Iterator[int]:
+    """Listen on a port where connections open for ever."""
+    with contextlib.ExitStack() as stack:
+        listening = stack.enter_context(socket.socket())
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        listening.bind((HOST, 0))
+        listening.listen(0)
+        for _ in range(2):
+            filling = stack.enter_context(socket.socket())
+            filling.setblocking(False)
+            filling.connect_ex(listening.getsockname())
+        yield listening.getsockname()[1]
+
+
+async def _give_up() -> bool:
+    """Lose a connection that opens; tell whether the node reads later on."""
+    loop = asyncio.get_running_loop()
+    feed = _Feed()
+    async with contextlib.AsyncExitStack() as stack:
+        callers = await loop.create_server(asyncio.Protocol, HOST, 0)
+        stack.callback(callers.close)
+        port = stack.enter_context(_silent_port())
+        follower = _Node(port)
+        stack.push_async_callback(follower.close)
+        before = _find_opening()
+        follower.engine.start()
+        await asyncio.sleep(0.5)
+        opening = _find_opening() - before
+        assert opening
+        for descriptor in opening:
+            os.close(descriptor)
+        caller, _ = await loop.create_connection(
+            asyncio.Protocol, *callers.sockets[0].getsockname()
+        )
+        stack.callback(caller.close)
+        # All time limits of the store are over by then.
+        await asyncio.sleep(3.0)
+        listener = await loop.create_server(
+            feed.server, HOST, port, reuse_port=True
+        )
+        stack.callback(listener.close)
+        return await _wait_until(lambda: follower.version == 1)
+
+
+# Guards against a time limit that ends nothing, and an event loop that stands
+# still for good: a connection that opens loses its number to a caller's.
+def test_a_node_goes_on_when_a_caller_gets_the_number_of_its_read() -> None:
+    process = subprocess.Popen([sys.executable, __file__])
+    try:
+        assert process.wait(timeout=3 * HANG_S) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
 # Guards against a node that waits at the feed for ever, when the descriptor
 # of the connection that waits is closed under it.
 def test_a_wait_on_a_closed_descriptor_ends() -> None:
@@ -319,3 +395,7 @@
             return bool(opened.getsockname()[1] == port)
     except (OSError, IndexError):
         return False
+
+
+if __name__ == "__main__":
+    sys.exit(0 if uvloop.run(_give_up()) else 1)
