--- a/packages/standins/marjoramledge_standins/raw_connections.py
+++ b/packages/standins/marjoramledge_standins/raw_connections.py
@@ -84,14 +84,21 @@
         """Whether another call may be sent."""
         return not self._reading.done() and not self._closes
 
-    def send(self, request: bytes) -> asyncio.Future[Outcome]:
-        """Send a request; the answer may be awaited."""
-        future = asyncio.get_running_loop().create_future()
-        self._waiting.append(future)
-        self._writer.write(request)
+    def send(
+        self, requests: collections.abc.Sequence[bytes]
+    ) -> list[asyncio.Future[Outcome]]:
+        """Send requests one behind the other; answers may be awaited.
+
+        They go in one piece: a write that fails for a connection that has
+        just ended would take an answer along that is there already.
+        """
+        loop = asyncio.get_running_loop()
+        futures = [loop.create_future() for _ in requests]
+        self._waiting.extend(futures)
+        self._writer.write(b"".join(requests))
         if self._reading.done():
             self._give_up("the connection had ended", is_begun=False)
-        return future
+        return futures
 
     async def wait_for_end(self) -> None:
         """Wait until the other side ends the connection."""
--- a/packages/standins/marjoramledge_standins/soak_callers.py
+++ b/packages/standins/marjoramledge_standins/soak_callers.py
@@ -216,7 +216,7 @@
             return
         call = self._draw_call(number, LEAVING_ORDER_SHARE)
         started_at = time.monotonic()
-        future = connection.send(call.format_request())
+        (future,) = connection.send([call.format_request()])
         await _wait_closely(self._rng.uniform(0.0, LEAVES_WITHIN_S))
         is_answered = future.done()
         await connection.close()
@@ -232,7 +232,7 @@
         """Send calls one behind the other and await their answers."""
         calls = [self._draw_call(number) for _ in range(count)]
         started_at = time.monotonic()
-        futures = [connection.send(call.format_request()) for call in calls]
+        futures = connection.send([call.format_request() for call in calls])
         await asyncio.wait(futures, timeout=traffic.CALLER_TIMEOUT_S)
         if not all(future.done() for future in futures):
             await connection.close()
--- a/tests/test_raw_connections.py
+++ b/tests/test_raw_connections.py
@@ -68,7 +68,7 @@
                 (answer.headers["X-Call-Id"], is_waited_for)
             ),
         )
-        futures = [connection.send(_request(call)) for call in calls]
+        futures = connection.send([_request(call) for call in calls])
         async with asyncio.timeout(5.0):
             outcomes = await asyncio.gather(*futures)
             await connection.wait_for_end()
@@ -104,6 +104,18 @@
     assert noted == [("a", True), ("b", False)]
 
 
+def test_an_answer_is_kept_when_the_connection_ends_at_once() -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _read_calls(reader, 1)
+        writer.write(_answer("a", extra="Connection: close\r\n"))
+
+    for _ in range(50):
+        outcomes, _ = _send_all(serve, ["a", "b", "c"])
+        assert isinstance(outcomes[0], raw_connections.Answer)
+
+
 def test_chunks_are_put_together() -> None:
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
