--- a/packages/standins/marjoramledge_standins/soak.py
+++ b/packages/standins/marjoramledge_standins/soak.py
@@ -28,6 +28,7 @@
 from marjoramledge_standins import measurement
 from marjoramledge_standins import soak_callers
 from marjoramledge_standins import soak_checks
+from marjoramledge_standins import soak_logs
 from marjoramledge_standins import soak_plan
 from marjoramledge_standins import soak_report
 from marjoramledge_standins import soak_watch
@@ -220,7 +221,7 @@
             results=[*self._callers.results, *self._connections.results],
             records=self._fleet.read_records(),
             done=self._done,
-            adoptions=read_adoptions(self._fleet),
+            adoptions=soak_logs.read_adoptions(self._fleet),
             zones_out=self._zones_out,
             cut_by_stops=self._cut_by_stops,
             failed_orders=self._failed_orders,
@@ -246,10 +247,6 @@
             )
 
     def _collect_seen(self) -> soak_watch.Seen:
-        logs = {
-            vm.plan.name: self._fleet.folder / f"{vm.plan.name}-node.log"
-            for vm in self._fleet.vms
-        }
         return soak_watch.Seen(
             strays=self._connections.strays,
             echoes=[
@@ -260,13 +257,7 @@
                     if result.ending is traffic.Ending.ANSWERED
                 ),
             ],
-            log_lines=[
-                line
-                for name, path in logs.items()
-                for line in soak_watch.find_crossed_lines(
-                    name, path.read_text(errors="replace")
-                )
-            ],
+            log_lines=soak_logs.read_crossed_lines(self._fleet),
             ends=self._watch.ends,
             refusals=self._watch.refusals,
             descriptors=self._watch.descriptors,
@@ -498,34 +489,6 @@
     raise AssertionError("an operator's command fails again and again")
 
 
-def read_adoptions(
-    fleet: deployment.Deployment,
-) -> list[soak_checks.Adoption]:
-    """Read from the nodes' logs which versions they put in force."""
-    adoptions = []
-    for number, vm in enumerate(fleet.vms):
-        log = fleet.folder / f"{vm.plan.name}-node.log"
-        run = 0
-        for position, line in enumerate(log.read_text().splitlines()):
-            try:
-                fields = json.loads(line)
-            except ValueError:
-                # A line that a kill has cut.
-                continue
-            if fields["event"] == "node-started":
-                run += 1
-            elif fields["event"] == "config-adopted":
-                adoptions.append(
-                    soak_checks.Adoption(
-                        vm=number,
-                        run=run,
-                        version=int(fields["message"].split()[-1]),
-                        at=float(position),
-                    )
-                )
-    return adoptions
-
-
 def _write(path: pathlib.Path, text: str) -> None:
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_text(text)
--- a/packages/standins/marjoramledge_standins/soak_watch.py
+++ b/packages/standins/marjoramledge_standins/soak_watch.py
@@ -1,14 +1,13 @@
 """Watches the nodes' processes during a soak, from outside.
 
-Looks at how they end, whether their ports take connections, how many
-descriptors they hold, and what they wrote that no program should.
+Looks at how they end, whether their ports take connections, and how many
+descriptors they hold.
 """
 
 import asyncio
 import collections.abc
 import dataclasses
 import os
-import re
 import signal
 import time
 import typing
@@ -21,12 +20,6 @@
 # 15 seconds; some more are in use.
 SETTLE_S: typing.Final = 33.0
 MAX_MORE_DESCRIPTORS: typing.Final = 64
-_CROSSED: typing.Final = re.compile(
-    r"Bad file descriptor|is used by transport|Unclosed c"
-    r"|Exception in callback|exception was never retrieved"
-    r"|Fatal (read |write )?error|Task was destroyed|Unhandled exception"
-    r"|Error handling request|Traceback \(most recent call last\)"
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -205,16 +198,3 @@
         return repr(error)
     writer.close()
     return ""
-
-
-def find_crossed_lines(name: str, log: str) -> list[str]:
-    """Find lines of a log that show a descriptor with two owners.
-
-    Exceptions that nobody caught belong to these: they are how the other
-    owner learns of it.
-    """
-    return [
-        f"{name}: {line.strip()[:120]}"
-        for line in log.splitlines()
-        if _CROSSED.search(line)
-    ]
--- a/tests/test_soak_watch.py
+++ b/tests/test_soak_watch.py
@@ -6,6 +6,7 @@
 import sys
 
 from marjoramledge_standins import deployment
+from marjoramledge_standins import soak_logs
 from marjoramledge_standins import soak_process_checks
 from marjoramledge_standins import soak_watch
 import pytest
@@ -168,8 +169,8 @@
 )
 def test_lines_of_crossed_descriptors_are_found(line: str) -> None:
     log = '{"event": "node-started", "message": "node is running"}\n'
-    assert not soak_watch.find_crossed_lines("shop-0", log)
-    found = soak_watch.find_crossed_lines("shop-0", f"{log}{line}\n{log}")
+    assert not soak_logs.find_crossed_lines("shop-0", log)
+    found = soak_logs.find_crossed_lines("shop-0", f"{log}{line}\n{log}")
     assert found == [f"shop-0: {line}"]
     assert soak_process_checks.find_crossed_descriptors(
         soak_watch.Seen(log_lines=found)
