--- a/packages/standins/marjoramledge_standins/soak_watch.py
+++ b/packages/standins/marjoramledge_standins/soak_watch.py
@@ -16,6 +16,7 @@
 
 PERIOD_S: typing.Final = 0.5
 PROBE_LIMIT_S: typing.Final = 2.0
+END_NOTICE_S: typing.Final = 0.2
 # A node closes connections unused for 15 seconds, and looks for them every
 # 15 seconds; some more are in use.
 SETTLE_S: typing.Final = 33.0
@@ -159,6 +160,9 @@
         process = vm.node
         for port in (vm.caller_port, vm.peer_port, vm.local_port):
             refusal = await find_refusal(vm.host, port)
+            if refusal:
+                # One that has just ended is told of a little later.
+                await asyncio.sleep(END_NOTICE_S)
             still_runs = (
                 process is not None
                 and process is vm.node
--- a/tests/test_soak_watch.py
+++ b/tests/test_soak_watch.py
@@ -125,6 +125,18 @@
     assert asyncio.run(run()) == [0, 3, 3]
 
 
+def test_the_ports_of_a_node_that_has_died_are_not_counted() -> None:
+    async def run() -> int:
+        process = await _run_python("print(flush=True)\ninput()")
+        watch = soak_watch.Watch([_vm(process, 1)])
+        watch.note_open(0)
+        process.kill()
+        await watch.look()
+        return len(watch.refusals)
+
+    assert asyncio.run(run()) == 0
+
+
 def test_kept_descriptors_are_counted_from_outside() -> None:
     async def run() -> soak_watch.Seen:
         process = await asyncio.create_subprocess_exec(
