--- a/tests/test_soak_watch.py
+++ b/tests/test_soak_watch.py
@@ -12,6 +12,7 @@
 import pytest
 
 HOST = "127.0.0.1"
+_SLEEPS = "import time\nprint(flush=True)\ntime.sleep(60)"
 
 
 async def _run_python(code: str) -> asyncio.subprocess.Process:
@@ -103,7 +104,7 @@
 
 def test_a_closed_port_of_a_running_node_is_found() -> None:
     async def run() -> list[int]:
-        process = await _run_python("print(flush=True)\ninput()")
+        process = await _run_python(_SLEEPS)
         server = await asyncio.start_server(_serve, HOST, 0)
         port = server.sockets[0].getsockname()[1]
         watch = soak_watch.Watch([_vm(process, port)])
@@ -127,7 +128,7 @@
 
 def test_the_ports_of_a_node_that_has_died_are_not_counted() -> None:
     async def run() -> int:
-        process = await _run_python("print(flush=True)\ninput()")
+        process = await _run_python(_SLEEPS)
         watch = soak_watch.Watch([_vm(process, 1)])
         watch.note_open(0)
         process.kill()
