--- a/tests/test_soak_watch.py
+++ b/tests/test_soak_watch.py
@@ -6,11 +6,13 @@
 import sys
 
 from marjoramledge_standins import deployment
+from marjoramledge_standins import soak_logs
 from marjoramledge_standins import soak_process_checks
 from marjoramledge_standins import soak_watch
 import pytest
 
 HOST = "127.0.0.1"
+_SLEEPS = "import time\nprint(flush=True)\ntime.sleep(60)"
 
 
 async def _run_python(code: str) -> asyncio.subprocess.Process:
@@ -102,7 +104,7 @@
 
 def test_a_closed_port_of_a_running_node_is_found() -> None:
     async def run() -> list[int]:
-        process = await _run_python("print(flush=True)\ninput()")
+        process = await _run_python(_SLEEPS)
         server = await asyncio.start_server(_serve, HOST, 0)
         port = server.sockets[0].getsockname()[1]
         watch = soak_watch.Watch([_vm(process, port)])
@@ -124,6 +126,18 @@
     assert asyncio.run(run()) == [0, 3, 3]
 
 
+def test_the_ports_of_a_node_that_has_died_are_not_counted() -> None:
+    async def run() -> int:
+        process = await _run_python(_SLEEPS)
+        watch = soak_watch.Watch([_vm(process, 1)])
+        watch.note_open(0)
+        process.kill()
+        await watch.look()
+        return len(watch.refusals)
+
+    assert asyncio.run(run()) == 0
+
+
 def test_kept_descriptors_are_counted_from_outside() -> None:
     async def run() -> soak_watch.Seen:
         process = await asyncio.create_subprocess_exec(
@@ -168,8 +182,8 @@
 )
 def test_lines_of_crossed_descriptors_are_found(line: str) -> None:
     log = '{"event": "node-started", "message": "node is running"}\n'
-    assert not soak_watch.find_crossed_lines("shop-0", log)
-    found = soak_watch.find_crossed_lines("shop-0", f"{log}{line}\n{log}")
+    assert not soak_logs.find_crossed_lines("shop-0", log)
+    found = soak_logs.find_crossed_lines("shop-0", f"{log}{line}\n{log}")
     assert found == [f"shop-0: {line}"]
     assert soak_process_checks.find_crossed_descriptors(
         soak_watch.Seen(log_lines=found)
