End the node when one of its descriptors has lost its owner

Callers could have got other callers' answers (MIXED) for as long as a node lived that had shared a descriptor once; a node that had lost a listener or its datagram socket went on without (CONFIG, SHORT), and an attempt or a read whose connection had another owner could not be cancelled: its caller got no answer at the deadline, the node read no configuration any more.

Cause: that a node owns its descriptors was taken for granted. Class: an invariant that is broken and not looked at. The loop's report of a shared or closed descriptor ends the node now, which whoever runs it starts again; the node's own sockets are looked at each second. Weighed: opening lost sockets anew; it leaves the connections that may be crossed.

Tests changed: two that lose a connection to another owner now take the end of the node, as it is told by the fault log, for as good as going on, since both end the caller's wait; test_a_call_that_gets_a_used_descriptor_gives_back_its_slot closed a number a second time under its own second call, and holds it instead.

--- a/packages/node/marjoramledge_node/_connections.py
+++ b/packages/node/marjoramledge_node/_connections.py
@@ -49,7 +49,7 @@
     def eof_received(self) -> None:
         transport = self.transport
         opened: socket.socket | None = None
-        if transport is not None:
+        if transport is not None and not transport.is_closing():
             opened = transport.get_extra_info("socket")
         if opened is not None:
             error = opened.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -67,7 +67,8 @@
         heard.
         """
         transport = self.transport
-        if transport is not None:
+        # A transport that closes may have lost its number already.
+        if transport is not None and not transport.is_closing():
             opened = transport.get_extra_info("socket")
             if transport.get_write_buffer_size() or _has_unsent(opened):
                 opened.setsockopt(
@@ -144,7 +145,7 @@
 def _is_readable(protocol: client_proto.ResponseHandler) -> bool:
     """Tell whether bytes, or an end, wait that the loop has not read yet."""
     transport = protocol.transport
-    if transport is None:
+    if transport is None or transport.is_closing():
         return True
     opened: socket.socket = transport.get_extra_info("socket")
     poll = select.poll()
--- a/packages/node/marjoramledge_node/_faults.py
+++ b/packages/node/marjoramledge_node/_faults.py
@@ -32,6 +32,11 @@
     OTHER = "unexpected-error"
 
 
+_LOST_OWNERS: typing.Final = frozenset(
+    {FaultKind.DESCRIPTOR_SHARED, FaultKind.DESCRIPTOR_GONE}
+)
+
+
 class FaultLog(logging.Handler):
     """Counts and logs the faults of the loop and of libraries.
 
@@ -41,6 +46,9 @@
         Where they are counted.
     clock
         Monotonic time in seconds.
+    end_node
+        Ends the node.  Called when a descriptor turns out to have another
+        owner, or none: answers may go to other callers then.
     """
 
     def __init__(
@@ -48,8 +56,10 @@
         *,
         counts: _counts.Counts,
         clock: collections.abc.Callable[[], float],
+        end_node: collections.abc.Callable[[], None],
     ) -> None:
         super().__init__(level=logging.WARNING)
+        self._end_node = end_node
         self._counts = counts
         self._clock = clock
         self._window_at = 0.0
@@ -81,6 +91,17 @@
     ) -> None:
         kind = classify(message, error)
         self._counts.note_fault(kind.value)
+        self._write(kind, source, message, error)
+        if kind in _LOST_OWNERS:
+            self._end_node()
+
+    def _write(
+        self,
+        kind: FaultKind,
+        source: str,
+        message: str,
+        error: BaseException | None,
+    ) -> None:
         if self._clock() - self._window_at >= 1.0:
             self._written.clear()
             self._window_at = self._clock()
--- a/packages/node/marjoramledge_node/_gossip_port.py
+++ b/packages/node/marjoramledge_node/_gossip_port.py
@@ -1,6 +1,7 @@
 """The datagram port: membership messages, authenticated both ways."""
 
 import asyncio
+import socket
 import typing
 
 import loguru
@@ -54,6 +55,13 @@
         """Datagrams without a valid key, without sense or sent again."""
         return self._rejected
 
+    @property
+    def sockets(self) -> list[socket.socket]:
+        """The socket, while it is open."""
+        if self._transport is None or self._transport.is_closing():
+            return []
+        return [self._transport.get_extra_info("socket")]
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take over the socket."""
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -1,11 +1,13 @@
 """Puts the node together, runs it and stops it."""
 
 import asyncio
+import errno
 import gc
 import logging
 import os
 import random
 import signal
+import socket
 import sys
 import time
 import typing
@@ -40,6 +42,8 @@
 # What is left for handlers that are cut at the end of a stop.
 SHUTDOWN_S: typing.Final = 0.1
 LISTEN_BACKLOG: typing.Final = 1024
+# A node that is deaf for longer is missed by others, who take it for failed.
+SOCKET_CHECK_PERIOD_S: typing.Final = 1.0
 # How long the event loop waits for its turn while a configuration is read.
 THREAD_SWITCH_S: typing.Final = 0.001
 
@@ -63,7 +67,7 @@
             lambda stamped: self._counts.note_record(stamped.record)
         )
         self._fault_log = _faults.FaultLog(
-            counts=self._counts, clock=loop.time
+            counts=self._counts, clock=loop.time, end_node=self._end_broken
         )
         loop.set_exception_handler(self._fault_log.handle_loop_fault)
         logging.getLogger().addHandler(self._fault_log)
@@ -182,6 +186,7 @@
             lambda: self._gossip,
             local_addr=(options.peer_address.host, options.peer_address.port),
         )
+        watch = asyncio.create_task(self._watch_sockets())
         metrics = self._start_metrics()
         reload = self._start_reload()
         self._engine.start()
@@ -196,7 +201,7 @@
         try:
             return await self._stopped
         finally:
-            for task in (metrics, reload):
+            for task in (watch, metrics, reload):
                 if task is not None:
                     task.cancel()
             await self._close()
@@ -259,6 +264,38 @@
         if not self._stopped.done():
             self._stopped.set_result(command.cut_calls)
 
+    def _end_broken(self) -> None:
+        """End at once; whoever runs the node starts it again."""
+        if self._stopped.done():
+            return
+        loguru.logger.bind(event="node-broken").error(
+            "ends, since a descriptor of this process has lost its owner"
+        )
+        self._stopped.set_exception(AssertionError("a descriptor was lost"))
+        self._stop_accepting(node.StopAccepting())
+
+    async def _watch_sockets(self) -> None:
+        """Look now and then whether the node's own sockets are still its."""
+        known: dict[int, int] = {}
+        while True:
+            for opened in self._own_sockets():
+                number = opened.fileno()
+                inode = _read_inode(number)
+                if known.setdefault(number, inode) != inode:
+                    _faults.report(
+                        "an own socket was replaced",
+                        OSError(errno.EBADF, f"descriptor {number}"),
+                    )
+            await asyncio.sleep(SOCKET_CHECK_PERIOD_S)
+
+    def _own_sockets(self) -> list[socket.socket]:
+        listeners = [
+            opened
+            for listener in self._listeners
+            for opened in listener.sockets
+        ]
+        return [*listeners, *self._gossip.sockets]
+
     async def _close(self) -> None:
         self._engine.stop()
         self._gossip.close()
@@ -278,6 +315,14 @@
             await self._store.close()
 
 
+def _read_inode(descriptor: int) -> int:
+    """Read what file a descriptor is of; 0 where it is closed."""
+    try:
+        return os.fstat(descriptor).st_ino
+    except OSError:
+        return 0
+
+
 async def _run(
     options: _options.Options, surroundings: _surroundings.Surroundings
 ) -> int:
