--- a/packages/standins/marjoramledge_standins/soak.py
+++ b/packages/standins/marjoramledge_standins/soak.py
@@ -417,7 +417,14 @@
         order = ("--node", vm.plan.name, "--peers", vm.peer_address)
         await self._run_command("drain", *order)
         await asyncio.sleep(fault.for_s)
-        await _try_until(lambda: self._run_command("drain", "--end", *order))
+
+        async def end_order() -> int:
+            # With a node that ended unasked its order has ended too.
+            if self._watch.has_ended_unasked(fault.vm):
+                return 0
+            return await self._run_command("drain", "--end", *order)
+
+        await _try_until(end_order)
 
     async def _apply(self, folder: pathlib.Path) -> float | None:
         """Apply a folder; return when it was accepted, None if not."""
--- a/packages/standins/marjoramledge_standins/soak_watch.py
+++ b/packages/standins/marjoramledge_standins/soak_watch.py
@@ -103,6 +103,15 @@
         """Note that a node has opened its ports."""
         self._open.add(number)
 
+    def has_ended_unasked(self, number: int) -> bool:
+        """Tell whether a node has ended though nobody told it to."""
+        process = self._vms[number].node
+        return (
+            number in self._open
+            and process is not None
+            and process.returncode is not None
+        )
+
     async def end_node(self, number: int, how: signal.Signals) -> int:
         """End a node with a signal; return its status."""
         process = self._vms[number].node
--- a/tests/test_soak_watch.py
+++ b/tests/test_soak_watch.py
@@ -131,8 +131,12 @@
         process = await _run_python(_SLEEPS)
         watch = soak_watch.Watch([_vm(process, 1)])
         watch.note_open(0)
+        assert not watch.has_ended_unasked(0)
         process.kill()
         await watch.look()
+        assert watch.has_ended_unasked(0)
+        await watch.end_node(0, signal.SIGKILL)
+        assert not watch.has_ended_unasked(0)
         return len(watch.refusals)
 
     assert asyncio.run(run()) == 0
