Tell no error of a wait for a connection's end that was cancelled

The end's observer raised CancelledError into the log where the wait for it was cancelled: noise among the reports of faults, found in a review.

--- a/packages/node/marjoramledge_node/_connections.py
+++ b/packages/node/marjoramledge_node/_connections.py
@@ -136,12 +136,17 @@
         known = self._closings.get(protocol)
         closed = protocol.closed if known is None else known
         if known is None and closed is not None:
-            # Hardly anybody asks how a connection ended.
-            closed.add_done_callback(lambda done: done.exception())
+            closed.add_done_callback(_take_outcome)
             self._closings[protocol] = closed
         return closed
 
 
+def _take_outcome(closed: asyncio.Future[None]) -> None:
+    """Keep the loop from telling of an end that nobody asked for."""
+    if not closed.cancelled():
+        closed.exception()
+
+
 def _is_readable(protocol: client_proto.ResponseHandler) -> bool:
     """Tell whether bytes, or an end, wait that the loop has not read yet."""
     transport = protocol.transport
