--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -313,6 +313,7 @@
         await self._upstream.close()
         if self._store is not None:
             await self._store.close()
+        logging.getLogger().removeHandler(self._fault_log)
 
 
 def _read_inode(descriptor: int) -> int:
