--- a/packages/node/marjoramledge_node/_event_loop.py
+++ b/packages/node/marjoramledge_node/_event_loop.py
@@ -43,20 +43,24 @@
             return await connect(protocol_factory, *address, **options)
         family, kind, protocol = sock.family, sock.type, sock.proto
         owner = socket.socket(family, kind, protocol, fileno=sock.detach())
-        is_transports = False
+        is_handed_over = False
 
         def make_protocol() -> asyncio.BaseProtocol:
-            nonlocal is_transports
+            nonlocal is_handed_over
             made = protocol_factory()
-            is_transports = True
+            is_handed_over = True
             return made
 
         try:
             return await connect(
                 make_protocol, *address, sock=owner, **options
             )
+        except (TypeError, ValueError):
+            # The loop refuses arguments before it opens a transport.
+            owner.close()
+            raise
         except BaseException:
-            if is_transports:
+            if is_handed_over:
                 owner.detach()
             else:
                 owner.close()
