Pass on the commands that follow a cancellation that fails

What stood behind it in the step, the refusal at a deadline among it, and the next wake-up were lost: the caller had no answer.

--- a/packages/node/marjoramledge_node/_engine.py
+++ b/packages/node/marjoramledge_node/_engine.py
@@ -14,6 +14,7 @@
 
 from marjoramledge_core import node
 
+from marjoramledge_node import _faults
 from marjoramledge_node import _mailbox
 
 # A wake-up that comes this late means that the event loop stood still: other
@@ -179,5 +180,9 @@
 
     def _cancel_attempt(self, command: node.CancelAttempt) -> None:
         cancel = self._cancellers.pop(command.attempt, None)
-        if cancel is not None:
+        if cancel is None:
+            return
+        try:
             cancel()
+        except Exception as error:  # The other commands must be passed on.
+            _faults.report("an attempt could not be cancelled", error)
