--- a/packages/node/marjoramledge_node/_connections.py
+++ b/packages/node/marjoramledge_node/_connections.py
@@ -20,6 +20,8 @@
 from aiohttp import client_proto
 from aiohttp import connector
 
+from marjoramledge_node import _faults
+
 # A peer or server that has acknowledged nothing for so long is gone: links
 # lose packets, but not for several times the usual time of a resend.
 UNACKNOWLEDGED_S: typing.Final = 1.0
@@ -30,7 +32,15 @@
 MAX_OPENED: typing.Final = 2
 
 
+# The kernel's ``struct linger``: on, with no time to linger.
 _RESET_ON_CLOSE: typing.Final = struct.pack("ii", 1, 0)
+# A time limit noticed this late ran out while the event loop was held up; the
+# connection may have been made in time.
+STANDSTILL_S: typing.Final = 0.02
+
+
+class LateTimeoutError(aiohttp.ClientConnectionError):
+    """The time limit of a connect was noticed late by this process."""
 
 
 class UnfitConnectionError(aiohttp.ClientConnectionError):
@@ -61,22 +71,22 @@
         super().connection_lost(exc or self._reset)
 
     def close(self) -> None:
-        """Close; at once where the other side has yet to take what was sent.
+        """Close; reset where a request is abandoned that was not taken yet.
 
-        An end that waits behind a request that nobody reads would not be
-        heard.
+        The end would wait behind bytes that nobody reads.
         """
         transport = self.transport
         # A transport that closes may have lost its number already.
-        if transport is not None and not transport.is_closing():
-            opened = transport.get_extra_info("socket")
-            if transport.get_write_buffer_size() or _has_unsent(opened):
-                opened.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                )
-                transport.abort()
+        is_open = transport is not None and not transport.is_closing()
+        if is_open and not self._is_answered():
+            assert transport is not None
+            _reset_if_unsent(transport)
         super().close()
 
+    def _is_answered(self) -> bool:
+        """Tell whether the answer has come whole."""
+        return self._payload is not None and self._payload.is_eof()
+
 
 # How the connection that the present task was last given will have ended.
 _closing: typing.Final[contextvars.ContextVar[asyncio.Future[None] | None]] = (
@@ -117,7 +127,7 @@
     ) -> connector.Connection:
         opened = 0
         while opened < MAX_OPENED:
-            connection = await super().connect(req, traces, timeout)
+            connection = await self._connect_in_time(req, traces, timeout)
             protocol = connection.protocol
             if protocol is None:
                 return connection
@@ -130,6 +140,22 @@
             connection.close()
         raise UnfitConnectionError("the server closes or speaks at once")
 
+    async def _connect_in_time(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[typing.Any],
+        timeout: aiohttp.ClientTimeout,  # noqa: ASYNC109
+    ) -> connector.Connection:
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        try:
+            return await super().connect(req, traces, timeout)
+        except TimeoutError as error:
+            late_s = loop.time() - began_at - (timeout.sock_connect or 0.0)
+            if late_s > STANDSTILL_S:
+                raise LateTimeoutError("noticed late") from error
+            raise
+
     def _closing_of(
         self, protocol: client_proto.ResponseHandler
     ) -> asyncio.Future[None] | None:
@@ -158,10 +184,17 @@
     return bool(poll.poll(0))
 
 
-def _has_unsent(opened: socket.socket) -> bool:
-    """Tell whether bytes wait that the other side has not acknowledged."""
-    unsent = fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, bytes(4))
-    return any(unsent)
+def _reset_if_unsent(transport: asyncio.Transport) -> None:
+    """Reset a connection with bytes that the other side has not taken."""
+    opened: socket.socket = transport.get_extra_info("socket")
+    try:
+        unsent = fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, bytes(4))
+        if not any(unsent) and not transport.get_write_buffer_size():
+            return
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    except OSError as error:
+        _faults.report("a connection could not be reset", error)
+    transport.abort()
 
 
 def latest_closing() -> asyncio.Future[None] | None:
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -116,7 +116,13 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._connect(node.SyncMembers, self._sync_members)
         self._connect(node.RegisterMember, self._register)
-        self._connect(node.ProbeServer, self._probe_server)
+        self._connect(
+            node.ProbeServer,
+            self._probe_server,
+            lambda _command: node.ProbeEnded(
+                is_healthy=False, elapsed_s=PROBE_TIMEOUT_S
+            ),
+        )
         self._connect(
             node.ReadVersion,
             self._read_version,
@@ -207,8 +213,8 @@
         async def operate(command: C) -> None:
             try:
                 await operation(command)
-            except Exception as error:  # Whatever it is, the core waits.
-                _faults.report(f"{command_type.__name__} broke down", error)
+            except Exception as error:  # The core waits for an end.
+                _faults.report(f"{command_type.__name__} failed", error)
                 if build_failure is not None:
                     self._engine.submit(build_failure(command))
 
@@ -435,7 +441,10 @@
         began_at = self._engine.now()
         probed = await self._upstream.probe(server, PROBE_TIMEOUT_S)
         if probed is None:
-            return
+            # A presumed death waits for the answer to this probe.
+            probed = await self._upstream.probe(server, PROBE_TIMEOUT_S)
+        if probed is None:
+            probed = _upstream.Probe(is_alive=False)
         elapsed_s = self._engine.now() - began_at
         self._engine.submit(
             node.ProbeEnded(
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -320,7 +320,7 @@
 
 def _read_deadline_s(request: web.BaseRequest) -> float:
     text = request.headers.get(_headers.DEADLINE, "")
-    return int(text) / 1000 if text.isdigit() else 0.0
+    return int(text) / 1000 if text.isdecimal() else 0.0
 
 
 def make_server(port: PeerPort) -> web.Server:
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -26,10 +26,7 @@
 from marjoramledge_node import _headers
 
 CONNECT_TIMEOUT_S: typing.Final = 0.5
-# A time limit that is noticed this much late ran out while this process stood
-# still, and what was waited for may have come in time.
-STANDSTILL_S: typing.Final = 0.02
-# The system's errors that no other side can bring about.
+# Errors of the system that only this process can cause.
 _OWN_ERRORS: typing.Final = frozenset(
     {
         errno.EADDRNOTAVAIL,
@@ -140,18 +137,24 @@
     run=node.RunState.NOT_RUN,
     reason=node.Reason.SERVER_UNREACHABLE,
 )
-# The same where the server ends or spoils each connection.
+# The server ended each new connection, or sent bytes before a request.
 _NOT_TAKEN: typing.Final = Fault(
     outcome=node.ServerOutcome.SHED,
     run=node.RunState.NOT_RUN,
     reason=node.Reason.SERVER_REFUSED,
 )
-# The same for a reason on this side.
+# This process could not open a socket.
 _NOT_SENT: typing.Final = Fault(
     outcome=node.ServerOutcome.CANCELLED,
     run=node.RunState.NOT_RUN,
     reason=node.Reason.NODE_FAULT,
 )
+# The event loop was held up beyond the time limit of the connect.
+_HELD_UP: typing.Final = Fault(
+    outcome=node.ServerOutcome.CANCELLED,
+    run=node.RunState.NOT_RUN,
+    reason=node.Reason.NODE_FAULT,
+)
 # What is left of an exchange that ended in an error of this process.
 _BROKE_DOWN: typing.Final = Fault(
     outcome=node.ServerOutcome.CANCELLED,
@@ -296,9 +299,10 @@
                 "no answer of the backend server to a probe: {!r}", error
             )
             late_s = loop.time() - started_at - timeout_s
-            if _is_own_fault(error, late_s):
+            is_late = late_s > _connections.STANDSTILL_S
+            if isinstance(error, TimeoutError) and is_late:
                 return None
-            return Probe(is_alive=False)
+            return _judge_failed_probe(error)
 
     def _read_probe(
         self, server: node.Server, response: aiohttp.ClientResponse
@@ -312,7 +316,7 @@
         cold_left_s = None
         if dialect.cold_left is not None:
             text = response.headers.get(dialect.cold_left, "0")
-            cold_left_s = int(text) / 1000 if text.isdigit() else None
+            cold_left_s = int(text) / 1000 if text.isdecimal() else None
         return Probe(
             is_alive=True,
             is_healthy=response.status == 200,
@@ -395,6 +399,8 @@
                         return result.Failure(f"over {max_bytes} bytes")
                     return result.Success(content)
         except (aiohttp.ClientError, OSError) as error:
+            if _is_own_fault(error):
+                _faults.report("no document was fetched", error)
             return result.Failure(repr(error))
 
     async def _send(
@@ -425,19 +431,20 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
-            late_s = loop.time() - started_at - CONNECT_TIMEOUT_S
-            if _is_own_fault(error, late_s):
+            if _is_own_fault(error):
                 _faults.report("no socket for an exchange", error)
                 return result.Failure(_NOT_SENT)
             return result.Failure(_NOT_CONNECTED)
+        except _connections.LateTimeoutError:
+            return result.Failure(_HELD_UP)
         except _connections.UnfitConnectionError:
             return result.Failure(_NOT_TAKEN)
         except (aiohttp.ClientError, OSError) as error:
-            if _is_own_fault(error, 0.0):
+            if _is_own_fault(error):
                 _faults.report("an exchange broke down", error)
                 return result.Failure(_BROKE_DOWN)
             return result.Failure(_LOST)
-        except Exception as error:  # Whatever it is, the core waits.
+        except Exception as error:  # The core waits for an outcome.
             _faults.report("an exchange broke down", error)
             return result.Failure(_BROKE_DOWN)
         return result.Success(
@@ -470,18 +477,23 @@
     return b"".join(parts)
 
 
-def _is_own_fault(error: Exception, late_s: float) -> bool:
-    """Tell whether an error says nothing about the other side.
-
-    ``late_s`` is how long after a time limit its end was noticed, in seconds.
-    """
-    if isinstance(error, TimeoutError):
-        return late_s > STANDSTILL_S
+def _is_own_fault(error: Exception) -> bool:
+    """Tell whether an error says nothing about the other side."""
     return isinstance(error, OSError) and error.errno in _OWN_ERRORS
 
 
+def _judge_failed_probe(error: Exception) -> Probe | None:
+    """Tell what a probe without an answer says about the server."""
+    if _is_own_fault(error):
+        _faults.report("no probe was sent", error)
+        return None
+    if isinstance(error, _connections.LateTimeoutError):
+        return None
+    return Probe(is_alive=False)
+
+
 def _blame_peer(fault: Fault) -> Fault:
-    if fault.reason is not node.Reason.SERVER_UNREACHABLE:
+    if fault.run is node.RunState.MAY_HAVE_RUN or fault is _NOT_SENT:
         return fault
     return dataclasses.replace(fault, reason=node.Reason.PEER_UNREACHABLE)
 
