Keep a connection at a stop when a request has been read on it

Cause: a stop closed each connection that served nothing, and a request is served two turns of the loop after it has been read. In the one between, its connection counted as idle. Class: an assumption about order, that what is not being served has not been taken. Idle is now what waits for a request.

Evidence: tests/test_stop_at_each_turn.py closes after each turn: turn 2 lost the answer on new and on used connections before, none now.

--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -482,7 +482,11 @@
     and never answer it.
     """
     for connection in server.connections:
-        if port.is_busy(connection):
-            connection.close()
-        else:
+        # A request is served some turns of the loop after it has been read;
+        # the library shows by no public name that it waits for one.
+        waiter = connection._waiter
+        is_waiting = waiter is not None and not waiter.done()
+        if is_waiting and not port.is_busy(connection):
             connection.force_close()
+        else:
+            connection.close()
