--- a/tests/test_stop_and_new_connections.py
+++ b/tests/test_stop_and_new_connections.py
@@ -40,6 +40,10 @@
     IN_BACKLOG = enum.auto()
     TAKEN = enum.auto()
     REQUEST_READ = enum.auto()
+    REQUEST_PICKED = enum.auto()
+
+
+READ = (Moment.REQUEST_READ, Moment.REQUEST_PICKED)
 
 
 def _build_process() -> _process._Process:
@@ -92,12 +96,15 @@
     with caller:
         if moment is not Moment.IN_BACKLOG:
             connection = await _wait_until_taken(process)
-        if moment is Moment.REQUEST_READ:
+        if moment in READ:
             # As the loop does with what it reads from the socket.
             connection.data_received(REQUEST)
+        if moment is Moment.REQUEST_PICKED:
+            while connection._messages:  # noqa: ASYNC110
+                await asyncio.sleep(0)
         process._stop_accepting(node.StopAccepting())
         try:
-            if moment is not Moment.REQUEST_READ:
+            if moment not in READ:
                 await loop.sock_sendall(caller, REQUEST)
             return await loop.sock_recv(caller, 65536)
         except ConnectionError:
@@ -117,9 +124,12 @@
 
 # Guards against: a request that the node has read whole, but not begun to
 # serve, is thrown away because its connection still counts as idle.
+@pytest.mark.parametrize("moment", READ)
 @pytest.mark.parametrize("new_loop", LOOPS)
-def test_a_stop_answers_a_request_that_was_read(new_loop: NewLoop) -> None:
-    assert _run(new_loop, Moment.REQUEST_READ).startswith(b"HTTP/1.1 503")
+def test_a_stop_answers_a_request_that_was_read(
+    new_loop: NewLoop, moment: Moment
+) -> None:
+    assert _run(new_loop, moment).startswith(b"HTTP/1.1 503")
 
 
 # Guards against: a connection that the node has just taken is ended before
