Tests: a request that runs at a server and is cut by a stop

With a kept connection to the server, a request that was picked from its connection in the turn before the stop is passed on, and its caller's connection is closed.

--- a/tests/test_stop_and_new_connections.py
+++ b/tests/test_stop_and_new_connections.py
@@ -10,6 +10,8 @@
 import enum
 import socket
 
+import aiohttp
+from aiohttp import web
 from aiohttp import web_protocol
 from marjoramledge_core import ids
 from marjoramledge_core import node
@@ -18,6 +20,7 @@
 from marjoramledge_node import _options
 from marjoramledge_node import _process
 from marjoramledge_node import _surroundings
+from marjoramledge_standins import builders
 from marjoramledge_standins import deployment
 import pytest
 
@@ -27,6 +30,7 @@
 # Ends the wait for an answer that never comes.
 SILENCE_S = 5.0
 REQUEST = b"GET / HTTP/1.1\r\nHost: shop\r\n\r\n"
+PAGE = b"GET /pages/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n"
 # Without a key; any answer to it says that nothing has run.
 OFFER = b"GET / HTTP/1.1\r\nHost: shop\r\nMarjoramledge-Attempt: a.0\r\n\r\n"
 
@@ -186,3 +190,93 @@
 
     with asyncio.Runner(loop_factory=new_loop) as runner:
         assert b"\r\nMarjoramledge-Run: not-run\r\n" in runner.run(run())
+
+
+class _Server:
+    """Backend server that answers at once and counts what it runs."""
+
+    def __init__(self) -> None:
+        self.runs = 0
+
+    async def serve(self, request: web.BaseRequest) -> web.Response:
+        """Serve one request."""
+        self.runs += request.path == "/pages/1"
+        return web.Response(body=b"whole")
+
+
+async def _ask(caller: socket.socket, request: bytes = b"") -> bytes:
+    loop = asyncio.get_running_loop()
+    await loop.sock_sendall(caller, request)
+    try:
+        return await loop.sock_recv(caller, 65536)
+    except ConnectionError:
+        return b""
+
+
+async def _stop_while_picked() -> tuple[int, bytes]:
+    """Return how often a request ran, and what its caller read.
+
+    The node has a connection to its server from a request before.
+    """
+    server = _Server()
+    loop = asyncio.get_running_loop()
+    back = await loop.create_server(web.Server(server.serve), HOST, 0)
+    process = _build_process()
+    address = process._options.caller_address
+    process._engine.submit(
+        node.ManifestFetched(
+            ref=builders.build_ref(1),
+            configuration=builders.build_configuration(),
+        )
+    )
+    process._engine.submit(
+        node.ServerAnnounced(
+            server=node.Server(
+                service=ids.ServiceName("shop"),
+                host=HOST,
+                port=back.sockets[0].getsockname()[1],
+                slots=4,
+                connections=40,
+                cold_concurrency=4,
+                is_cold=False,
+                health_path="/health",
+            )
+        )
+    )
+    await process._listen(process._callers, address)
+    at = (address.host, address.port)
+    with socket.create_connection(at) as before:
+        before.setblocking(False)
+        assert (await _ask(before, PAGE)).startswith(b"HTTP/1.1 200")
+    while process._callers.connections:  # noqa: ASYNC110
+        await asyncio.sleep(0)
+    server.runs = 0
+    with socket.create_connection(at) as caller:
+        caller.setblocking(False)
+        connection = await _wait_until_taken(process)
+        connection.data_received(PAGE)
+        while connection._messages:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        process._stop_accepting(node.StopAccepting())
+        read = await _ask(caller)
+    # What was passed on is at the server before a request that is sent now.
+    async with aiohttp.ClientSession() as session:
+        url = f"http://{HOST}:{back.sockets[0].getsockname()[1]}/other"
+        async with session.get(url) as response:
+            await response.read()
+    await process._close()
+    back.close()
+    return server.runs, read
+
+
+# Guards against: a request at the end of a planned stop is passed on to a
+# server and runs there, and its caller is left without an answer.
+@pytest.mark.parametrize("new_loop", LOOPS)
+def test_a_stop_cuts_no_request_that_is_passed_on(new_loop: NewLoop) -> None:
+    async def run() -> tuple[int, bytes]:
+        async with asyncio.timeout(HANG_S):
+            return await _stop_while_picked()
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runs, read = runner.run(run())
+    assert runs == read.startswith(b"HTTP/1.1 200")
