--- a/packages/standins/marjoramledge_standins/traffic.py
+++ b/packages/standins/marjoramledge_standins/traffic.py
@@ -13,6 +13,7 @@
 import json
 import random
 import time
+import types
 import typing
 
 import aiohttp
@@ -72,6 +73,28 @@
     reason: str
 
 
+@dataclasses.dataclass(slots=True)
+class _Sending:
+    """What is known of the connection that a call was sent on."""
+
+    is_reused: bool = False
+
+
+def _trace_reuse() -> aiohttp.TraceConfig:
+    """Note of each sending whether its connection was used before."""
+
+    async def note_reuse(
+        _session: aiohttp.ClientSession,
+        context: types.SimpleNamespace,
+        _params: aiohttp.TraceConnectionReuseconnParams,
+    ) -> None:
+        context.trace_request_ctx.is_reused = True
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_reuseconn.append(note_reuse)
+    return trace
+
+
 class Callers:
     """Callers of a deployment.
 
@@ -115,7 +138,11 @@
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
             timeout=aiohttp.ClientTimeout(total=CALLER_TIMEOUT_S),
+            trace_configs=[_trace_reuse()],
         )
+        # The library would send a read again by itself, and a refusal of the
+        # second sending says nothing of the first.
+        self._session._retry_connection = False
         self._arrivals: asyncio.Task[None] | None = None
 
     @property
@@ -206,12 +233,22 @@
     async def _send(
         self, entry: str, call: str, kind: CallKind
     ) -> tuple[Ending, str]:
-        async with self._session.request(
-            kind.method,
-            entry + kind.path,
-            data=kind.body or None,
-            headers={"Host": kind.host, CALL_HEADER: call},
-        ) as response:
+        sending = _Sending()
+        try:
+            response = await self._session.request(
+                kind.method,
+                entry + kind.path,
+                data=kind.body or None,
+                headers={"Host": kind.host, CALL_HEADER: call},
+                trace_request_ctx=sending,
+            )
+        except aiohttp.ClientConnectorError:
+            raise
+        except (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError) as e:
+            # Nothing of an answer has come.
+            ending = Ending.NOT_TAKEN if sending.is_reused else Ending.CUT_NEW
+            return ending, repr(e)
+        async with response:
             content = await response.read()
             return judge_answer(
                 call, kind, response.status, response.headers, content
