Answer at a stop what peers offer, and take a new connection's first request

A stop told the kept connections of peers to close but left them open: what came over them was taken in and not answered, and their entries had to tell their callers that the call may have run. And a connection that had just been opened was closed with its first request on the way (tests/ test_stop_and_new_connections.py; allowed by the users' rules, not by our own promise).

Peers are refused with 'not run' until the process ends now; a connection without a request yet is spared for 0.1 s, half of what the node takes to leave.

--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -475,18 +475,21 @@
     )
 
 
-def close_idle(server: web.Server, port: CallerPort) -> None:
+def close_idle(
+    server: web.Server, port: CallerPort, *, spares_unused: bool
+) -> None:
     """End the connections that serve nothing; the others after their answer.
 
     A connection that is only told to close would still take a request in,
-    and never answer it.
+    and never answer it.  ``spares_unused`` leaves out those that have brought
+    no request yet: their first is likely on its way.
     """
     for connection in server.connections:
         # A request is served some turns of the loop after it has been read;
         # the library shows by no public name that it waits for one.
         waiter = connection._waiter
         is_waiting = waiter is not None and not waiter.done()
-        if is_waiting and not port.is_busy(connection):
-            connection.force_close()
-        else:
+        if port.is_busy(connection) or not is_waiting:
             connection.close()
+        elif connection._request_count or not spares_unused:
+            connection.force_close()
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -42,6 +42,9 @@
 # What is left for handlers that are cut at the end of a stop.
 SHUTDOWN_S: typing.Final = 0.1
 LISTEN_BACKLOG: typing.Final = 1024
+# How long a new connection may wait for its first request at a stop; less than
+# the node takes to leave.
+UNUSED_S: typing.Final = 0.1
 # A node that is deaf for longer is missed by others, who take it for failed.
 SOCKET_CHECK_PERIOD_S: typing.Final = 1.0
 # How long the event loop waits for its turn while a configuration is read.
@@ -257,8 +260,15 @@
             self._configured.set_result(None)
         for listener in self._listeners:
             listener.close()
-        _caller_port.close_idle(self._callers, self._caller_port)
-        self._peers.pre_shutdown()
+        self._close_idle(spares_unused=True)
+        asyncio.get_running_loop().call_later(
+            UNUSED_S, lambda: self._close_idle(spares_unused=False)
+        )
+
+    def _close_idle(self, *, spares_unused: bool) -> None:
+        _caller_port.close_idle(
+            self._callers, self._caller_port, spares_unused=spares_unused
+        )
 
     def _stop_node(self, command: node.StopNode) -> None:
         if not self._stopped.done():
--- a/tests/test_stop_at_each_turn.py
+++ b/tests/test_stop_at_each_turn.py
@@ -88,7 +88,7 @@
         _let_kernel_pass_on()
         for _ in range(turns):
             await asyncio.sleep(0)
-        _caller_port.close_idle(server, port)
+        _caller_port.close_idle(server, port, spares_unused=False)
         got = b""
         async with asyncio.timeout(HANG_S):
             try:
