--- a/packages/node/marjoramledge_node/_connections.py
+++ b/packages/node/marjoramledge_node/_connections.py
@@ -27,8 +27,8 @@
 UNACKNOWLEDGED_S: typing.Final = 1.0
 
 
-# Connections that are opened for one exchange before it is given up: a server
-# that speaks first or closes at once would be connected to without end.
+# New connections for one exchange; without a limit, a server that closes each
+# one at once would be connected to again and again.
 MAX_OPENED: typing.Final = 2
 
 
@@ -71,15 +71,15 @@
         super().connection_lost(exc or self._reset)
 
     def close(self) -> None:
-        """Close; reset where a request is abandoned that was not taken yet.
+        """Close, with a reset where a request is abandoned half sent.
 
-        The end would wait behind bytes that nobody reads.
+        Otherwise the end of the connection would wait behind bytes that the
+        other side does not read.
         """
         transport = self.transport
-        # A transport that closes may have lost its number already.
+        # A transport that is closing may have given its descriptor up.
         is_open = transport is not None and not transport.is_closing()
-        if is_open and not self._is_answered():
-            assert transport is not None
+        if transport is not None and is_open and not self._is_answered():
             _reset_if_unsent(transport)
         super().close()
 
@@ -138,7 +138,7 @@
                 _closing.set(closing)
                 return connection
             connection.close()
-        raise UnfitConnectionError("the server closes or speaks at once")
+        raise UnfitConnectionError("ended, or sent bytes, before a request")
 
     async def _connect_in_time(
         self,
@@ -168,13 +168,13 @@
 
 
 def _take_outcome(closed: asyncio.Future[None]) -> None:
-    """Keep the loop from telling of an end that nobody asked for."""
+    """Mark the outcome as retrieved, so that the loop does not log it."""
     if not closed.cancelled():
         closed.exception()
 
 
 def _is_readable(protocol: client_proto.ResponseHandler) -> bool:
-    """Tell whether bytes, or an end, wait that the loop has not read yet."""
+    """Tell whether the kernel holds bytes, or an end, not read yet."""
     transport = protocol.transport
     if transport is None or transport.is_closing():
         return True
@@ -185,7 +185,7 @@
 
 
 def _reset_if_unsent(transport: asyncio.Transport) -> None:
-    """Reset a connection with bytes that the other side has not taken."""
+    """Reset a connection with bytes that were not acknowledged yet."""
     opened: socket.socket = transport.get_extra_info("socket")
     try:
         unsent = fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, bytes(4))
--- a/packages/node/marjoramledge_node/_engine.py
+++ b/packages/node/marjoramledge_node/_engine.py
@@ -86,7 +86,7 @@
         return mailbox
 
     def close_mailbox(self, owner: str) -> None:
-        """Forget a task's mailbox, and the attempts that it was told of."""
+        """Forget a task's mailbox and the attempts that it was given."""
         mailbox = self._mailboxes.pop(owner, None)
         if mailbox is not None:
             for attempt in mailbox.attempts:
--- a/packages/node/marjoramledge_node/_event_loop.py
+++ b/packages/node/marjoramledge_node/_event_loop.py
@@ -1,7 +1,7 @@
 """The event loop that a node runs on.
 
-Everything that opens a connection does it through the loop, so that the loop
-is the place to see to it that a descriptor has one owner at each moment.
+Every connection is opened through the loop, which makes it the place to ensure
+that a descriptor has exactly one owner at any time.
 """
 
 import asyncio
@@ -17,12 +17,12 @@
 
 
 class _Loop(uvloop.Loop):
-    """Hands a socket over to its transport, whatever ends that.
+    """Moves the descriptor of a connected socket to its transport.
 
-    The library's own loop lets the caller's socket keep the number of a
-    descriptor that its transport has closed, when the hand-over is cancelled
-    or fails; the socket closes the number again when it is collected, and
-    with it whatever was opened under that number meanwhile.
+    When ``create_connection`` of the base class is cancelled or fails, the
+    transport closes the descriptor while the caller's socket still refers to
+    it.  The socket closes the number again when it is collected, along with
+    whatever was opened under it in the meantime.
     """
 
     async def create_connection(
@@ -34,7 +34,7 @@
     ) -> Connection:
         """Connect, or make a transport for a socket that is connected.
 
-        The socket is empty afterwards, also when an error is raised.
+        The socket is detached in any case, also when an error is raised.
         """
         connect: collections.abc.Callable[
             ..., collections.abc.Awaitable[Connection]
--- a/packages/node/marjoramledge_node/_faults.py
+++ b/packages/node/marjoramledge_node/_faults.py
@@ -1,8 +1,8 @@
-"""What the event loop, the libraries and tasks report as gone wrong.
+"""Errors that the event loop, libraries and tasks report.
 
-Each report is counted by what it tells and written as one line of bounded
-length, and of each kind only so many lines a second: a fault of descriptors
-may come with every call.
+Each report is counted by kind and logged as one line of bounded length.  The
+lines of a kind are limited per second, since an error of descriptors may come
+with every call.
 """
 
 import asyncio
@@ -24,7 +24,7 @@
 
 
 class FaultKind(enum.Enum):
-    """What a report tells."""
+    """Kinds of reports."""
 
     DESCRIPTOR_SHARED = "descriptor-shared"
     DESCRIPTOR_GONE = "descriptor-gone"
@@ -38,7 +38,7 @@
 
 
 class FaultLog(logging.Handler):
-    """Counts and logs the faults of the loop and of libraries.
+    """Counts and logs the reports of the event loop and of libraries.
 
     Parameters
     ----------
@@ -47,8 +47,8 @@
     clock
         Monotonic time in seconds.
     end_node
-        Ends the node.  Called when a descriptor turns out to have another
-        owner, or none: answers may go to other callers then.
+        Ends the node.  Called when a descriptor is shared or was closed under
+        its owner, since answers may go to other callers from then on.
     """
 
     def __init__(
@@ -123,7 +123,7 @@
 
 
 def classify(message: str, error: BaseException | None) -> FaultKind:
-    """Tell what a report is about."""
+    """Find the kind of a report."""
     if isinstance(error, RuntimeError) and "is used by" in str(error):
         return FaultKind.DESCRIPTOR_SHARED
     if isinstance(error, OSError) and error.errno == errno.EBADF:
--- a/packages/node/marjoramledge_node/_fleet.py
+++ b/packages/node/marjoramledge_node/_fleet.py
@@ -132,7 +132,7 @@
             node.FetchManifest,
             self._fetch_manifest,
             lambda command: node.ManifestFailed(
-                ref=command.ref, detail="the fetch broke down"
+                ref=command.ref, detail="the fetch failed"
             ),
         )
 
@@ -203,11 +203,10 @@
         ],
         build_failure: collections.abc.Callable[[C], node.Event] | None = None,
     ) -> None:
-        """Have an operation done for each command of a type.
+        """Run an operation for each command of a type.
 
-        The core begins no other operation of some types before it hears of
-        the end of the last; ``build_failure`` builds that event when the
-        operation itself could not.
+        For some types the core waits for an event before it begins the next
+        operation; ``build_failure`` builds that event for one that raised.
         """
 
         async def operate(command: C) -> None:
@@ -441,7 +440,7 @@
         began_at = self._engine.now()
         probed = await self._upstream.probe(server, PROBE_TIMEOUT_S)
         if probed is None:
-            # A presumed death waits for the answer to this probe.
+            # A presumed death stays open until a probe has an outcome.
             probed = await self._upstream.probe(server, PROBE_TIMEOUT_S)
         if probed is None:
             probed = _upstream.Probe(is_alive=False)
--- a/packages/node/marjoramledge_node/_mailbox.py
+++ b/packages/node/marjoramledge_node/_mailbox.py
@@ -15,7 +15,7 @@
 class Mailbox:
     """Commands that wait for one task.
 
-    ``attempts`` are those that the task was told to make so far.
+    ``attempts`` lists the attempts that the task was given so far.
     """
 
     def __init__(self) -> None:
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -221,9 +221,9 @@
     async def _send_in_time(
         self, request: web.BaseRequest, command: node.StartWork
     ) -> _upstream.Exchange | None:
-        """Send a request on; None when its deadline passes before the answer.
+        """Send a request on; None when its deadline passes first.
 
-        The sender gives it up then, but may be cut off from this node.
+        The entry cancels it then, but may be cut off from this node.
         """
         remaining_s = max(0.0, command.deadline_at - self._engine.now())
         limit_s = remaining_s + _relay.ANSWER_GRACE_S
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -45,7 +45,7 @@
 # How long a new connection may wait for its first request at a stop; less than
 # the node takes to leave.
 UNUSED_S: typing.Final = 0.1
-# A node that is deaf for longer is missed by others, who take it for failed.
+# Other nodes take one that does not answer for longer as failed.
 SOCKET_CHECK_PERIOD_S: typing.Final = 1.0
 # How long the event loop waits for its turn while a configuration is read.
 THREAD_SWITCH_S: typing.Final = 0.001
@@ -70,7 +70,7 @@
             lambda stamped: self._counts.note_record(stamped.record)
         )
         self._fault_log = _faults.FaultLog(
-            counts=self._counts, clock=loop.time, end_node=self._end_broken
+            counts=self._counts, clock=loop.time, end_node=self._abort
         )
         loop.set_exception_handler(self._fault_log.handle_loop_fault)
         logging.getLogger().addHandler(self._fault_log)
@@ -274,18 +274,18 @@
         if not self._stopped.done():
             self._stopped.set_result(command.cut_calls)
 
-    def _end_broken(self) -> None:
-        """End at once; whoever runs the node starts it again."""
+    def _abort(self) -> None:
+        """End at once; the node is expected to be started again."""
         if self._stopped.done():
             return
-        loguru.logger.bind(event="node-broken").error(
-            "ends, since a descriptor of this process has lost its owner"
+        loguru.logger.bind(event="node-aborted").error(
+            "a descriptor of this process is shared or was closed"
         )
         self._stopped.set_exception(AssertionError("a descriptor was lost"))
         self._stop_accepting(node.StopAccepting())
 
     async def _watch_sockets(self) -> None:
-        """Look now and then whether the node's own sockets are still its."""
+        """Check now and then that the node's own sockets are still open."""
         known: dict[int, int] = {}
         while True:
             for opened in self._own_sockets():
@@ -293,7 +293,7 @@
                 inode = _read_inode(number)
                 if known.setdefault(number, inode) != inode:
                     _faults.report(
-                        "an own socket was replaced",
+                        "a socket of the node was replaced",
                         OSError(errno.EBADF, f"descriptor {number}"),
                     )
             await asyncio.sleep(SOCKET_CHECK_PERIOD_S)
@@ -327,7 +327,7 @@
 
 
 def _read_inode(descriptor: int) -> int:
-    """Read what file a descriptor is of; 0 where it is closed."""
+    """Read the inode of a descriptor; 0 if it is closed."""
     try:
         return os.fstat(descriptor).st_ino
     except OSError:
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -155,7 +155,7 @@
     run=node.RunState.NOT_RUN,
     reason=node.Reason.NODE_FAULT,
 )
-# What is left of an exchange that ended in an error of this process.
+# An error of this process ended the exchange, perhaps after it was sent.
 _BROKE_DOWN: typing.Final = Fault(
     outcome=node.ServerOutcome.CANCELLED,
     run=node.RunState.MAY_HAVE_RUN,
@@ -478,7 +478,7 @@
 
 
 def _is_own_fault(error: Exception) -> bool:
-    """Tell whether an error says nothing about the other side."""
+    """Tell whether an error was caused by this process."""
     return isinstance(error, OSError) and error.errno in _OWN_ERRORS
 
 
