--- a/packages/standins/marjoramledge_standins/builders.py
+++ b/packages/standins/marjoramledge_standins/builders.py
@@ -62,12 +62,14 @@
     ).unwrap()
 
 
-def build_server(*, is_cold: bool = False, slots: int = 4) -> node.Server:
+def build_server(
+    *, is_cold: bool = False, slots: int = 4, port: int = 9000
+) -> node.Server:
     """Build the announcement of a backend server."""
     return node.Server(
         service=ids.ServiceName("shop"),
         host="127.0.0.1",
-        port=9000,
+        port=port,
         slots=slots,
         connections=40,
         cold_concurrency=1,
--- a/tests/test_descriptor_owners.py
+++ b/tests/test_descriptor_owners.py
@@ -15,13 +15,12 @@
 import time
 import typing
 
-from marjoramledge_core import ids
-from marjoramledge_core import node
 from marjoramledge_node import _bodies
 from marjoramledge_node import _dialect
 from marjoramledge_node import _logs
 from marjoramledge_node import _process
 from marjoramledge_node import _upstream
+from marjoramledge_standins import builders
 import multidict
 import pytest
 
@@ -154,16 +153,7 @@
             body=_bodies.Body(),
             is_repeatable=is_repeatable,
         ),
-        node.Server(
-            service=ids.ServiceName("shop"),
-            host=HOST,
-            port=port,
-            slots=1,
-            connections=1,
-            cold_concurrency=1,
-            is_cold=False,
-            health_path="/",
-        ),
+        builders.build_server(port=port),
         HANG_S,
     )
 
--- a/tests/test_descriptors_of_connects.py
+++ b/tests/test_descriptors_of_connects.py
@@ -15,7 +15,6 @@
 import time
 
 from aiohttp import connector
-from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_node import _bodies
 from marjoramledge_node import _dialect
@@ -24,6 +23,7 @@
 from marjoramledge_node import _relay
 from marjoramledge_node import _upstream
 from marjoramledge_platform import _store
+from marjoramledge_standins import builders
 from marjoramledge_store import client
 import multidict
 import pytest
@@ -116,19 +116,6 @@
     )
 
 
-def _describe_server(port: int) -> node.Server:
-    return node.Server(
-        service=ids.ServiceName("shop"),
-        host=HOST,
-        port=port,
-        slots=1,
-        connections=1,
-        cold_concurrency=1,
-        is_cold=False,
-        health_path="/",
-    )
-
-
 def _build_outgoing(*, is_repeatable: bool) -> _upstream.Outgoing:
     return _upstream.Outgoing(
         method="GET",
@@ -155,7 +142,7 @@
         await _read(
             await upstream.send_to_server(
                 _build_outgoing(is_repeatable=is_repeatable),
-                _describe_server(port),
+                builders.build_server(port=port),
                 LIMIT_S,
             )
         )
@@ -202,7 +189,7 @@
     upstream = _open_upstream()
 
     async def exchange() -> None:
-        await upstream.probe(_describe_server(port), LIMIT_S)
+        await upstream.probe(builders.build_server(port=port), LIMIT_S)
 
     yield asyncio.create_task(exchange())
     await upstream.close()
--- a/tests/test_encoded_answers.py
+++ b/tests/test_encoded_answers.py
@@ -7,12 +7,11 @@
 import typing
 
 from aiohttp import web
-from marjoramledge_core import ids
-from marjoramledge_core import node
 from marjoramledge_node import _bodies
 from marjoramledge_node import _dialect
 from marjoramledge_node import _relay
 from marjoramledge_node import _upstream
+from marjoramledge_standins import builders
 import multidict
 import pytest
 import uvloop
@@ -59,16 +58,7 @@
                 headers=multidict.CIMultiDict(),
                 body=_bodies.Body(),
             ),
-            node.Server(
-                service=ids.ServiceName("shop"),
-                host=HOST,
-                port=port,
-                slots=1,
-                connections=1,
-                cold_concurrency=1,
-                is_cold=False,
-                health_path="/",
-            ),
+            builders.build_server(port=port),
             HANG_S,
         )
         response, _ = await _relay.relay(
--- a/tests/test_given_up_work.py
+++ b/tests/test_given_up_work.py
@@ -152,16 +152,7 @@
         )
         self.engine.submit(
             node.ServerAnnounced(
-                server=node.Server(
-                    service=ids.ServiceName("shop"),
-                    host=HOST,
-                    port=port,
-                    slots=slots,
-                    connections=40,
-                    cold_concurrency=slots,
-                    is_cold=False,
-                    health_path="/health",
-                )
+                server=builders.build_server(port=port, slots=slots)
             )
         )
 
--- a/tests/test_left_uploads.py
+++ b/tests/test_left_uploads.py
@@ -6,11 +6,10 @@
 import threading
 
 from aiohttp import web
-from marjoramledge_core import ids
-from marjoramledge_core import node
 from marjoramledge_node import _bodies
 from marjoramledge_node import _dialect
 from marjoramledge_node import _upstream
+from marjoramledge_standins import builders
 import multidict
 import pytest
 import uvloop
@@ -63,16 +62,7 @@
                 headers=multidict.CIMultiDict(),
                 body=await _bodies.take_body(request),
             ),
-            node.Server(
-                service=ids.ServiceName("shop"),
-                host=HOST,
-                port=server.port,
-                slots=1,
-                connections=1,
-                cold_concurrency=1,
-                is_cold=False,
-                health_path="/",
-            ),
+            builders.build_server(port=server.port),
             HANG_S,
         )
         return web.Response(status=502)
--- a/tests/test_own_errors.py
+++ b/tests/test_own_errors.py
@@ -34,19 +34,6 @@
 GONE = OSError(errno.EBADF, "Bad file descriptor")
 
 
-def _build_server(port: int) -> node.Server:
-    return node.Server(
-        service=ids.ServiceName("shop"),
-        host=HOST,
-        port=port,
-        slots=1,
-        connections=1,
-        cold_concurrency=1,
-        is_cold=False,
-        health_path="/health",
-    )
-
-
 def _build_outgoing() -> _upstream.Outgoing:
     return _upstream.Outgoing(
         method="GET",
@@ -212,7 +199,7 @@
             patch.setattr(aiohttp.TCPConnector, "connect", connect_or_time_out)
             patch.setattr(loop, "time", lambda: real_time() + passed_s)
             exchange = await upstream.send_to_server(
-                _build_outgoing(), _build_server(port), 5.0
+                _build_outgoing(), builders.build_server(port=port), 5.0
             )
         await upstream.close()
         listener.close()
@@ -229,7 +216,7 @@
 
 
 async def _probe(upstream: _upstream.Upstream) -> object:
-    return await upstream.probe(_build_server(1), 1.0)
+    return await upstream.probe(builders.build_server(port=1), 1.0)
 
 
 async def _fetch(upstream: _upstream.Upstream) -> object:
@@ -324,7 +311,7 @@
         )
         upstream = _upstream.Upstream(dialect=dialect, idle_connection_s=4.0)
         try:
-            return await upstream.probe(_build_server(port), 5.0)
+            return await upstream.probe(builders.build_server(port=port), 5.0)
         finally:
             await upstream.close()
             server.close()
--- a/tests/test_platform_descriptors.py
+++ b/tests/test_platform_descriptors.py
@@ -35,6 +35,7 @@
 from marjoramledge_platform import _operator
 from marjoramledge_platform import _store
 from marjoramledge_standins import deployment
+from marjoramledge_standins import descriptors
 from marjoramledge_store import followed
 import uvloop
 
@@ -43,8 +44,6 @@
 HANG_S = 20.0
 # Status of a process that has ended as a node does.
 ENDED = 3
-# The kernel's number of the state of a connection that opens.
-TCP_SYN_SENT = 2
 REGIONS = {ids.ZoneName("north"): ids.RegionName("isle")}
 CONFIG: dict[str, object] = {"listeners": [], "clusters": []}
 
@@ -297,22 +296,6 @@
     assert uvloop.run(fetch())
 
 
-def _find_opening() -> set[int]:
-    """Find the sockets of this process whose connections still open."""
-    found = set()
-    for name in os.listdir("/proc/self/fd"):
-        try:
-            with socket.socket(fileno=os.dup(int(name))) as opened:
-                info = opened.getsockopt(
-                    socket.IPPROTO_TCP, socket.TCP_INFO, 1
-                )
-        except OSError:
-            continue
-        if info[0] == TCP_SYN_SENT:
-            found.add(int(name))
-    return found
-
-
 @contextlib.contextmanager
 def _silent_port() -> collections.abc.Iterator[int]:
     """Listen on a port where connections open for ever."""
@@ -344,10 +327,10 @@
         port = stack.enter_context(_silent_port())
         follower = _Node(port)
         stack.push_async_callback(follower.close)
-        before = _find_opening()
+        before = descriptors.find_opening()
         follower.engine.start()
         await asyncio.sleep(0.5)
-        opening = _find_opening() - before
+        opening = descriptors.find_opening() - before
         assert opening
         for descriptor in opening:
             os.close(descriptor)
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -7,13 +7,12 @@
 import socket
 import threading
 
-from marjoramledge_core import ids
-from marjoramledge_core import node
 from marjoramledge_node import _bodies
 from marjoramledge_node import _dialect
 from marjoramledge_node import _relay
 from marjoramledge_node import _upstream
 from marjoramledge_platform import _dialect as platform_dialect
+from marjoramledge_standins import builders
 import multidict
 import pytest
 import uvloop
@@ -64,16 +63,7 @@
             headers=multidict.CIMultiDict({REQUEST_ID: name}),
             body=_bodies.Body(),
         ),
-        node.Server(
-            service=ids.ServiceName("shop"),
-            host=HOST,
-            port=port,
-            slots=1,
-            connections=1,
-            cold_concurrency=1,
-            is_cold=False,
-            health_path="/",
-        ),
+        builders.build_server(port=port),
         LIMIT_S,
     )
     answer = exchange.value_or(None)
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -31,16 +31,7 @@
 # Ends a test that would never end; no promise is read from it.
 HANG_S = 10.0
 ATTEMPT = ids.AttemptId("c.0")
-SERVER = node.Server(
-    service=ids.ServiceName("shop"),
-    host="127.0.0.1",
-    port=1,
-    slots=1,
-    connections=1,
-    cold_concurrency=1,
-    is_cold=False,
-    health_path="/",
-)
+SERVER = builders.build_server(port=1)
 
 
 class _Engine:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -5,12 +5,11 @@
 import struct
 import threading
 
-from marjoramledge_core import ids
-from marjoramledge_core import node
 from marjoramledge_node import _bodies
 from marjoramledge_node import _dialect
 from marjoramledge_node import _relay
 from marjoramledge_node import _upstream
+from marjoramledge_standins import builders
 import multidict
 import pytest
 import uvloop
@@ -63,16 +62,7 @@
                 headers=multidict.CIMultiDict(),
                 body=_bodies.Body(),
             ),
-            node.Server(
-                service=ids.ServiceName("shop"),
-                host=HOST,
-                port=server.port,
-                slots=1,
-                connections=1,
-                cold_concurrency=1,
-                is_cold=False,
-                health_path="/",
-            ),
+            builders.build_server(port=server.port),
             LIMIT_S,
         )
     )
--- a/tests/test_used_descriptors.py
+++ b/tests/test_used_descriptors.py
@@ -29,6 +29,7 @@
 from marjoramledge_node import _upstream
 from marjoramledge_standins import builders
 from marjoramledge_standins import deployment
+from marjoramledge_standins import descriptors
 import uvloop
 
 HOST = "127.0.0.1"
@@ -38,8 +39,6 @@
 )
 # Ends a test that would never end; no promise is read from it.
 HANG_S = 10.0
-# The kernel's number of the state of a connection that opens.
-TCP_SYN_SENT = 2
 # Status of a process that has ended as a node does.
 ENDED = 3
 
@@ -173,22 +172,6 @@
     assert second == b"HTTP/1.1 200 OK\r\n"
 
 
-def _find_opening() -> set[int]:
-    """Find the sockets of this process whose connections still open."""
-    found = set()
-    for name in os.listdir("/proc/self/fd"):
-        try:
-            with socket.socket(fileno=os.dup(int(name))) as opened:
-                info = opened.getsockopt(
-                    socket.IPPROTO_TCP, socket.TCP_INFO, 1
-                )
-        except OSError:
-            continue
-        if info[0] == TCP_SYN_SENT:
-            found.add(int(name))
-    return found
-
-
 async def _wait_out_deadline() -> bytes:
     """Call a silent server; lose the connection to it while it opens."""
     loop = asyncio.get_running_loop()
@@ -211,10 +194,10 @@
         port = listening.getsockname()[1]
         async with _serving_callers(port) as (_, caller_port):
             opened = await asyncio.open_connection(HOST, caller_port)
-            before = _find_opening()
+            before = descriptors.find_opening()
             answer = asyncio.create_task(_call(*opened))
             await asyncio.sleep(0.2)
-            opening = _find_opening() - before
+            opening = descriptors.find_opening() - before
             assert opening
             other = stack.enter_context(socket.socket())
             other.setblocking(False)
