Log why a configuration is late, and which calls it affects

A fetch that ends logs how long it waited to start and for the reader. Answers under a configuration that the node knows to be outdated are logged, with the time since it knows; a gauge shows that time. A call's record says 'no load report' instead of an age counted from none (25688 s in a log).

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -507,9 +507,15 @@
 
 
 def _should_record_answer(step: _state.Step, call: _state.Call) -> bool:
-    """Return whether to record an answer: slow, multi-attempt or sampled."""
+    """Return whether to record an answer.
+
+    Slow answers, those after several attempts or under an outdated
+    configuration, and a sample of the others are recorded.
+    """
     if len(call.attempts) > 1 or step.now > call.target_at:
         return True
+    if step.state.versions.behind_s(step.now) > 0.0:
+        return True
     step.state.ordinary_answers += 1
     return step.state.ordinary_answers % ORDINARY_ANSWERS_PER_RECORD == 0
 
@@ -526,7 +532,7 @@
     tried = ", ".join(
         f"{attempt.server.node} at {attempt.sent_at - call.arrived_at:.3f} s"
         f" (expected {attempt.expected_s:.3f} s,"
-        f" load reported {attempt.estimate_age_s:.3f} s ago)"
+        f" {_describe_estimate_age(attempt)})"
         for attempt in call.attempts.values()
     )
     candidates = step.state.directory.candidates(call.service)
@@ -539,10 +545,17 @@
         f"attempts [{tried}], {len(candidates)} candidate servers, "
         f"{free_count} below their limit, "
         f"{step.budget_of(call.service).tokens:.1f} retry tokens left, "
-        f"configuration {step.state.versions.ref.version}"
+        f"configuration {step.state.versions.ref.version}, "
+        f"outdated for {step.state.versions.behind_s(step.now):.3f} s"
     )
 
 
+def _describe_estimate_age(attempt: _state.Attempt) -> str:
+    if attempt.estimate_age_s is None:
+        return "no load report"
+    return f"load reported {attempt.estimate_age_s:.3f} s ago"
+
+
 def _refuse_on_arrival(
     step: _state.Step,
     event: _events.CallArrived,
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -144,11 +144,13 @@
 class FetchManifest:
     """Fetch a configuration from a peer, or from the store.
 
-    ``source`` is the peer, or None for the store.
+    ``source`` is the peer, or None for the store, and ``ordered_at`` the
+    monotonic time of this command in seconds.
     """
 
     ref: _manifest.VersionRef
     source: _members.Address | None
+    ordered_at: float
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_dispatch.py
+++ b/packages/core/marjoramledge_core/_dispatch.py
@@ -99,7 +99,7 @@
         service=call.service,
         holds_reroute_token=not prefers_queueing,
         expected_s=server.latency_s,
-        estimate_age_s=step.now - server.reported_at,
+        estimate_age_s=server.report_age_s(step.now),
     )
     call.attempts[attempt_id] = attempt
     call.tried.add(server.node)
--- a/packages/core/marjoramledge_core/_load.py
+++ b/packages/core/marjoramledge_core/_load.py
@@ -101,6 +101,10 @@
         self.ejections = min(self.ejections + 1, 16)
         return True
 
+    def report_age_s(self, now: float) -> float | None:
+        """Return the age of the last load report; None without one."""
+        return now - self.reported_at if self.reported_at else None
+
     def is_ejected(self, now: float) -> bool:
         """Return whether the server is ejected at ``now``."""
         return now < self.ejected_until
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -159,7 +159,7 @@
     if server is not None and message.load is not None:
         server.note_report(message.load, step.now)
     step.state.versions.observe_version(
-        message.config, message.sender_address, step.out
+        message.config, message.sender_address, step.now, step.out
     )
 
 
@@ -174,7 +174,7 @@
 
 
 def _note_version(step: _state.Step, event: _events.VersionRead) -> None:
-    step.state.versions.observe_version(event.ref, None, step.out)
+    step.state.versions.observe_version(event.ref, None, step.now, step.out)
 
 
 def _adopt_manifest(step: _state.Step, event: _events.ManifestFetched) -> None:
@@ -294,7 +294,9 @@
     ]
     confirmed = [member for member in alive if member.is_confirmed]
     peers = [member.address for member in confirmed or alive]
-    step.state.versions.retry_fetch(timer.number, peers, step.rng, step.out)
+    step.state.versions.retry_fetch(
+        timer.number, peers, step.now, step.rng, step.out
+    )
 
 
 _Handler = typing.Callable[[_state.Step, typing.Any], None]
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -104,7 +104,8 @@
     ``holds_reroute_token`` is true while a reroute token is reserved, with
     which the call can be sent to another server if this one refuses it.
     ``expected_s`` is the latency that was expected of the server, and
-    ``estimate_age_s`` the age of the load report behind that estimate.
+    ``estimate_age_s`` the age of the load report behind that estimate; None
+    if there was no report.
     """
 
     attempt: _ids.AttemptId
@@ -113,7 +114,7 @@
     sent_at: float
     holds_reroute_token: bool
     expected_s: float
-    estimate_age_s: float
+    estimate_age_s: float | None
     is_open: bool = True
 
 
--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -71,6 +71,7 @@
         self._retry_count = 0
         self._fetch_generation = 0
         self._fetching: set[_ids.Digest] = set()
+        self._behind_since: float | None = None
         self._read_at = 0.0
         self._read_retry_s = READ_RETRY_S
 
@@ -89,6 +90,15 @@
         """Time at which this node last started to read the version row."""
         return self._read_at
 
+    def behind_s(self, now: float) -> float:
+        """Seconds since this node learned that its version is outdated.
+
+        Zero while no newer version is known.
+        """
+        if self._behind_since is None:
+            return 0.0
+        return now - self._behind_since
+
     def start(self, now: float) -> None:
         """Schedule the first read of the version row."""
         self._timers.set(now, _timers.TimerKind.CONFIG_READ)
@@ -144,6 +154,7 @@
         self,
         ref: _manifest.VersionRef,
         source: _members.Address | None,
+        now: float,
         out: list[_commands.Command],
     ) -> None:
         """Handle a version named by a peer or the store; fetch it if newer.
@@ -154,10 +165,13 @@
             # Same content, possibly under a higher version number.
             newest = max(ref.version, self._ref.version)
             self._ref = dataclasses.replace(ref, version=newest)
+            self._clear_behind()
             return
         if ref.version <= max(self._ref.version, self._wanted.version):
             return
         self._wanted = ref
+        if self._behind_since is None:
+            self._behind_since = now
         if ref.digest in self._fetching:
             # A fetch of the same content, under a lower number, is running.
             return
@@ -170,7 +184,7 @@
             detail=f"version {ref.version} from {source_name}",
         )
         out.append(_commands.WriteRecord(record=record))
-        self._fetch(source, out)
+        self._fetch(source, now, out)
 
     def adopt(
         self,
@@ -186,6 +200,7 @@
             ref = dataclasses.replace(ref, version=newest)
         self._ref = ref
         self._configuration = configuration
+        self._clear_behind()
         return True
 
     def fetch_failed(
@@ -208,6 +223,7 @@
         self,
         generation: int,
         peers: list[_members.Address],
+        now: float,
         rng: random.Random,
         out: list[_commands.Command],
     ) -> None:
@@ -224,15 +240,24 @@
         source = None
         if peers and self._retry_count % STORE_RETRY_INTERVAL:
             source = peers[int(rng.random() * len(peers))]
-        self._fetch(source, out)
+        self._fetch(source, now, out)
 
     def _fetch(
         self,
         source: _members.Address | None,
+        now: float,
         out: list[_commands.Command],
     ) -> None:
         self._fetching.add(self._wanted.digest)
-        out.append(_commands.FetchManifest(ref=self._wanted, source=source))
+        out.append(
+            _commands.FetchManifest(
+                ref=self._wanted, source=source, ordered_at=now
+            )
+        )
+
+    def _clear_behind(self) -> None:
+        if self._is_in_force():
+            self._behind_since = None
 
     def _is_in_force(self) -> bool:
         """Return whether the wanted version or a newer one is in force."""
--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -51,6 +51,27 @@
     compressed: bytes
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _FetchTimes:
+    """Times of the steps of a fetch, in seconds of the engine's clock.
+
+    ``reading_at`` is set when the worker thread begins to read the content.
+    """
+
+    ordered_at: float
+    begun_at: float
+    fetched_at: float = 0.0
+    reading_at: float = 0.0
+
+    def describe(self, ended_at: float) -> str:
+        """Describe how long each step waited and took."""
+        return (
+            f"waited {self.begun_at - self.ordered_at:.3f} s to start and "
+            f"{self.reading_at - self.fetched_at:.3f} s for the reader, "
+            f"read in {ended_at - self.reading_at:.3f} s"
+        )
+
+
 def _check_digest(
     content: bytes, digest: ids.Digest
 ) -> result.Result[bytes, str]:
@@ -390,7 +411,9 @@
 
     async def _fetch_manifest(self, command: node.FetchManifest) -> None:
         ref = command.ref
-        began_at = self._engine.now()
+        times = _FetchTimes(
+            ordered_at=command.ordered_at, begun_at=self._engine.now()
+        )
         fetched: result.Result[bytes, str]
         if command.source is not None:
             fetched = await self._request_peer(
@@ -407,13 +430,16 @@
             fetched = manifest_read.alt(str)
         else:
             fetched = result.Failure("no store is configured")
-        fetched_at = self._engine.now()
-        parsed = await self._worker.run(
-            lambda: fetched.bind(
+        times.fetched_at = times.reading_at = self._engine.now()
+
+        def read() -> result.Result[_ParsedContent, str]:
+            times.reading_at = self._engine.now()
+            return fetched.bind(
                 lambda content: self._parse_fetched(command, content)
             )
-        )
-        self._record_fetch(command, fetched, fetched_at - began_at, fetched_at)
+
+        parsed = await self._worker.run(read)
+        self._record_fetch(command, fetched, times)
         if isinstance(parsed, result.Failure):
             self._engine.submit(
                 node.ManifestFailed(ref=ref, detail=parsed.failure())
@@ -444,22 +470,21 @@
         self,
         command: node.FetchManifest,
         fetched: result.Result[bytes, str],
-        fetch_s: float,
-        fetched_at: float,
+        times: _FetchTimes,
     ) -> None:
         """Record the outcome, size and duration of a fetch."""
         source = command.source or "the store"
         outcome = "failed"
         if isinstance(fetched, result.Success):
-            read_s = self._engine.now() - fetched_at
-            size = len(fetched.unwrap())
-            outcome = f"{size} bytes, read in {read_s:.3f} s"
+            outcome = f"{len(fetched.unwrap())} bytes"
+        fetch_s = times.fetched_at - times.begun_at
         self._timeline.write(
             node.Record(
                 kind=node.RecordKind.CONFIG_FETCHED,
                 detail=(
                     f"version {command.ref.version} from {source} "
-                    f"in {fetch_s:.3f} s: {outcome}"
+                    f"in {fetch_s:.3f} s: {outcome}, "
+                    f"{times.describe(self._engine.now())}"
                 ),
             )
         )
--- a/packages/node/marjoramledge_node/_metrics_port.py
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -141,6 +141,11 @@
             "Seconds since this node last read the store.",
             now - state.versions.read_at,
         )
+        yield (
+            "configuration_behind_seconds",
+            "Seconds since this node knows of a newer configuration.",
+            state.versions.behind_s(now),
+        )
         present = state.membership.present_count
         yield "members_present", "Members that are present.", present
         yield (
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -336,7 +336,7 @@
     out: list[node.Command] = []
     now = 0.0
     ref = builders.build_ref(2)
-    versions.observe_version(ref, peers[0], out)
+    versions.observe_version(ref, peers[0], now, out)
     # The connection attempt to the sender ends after half a second.
     now += 0.5
     sources: list[node.Address] = []
@@ -348,7 +348,7 @@
         timer = timers.pop_due(now)
         assert timer is not None
         out.clear()
-        versions.retry_fetch(timer.number, peers, rng, out)
+        versions.retry_fetch(timer.number, peers, now, rng, out)
         (fetch,) = out
         assert isinstance(fetch, node.FetchManifest)
         if fetch.source is not None and now < 2.0:
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -153,7 +153,9 @@
     [
         (node.ReadVersion(wait_s=0.0), node.VersionReadEnded),
         (
-            node.FetchManifest(ref=configuration.NO_VERSION, source=None),
+            node.FetchManifest(
+                ref=configuration.NO_VERSION, source=None, ordered_at=0.0
+            ),
             node.ManifestFailed,
         ),
     ],
@@ -223,7 +225,9 @@
             ),
             counts=_counts.Counts(),
         )
-        command = node.FetchManifest(ref=builders.build_ref(1), source=None)
+        command = node.FetchManifest(
+            ref=builders.build_ref(1), source=None, ordered_at=0.0
+        )
         engine.consumers[node.FetchManifest](command)
         await asyncio.wait(fleet._tasks, timeout=HANG_TIMEOUT_S)
         await fleet.close()
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -33,7 +33,7 @@
             digest=ids.Digest(content),
         )
         out: list[node.Command] = []
-        self.versions.observe_version(self.newest, None, out)
+        self.versions.observe_version(self.newest, None, self.now, out)
         self._start_fetches(out)
 
     def end(self, is_success: bool) -> None:
@@ -63,7 +63,9 @@
         self.now += 2 * _versions.MAX_FETCH_RETRY_S
         while (timer := self.timers.pop_due(self.now)) is not None:
             out: list[node.Command] = []
-            self.versions.retry_fetch(timer.number, [], self.rng, out)
+            self.versions.retry_fetch(
+                timer.number, [], self.now, self.rng, out
+            )
             self._start_fetches(out)
 
     def _start_fetches(self, out: list[node.Command]) -> None:
