--- a/packages/standins/marjoramledge_standins/builders.py
+++ b/packages/standins/marjoramledge_standins/builders.py
@@ -7,14 +7,8 @@
 from marjoramledge_core import node
 from marjoramledge_node import peers
 
-INVENTORY = """
+_SERVICES = """
 organisation = "garden"
-[zones.north]
-region = "isle"
-takes_work = true
-[zones.south]
-region = "isle"
-takes_work = true
 [services.shop]
 hosts = ["shop.example"]
 servers = 2
@@ -22,6 +16,19 @@
 connections = 40
 cold_concurrency = 1
 """
+
+
+def _format_inventory(zones: tuple[str, ...], closed_zone: str = "") -> str:
+    inventory = _SERVICES
+    for zone in zones:
+        takes_work = "false" if zone == closed_zone else "true"
+        inventory += (
+            f'[zones.{zone}]\nregion = "isle"\ntakes_work = {takes_work}\n'
+        )
+    return inventory
+
+
+INVENTORY = _format_inventory(("north", "south"))
 RULES = """
 [[kinds]]
 name = "order"
@@ -50,13 +57,10 @@
 
 
 def build_configuration(
-    *, closed_zone: str = ""
+    *, closed_zone: str = "", zones: tuple[str, ...] = ("north", "south")
 ) -> configuration.Configuration:
-    """Build a configuration of two zones, optionally with one closed."""
-    inventory = INVENTORY
-    if closed_zone:
-        before, mark, after = inventory.partition(f"[zones.{closed_zone}]")
-        inventory = before + mark + after.replace("true", "false", 1)
+    """Build a configuration of some zones, optionally with one closed."""
+    inventory = _format_inventory(zones, closed_zone)
     return configuration.parse_documents(
         {"inventory.toml": inventory, "rules.toml": RULES}
     ).unwrap()
@@ -90,6 +94,21 @@
     )
 
 
+def build_call(
+    call: str, method: str = "GET", path: str = "/pages/1"
+) -> node.CallArrived:
+    """Build the arrival of a caller's request."""
+    return node.CallArrived(
+        call=ids.CallId(call),
+        host="shop.example",
+        method=method,
+        path=path,
+        deadline_s=None,
+        is_body_buffered=True,
+        fingerprint=ids.Fingerprint(call),
+    )
+
+
 class CoreDriver:
     """Drives one node's state machine under virtual time."""
 
@@ -139,21 +158,29 @@
             )
         )
 
+    def hear_version(self, version: int, peer: str) -> list[node.Command]:
+        """Receive a peer's message that names a version as in force."""
+        port = 7000 + int(peer.removeprefix("n"))
+        return self.submit(
+            node.MessageReceived(
+                message=node.Message(
+                    kind=node.MessageKind.NEWS,
+                    sender=ids.NodeId(peer),
+                    sender_address=node.Address(host="127.0.0.1", port=port),
+                    sequence=0,
+                    target=ids.NodeId(peer),
+                    config=build_ref(version),
+                    updates=(),
+                    suspicions=(),
+                )
+            )
+        )
+
     def arrive(
         self, call: str, method: str = "GET", path: str = "/pages/1"
     ) -> list[node.Command]:
         """Submit a request from a caller."""
-        return self.submit(
-            node.CallArrived(
-                call=ids.CallId(call),
-                host="shop.example",
-                method=method,
-                path=path,
-                deadline_s=None,
-                is_body_buffered=True,
-                fingerprint=ids.Fingerprint(call),
-            )
-        )
+        return self.submit(build_call(call, method, path))
 
     def offer(
         self,
--- a/packages/standins/marjoramledge_standins/virtual_links.py
+++ b/packages/standins/marjoramledge_standins/virtual_links.py
@@ -41,6 +41,7 @@
     ) -> None:
         self._zones = zones
         self._bytes_per_s = bytes_per_s
+        self._narrow: dict[node.Address, tuple[float, float]] = {}
         self._sending_until: dict[node.Address, float] = {}
         self._receiving_until: dict[node.Address, float] = {}
         self._waiting: dict[node.Address, int] = {}
@@ -65,8 +66,36 @@
         """Store a new version and answer the reads that wait for one."""
         self._content = content
         self.store.accept(version)
+        self.store.contents[self.store.ref.digest] = (
+            builders.build_configuration(
+                zones=tuple(self.zone_of(zone) for zone in range(self._zones))
+            )
+        )
         self._answer_waiting()
 
+    def narrow(self, number: int, bytes_per_s: float, loss: float) -> None:
+        """Leave a node this bandwidth, and drop a share of its datagrams."""
+        self._narrow[self.address(number)] = (bytes_per_s, loss)
+
+    def serves_call(self, name: ids.NodeId) -> bool:
+        """Submit a caller's request to a node; return if it is served."""
+        state = next(s for s in self.nodes.values() if s.node == name)
+        commands = node.handle(
+            state, builders.build_call("c"), self.now, self.rng
+        )
+        return not any(isinstance(c, node.RefuseCall) for c in commands)
+
+    def _send(self, sender: node.Address, command: node.SendMessage) -> None:
+        for address in (sender, command.address):
+            _bandwidth, loss = self._narrow.get(address, (0.0, 0.0))
+            if loss and self.rng.random() < loss:
+                return
+        super()._send(sender, command)
+
+    def _bandwidth(self, address: node.Address) -> float:
+        narrow = self._narrow.get(address)
+        return self._bytes_per_s if narrow is None else narrow[0]
+
     def renumber(self, version: int) -> None:
         """Give the current content a later version number."""
         self.store.ref = dataclasses.replace(
@@ -146,7 +175,7 @@
         size = builders.wire_size(self._content)
         self.sent_bytes[command.source] += size
         begun_at = max(self.now, self._sending_until.get(command.source, 0.0))
-        sent_at = begun_at + size / self._bytes_per_s
+        sent_at = begun_at + size / self._bandwidth(command.source)
         self._sending_until[command.source] = sent_at
         arrived_at = self._receive(address, sent_at, size)
         duration_s = arrived_at - self.now
@@ -188,10 +217,10 @@
         self, address: node.Address, sent_at: float, size: float
     ) -> float:
         """Occupy a node's link and return when the last byte arrives."""
+        duration_s = size / self._bandwidth(address)
         begun_at = max(
-            self._receiving_until.get(address, 0.0),
-            sent_at - size / self._bytes_per_s,
+            self._receiving_until.get(address, 0.0), sent_at - duration_s
         )
-        arrived_at = max(sent_at, begun_at + size / self._bytes_per_s)
+        arrived_at = max(sent_at, begun_at + duration_s)
         self._receiving_until[address] = arrived_at
         return arrived_at + virtual_network.EXCHANGE_S
