Failing test: a download that is begun anew before it can end

On a link that leaves 8 KB/s a content of 20 KB needs 2.5 s; each download is given up after 2 s and begun anew with another peer.

--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -64,3 +64,19 @@
         if state.versions.ref.version == 1 and network.serves_call(state.node)
     ]
     assert served_by_old == []
+
+
+# Guards against a download that is begun anew before it can end, so that a
+# node on a full link never gets a new version.
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_nodes_on_full_links_get_the_version_in_the_end(seed: int) -> None:
+    network = virtual_links.LinkedNetwork(
+        count=NODES, seed=seed, zones=ZONES, bytes_per_s=LINK_BYTES_PER_S
+    )
+    network.accept(1, b"small")
+    network.run(SETTLED_S)
+    for number in NARROW_NODES:
+        network.narrow(number, NARROW_BYTES_PER_S, loss=NARROW_LOSS)
+    network.accept(2, CONTENT)
+    network.run(4 * len(CONTENT) / NARROW_BYTES_PER_S)
+    assert network.versions() == {2}
