Refuse calls while the fleet has had a newer configuration for too long

What callers saw: requests handled by a version 3.6 and 4.7 s after the acknowledgement of a newer one.

Cause: a node that had been told of a newer version went on deciding by the old one for as long as the download took, and a node that was told late could not know how late.

A version is named with its age in the fleet, in gossip and between entry and gate. A version whose content no peer has, or that this node cannot read, stops no call. Ruled out: more hops or slower reading alone; all nodes in the emulator had been told within 1.5 s.

The field of the message and the header are optional, so older builds work with this one as before.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -19,6 +19,7 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _load
 from marjoramledge_core import _lost_nodes
+from marjoramledge_core import _manifest
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _queue
 from marjoramledge_core import _records
@@ -47,6 +48,7 @@
 _RETRY_AFTER_REASONS: typing.Final = frozenset(
     {
         _outcomes.Reason.NO_CONFIGURATION,
+        _outcomes.Reason.OUTDATED_CONFIGURATION,
         _outcomes.Reason.NO_SERVER,
         _outcomes.Reason.OVERLOADED,
         _outcomes.Reason.SERVER_LEAVING,
@@ -82,6 +84,12 @@
     if configuration is None:
         _refuse_on_arrival(step, event, _outcomes.Reason.NO_CONFIGURATION)
         return
+    limit_s = step.state.options.outdated_limit_s
+    if step.state.versions.is_outdated(limit_s, step.now):
+        _refuse_on_arrival(
+            step, event, _outcomes.Reason.OUTDATED_CONFIGURATION
+        )
+        return
     kind = configuration.find_kind(event.host, event.method, event.path)
     if kind is None:
         _refuse_on_arrival(step, event, _outcomes.Reason.UNKNOWN_SERVICE)
@@ -146,6 +154,7 @@
     if call is None or attempt is None or not attempt.is_open:
         step.out.append(_commands.CancelAttempt(attempt=event.attempt))
         return
+    _observe_version(step, attempt.server, event.config)
     _note_answer(step, attempt.server, event.load, event.is_error)
     if event.is_error and _retry_error(step, call, attempt):
         return
@@ -179,6 +188,7 @@
     attempt = None if call is None else call.attempts.get(event.attempt)
     if call is None or attempt is None or not attempt.is_open:
         return
+    _observe_version(step, attempt.server, event.config)
     _note_report(step, attempt.server, event.load)
     if event.reason in _FAULT_REASONS:
         _note_fault(step, attempt.server)
@@ -395,8 +405,11 @@
     if is_other_open:
         _dispatch.close(step, attempt)
         return
-    is_retried = _may_retry(step, call, attempt) and _spend_retry_token(
-        step, call, attempt, run
+    # Each other gate would refuse a call under an outdated configuration.
+    is_retried = (
+        reason is not _outcomes.Reason.OUTDATED_CONFIGURATION
+        and _may_retry(step, call, attempt)
+        and _spend_retry_token(step, call, attempt, run)
     )
     _dispatch.close(step, attempt)
     if not is_retried:
@@ -626,6 +639,18 @@
         server.note_report(report, step.now)
 
 
+def _observe_version(
+    step: _state.Step,
+    server: _load.ServerLoad,
+    known: _manifest.KnownVersion | None,
+) -> None:
+    """Handle the newer configuration version of a server's node."""
+    if known is not None:
+        step.state.versions.observe_version(
+            known, server.address, step.now, step.out
+        )
+
+
 def _note_fault(step: _state.Step, server: _load.ServerLoad) -> None:
     if server.note_failure(step.now):
         step.record(
--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -37,13 +37,15 @@
 class AttemptAnswered:
     """The status line and headers of an answer arrived.
 
-    ``is_error`` marks an answer that reports a fault of the server.
+    ``is_error`` marks an answer that reports a fault of the server, and
+    ``config`` is the version of the gate's node if it is newer.
     """
 
     call: _ids.CallId
     attempt: _ids.AttemptId
     is_error: bool
     load: _reports.LoadReport | None
+    config: _manifest.KnownVersion | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -51,7 +53,8 @@
     """An attempt ended without an answer that can be forwarded.
 
     ``is_body_consumed`` is true if part of an unbuffered body has been read
-    from the caller, so that the request cannot be sent again.
+    from the caller, so that the request cannot be sent again.  ``config`` is
+    the version of the gate's node if it is newer.
     """
 
     call: _ids.CallId
@@ -60,6 +63,7 @@
     reason: _outcomes.Reason
     load: _reports.LoadReport | None
     is_body_consumed: bool
+    config: _manifest.KnownVersion | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -92,7 +96,8 @@
     refuse it early.  The ``service`` and ``kind`` that the entry node
     determined are used if present, so that entry and gate agree while their
     configuration versions differ.  ``target_s`` is the remaining time until
-    the latency target of the request.
+    the latency target of the request, and ``config`` the version by which
+    the entry node decided, if it tells.
     """
 
     attempt: _ids.AttemptId
@@ -105,6 +110,7 @@
     service: _ids.ServiceName = _ids.NO_SERVICE
     kind: _settings.RequestKind | None = None
     target_s: float = math.inf
+    config: _manifest.VersionRef | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -224,10 +230,15 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ManifestFailed:
-    """A configuration could not be fetched or is invalid."""
+    """A configuration could not be fetched or is invalid.
+
+    ``is_unreadable`` is true if its content was fetched and verified, but
+    this node cannot read it.
+    """
 
     ref: _manifest.VersionRef
     detail: str
+    is_unreadable: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_gate_handlers.py
+++ b/packages/core/marjoramledge_core/_gate_handlers.py
@@ -415,6 +415,11 @@
 ) -> _outcomes.Reason | None:
     if event.deadline_s <= 0.0:
         return _outcomes.Reason.DEADLINE_PASSED
+    limit_s = step.state.options.outdated_limit_s
+    if event.config is not None and step.state.versions.supersedes(
+        event.config, limit_s, step.now
+    ):
+        return _outcomes.Reason.OUTDATED_CONFIGURATION
     if quarantine_left_s(step, event.fingerprint) is not None:
         return _outcomes.Reason.QUARANTINED
     return None
--- a/packages/core/marjoramledge_core/_manifest.py
+++ b/packages/core/marjoramledge_core/_manifest.py
@@ -33,6 +33,18 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KnownVersion:
+    """A version that a node has in force, and its age in the fleet.
+
+    ``known_at`` is the monotonic time of the node that holds this value at
+    which the first node of the fleet learned of the version, in seconds.
+    """
+
+    ref: VersionRef
+    known_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Manifest:
     """One accepted configuration version.
--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -145,6 +145,9 @@
     do not use it in other messages.  ``sequence`` pairs an ACK with its PING.
     ``updates`` are member records.  ``config`` is the sender's configuration
     version, or ``NO_VERSION`` in messages that carry only suspicions or load.
+    ``config_known_at`` is the monotonic time at which the fleet first knew
+    that version, in the clock of the node that holds this value; None if the
+    sender did not tell.
     """
 
     kind: MessageKind
@@ -156,3 +159,4 @@
     updates: tuple[Member, ...]
     suspicions: tuple[_quarantine.Suspicion, ...]
     load: _reports.LoadReport | None = None
+    config_known_at: float | None = None
--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -110,7 +110,9 @@
         self._seeds = [seed for seed in seeds if seed != myself.address]
         self._timers = timers
         self._roster = _roster.Roster(myself=myself)
-        self._config = _manifest.NO_VERSION
+        self._config = _manifest.KnownVersion(
+            ref=_manifest.NO_VERSION, known_at=0.0
+        )
         self._probes = _probes.ProbeTable()
         self._update_queue = _update_queue.UpdateQueue()
         self._is_push_scheduled = False
@@ -175,9 +177,9 @@
         self._schedule_sync(now)
         self._timers.set(now + PROBE_PERIOD_S, _timers.TimerKind.MEMBER_PROBE)
 
-    def set_config(self, ref: _manifest.VersionRef) -> None:
+    def set_config(self, known: _manifest.KnownVersion) -> None:
         """Set the configuration version that is sent in messages."""
-        self._config = ref
+        self._config = known
 
     def push_now(
         self, rng: random.Random, out: list[_commands.Command]
@@ -699,7 +701,8 @@
             sender_address=self._roster.myself.address,
             sequence=sequence,
             target=target_node or self._roster.myself.node,
-            config=self._config,
+            config=self._config.ref,
+            config_known_at=self._config.known_at,
             updates=self._select_updates(target_node),
             suspicions=self._update_queue.select_suspicions(),
         )
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -19,6 +19,7 @@
 from marjoramledge_core import _gate
 from marjoramledge_core import _gate_handlers
 from marjoramledge_core import _ids
+from marjoramledge_core import _manifest
 from marjoramledge_core import _members
 from marjoramledge_core import _membership
 from marjoramledge_core import _options
@@ -158,8 +159,15 @@
     server = step.state.directory.loads.get(message.sender)
     if server is not None and message.load is not None:
         server.note_report(message.load, step.now)
+    known_at = message.config_known_at
     step.state.versions.observe_version(
-        message.config, message.sender_address, step.now, step.out
+        _manifest.KnownVersion(
+            ref=message.config,
+            known_at=step.now if known_at is None else known_at,
+        ),
+        message.sender_address,
+        step.now,
+        step.out,
     )
 
 
@@ -174,15 +182,16 @@
 
 
 def _note_version(step: _state.Step, event: _events.VersionRead) -> None:
-    step.state.versions.observe_version(event.ref, None, step.now, step.out)
+    known = _manifest.KnownVersion(ref=event.ref, known_at=step.now)
+    step.state.versions.observe_version(known, None, step.now, step.out)
 
 
 def _adopt_manifest(step: _state.Step, event: _events.ManifestFetched) -> None:
     state = step.state
     was_open = step.is_zone_open()
-    if not state.versions.adopt(event.ref, event.configuration):
+    if not state.versions.adopt(event.ref, event.configuration, step.now):
         return
-    state.membership.set_config(state.versions.ref)
+    state.membership.set_config(state.versions.in_force)
     state.membership.push_now(step.rng, step.out)
     step.record(
         _records.RecordKind.CONFIG_ADOPTED,
@@ -205,6 +214,8 @@
         _records.RecordKind.CONFIG_REFUSED,
         detail=f"version {event.ref.version}: {event.detail}",
     )
+    if event.is_unreadable:
+        step.state.versions.reject(event.ref)
     step.state.versions.fetch_failed(event.ref, step.now, step.rng)
 
 
--- a/packages/core/marjoramledge_core/_options.py
+++ b/packages/core/marjoramledge_core/_options.py
@@ -12,6 +12,10 @@
 DEFAULT_STOP_SPREAD_S: typing.Final = 1.5
 
 
+# An accepted configuration is promised to be in force within a few seconds.
+DEFAULT_OUTDATED_LIMIT_S: typing.Final = 4.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Options:
     """Options of the state machine.
@@ -25,7 +29,8 @@
     new version.  ``repeats`` is the retry budget of the whole fleet; without
     it each entry node has the default budget.  ``other_zone_cost_s`` is the
     extra wait that a call accepts before it is sent to another zone of the
-    region.
+    region.  A node refuses calls while the fleet has known a newer
+    configuration than its own for ``outdated_limit_s``.
     """
 
     stop_limit_s: float
@@ -35,3 +40,4 @@
     repeats: _budget.FleetRetryBudget | None = None
     waits_for_version: bool = False
     other_zone_cost_s: float = DEFAULT_OTHER_ZONE_COST_S
+    outdated_limit_s: float = DEFAULT_OUTDATED_LIMIT_S
--- a/packages/core/marjoramledge_core/_outcomes.py
+++ b/packages/core/marjoramledge_core/_outcomes.py
@@ -18,6 +18,7 @@
     """Machine-readable reason why the load balancer itself answered a call."""
 
     NO_CONFIGURATION = "no-configuration"
+    OUTDATED_CONFIGURATION = "outdated-configuration"
     UNKNOWN_SERVICE = "unknown-service"
     NO_SERVER = "no-server"
     OVERLOADED = "overloaded"
--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -6,6 +6,11 @@
 store lets a read wait for a change, a few nodes of each zone (followers) read
 it all the time for the others.  A node never adopts a version lower than its
 own.
+
+A version is named together with the time since the fleet first knew it, so a
+node that learns of it late knows how late it is.  The node is outdated when
+other nodes have had a newer version for longer than a limit; it must then not
+decide on calls until it has the newer version too.
 """
 
 import dataclasses
@@ -42,12 +47,27 @@
 FOLLOWER_CHECK_S: typing.Final = 0.5
 # How often a node that is not a follower reads the version row.
 NON_FOLLOWER_READ_PERIOD_S: typing.Final = 30.0
+# Newer versions that a node keeps track of until one is in force.
+MAX_NEWER_VERSIONS: typing.Final = 16
 # Delays after failed reads: a change made after an outage must be read within
 # seconds.
 READ_RETRY_S: typing.Final = 0.5
 MAX_READ_RETRY_S: typing.Final = 2.0
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _NewerVersion:
+    """A version newer than the one in force.
+
+    ``is_at_peers`` is true if another node has it in force, so that its
+    content can be fetched.
+    """
+
+    ref: _manifest.VersionRef
+    known_at: float
+    is_at_peers: bool
+
+
 class VersionTracker:
     """Configuration in force at this node, and the fetch of a newer one.
 
@@ -71,7 +91,8 @@
         self._retry_count = 0
         self._fetch_generation = 0
         self._fetching: set[_ids.Digest] = set()
-        self._behind_since: float | None = None
+        self._known_at = 0.0
+        self._newer: list[_NewerVersion] = []
         self._read_at = 0.0
         self._read_retry_s = READ_RETRY_S
 
@@ -90,14 +111,42 @@
         """Time at which this node last started to read the version row."""
         return self._read_at
 
+    @property
+    def in_force(self) -> _manifest.KnownVersion:
+        """Version in force, and when the fleet first knew it."""
+        return _manifest.KnownVersion(ref=self._ref, known_at=self._known_at)
+
     def behind_s(self, now: float) -> float:
-        """Seconds since this node learned that its version is outdated.
+        """Seconds since the fleet knows a newer version than this node's.
 
-        Zero while no newer version is known.
+        Zero while this node knows of no newer version.
         """
-        if self._behind_since is None:
-            return 0.0
-        return now - self._behind_since
+        return now - min(
+            (newer.known_at for newer in self._newer), default=now
+        )
+
+    def is_outdated(self, limit_s: float, now: float) -> bool:
+        """Return whether peers have had a newer version for ``limit_s``.
+
+        A version that only the store has named does not count: while no node
+        has its content, refusing calls would serve nobody.
+        """
+        return any(
+            newer.is_at_peers and now - newer.known_at >= limit_s
+            for newer in self._newer
+        )
+
+    def supersedes(
+        self, ref: _manifest.VersionRef, limit_s: float, now: float
+    ) -> bool:
+        """Return whether a peer that decides by ``ref`` is outdated."""
+        return self.is_newer_than(ref) and now - self._known_at >= limit_s
+
+    def is_newer_than(self, ref: _manifest.VersionRef) -> bool:
+        """Return whether the version in force is newer than ``ref``."""
+        return (
+            ref.version < self._ref.version and ref.digest != self._ref.digest
+        )
 
     def start(self, now: float) -> None:
         """Schedule the first read of the version row."""
@@ -152,7 +201,7 @@
 
     def observe_version(
         self,
-        ref: _manifest.VersionRef,
+        known: _manifest.KnownVersion,
         source: _members.Address | None,
         now: float,
         out: list[_commands.Command],
@@ -161,17 +210,19 @@
 
         ``source`` is the peer, or None for the store.
         """
+        ref = known.ref
         if ref.digest == self._ref.digest:
             # Same content, possibly under a higher version number.
             newest = max(ref.version, self._ref.version)
             self._ref = dataclasses.replace(ref, version=newest)
-            self._clear_behind()
+            self._forget_older()
+            return
+        if ref.version <= self._ref.version:
             return
-        if ref.version <= max(self._ref.version, self._wanted.version):
+        self._note_newer(known, is_at_peers=source is not None)
+        if ref.version <= self._wanted.version:
             return
         self._wanted = ref
-        if self._behind_since is None:
-            self._behind_since = now
         if ref.digest in self._fetching:
             # A fetch of the same content, under a lower number, is running.
             return
@@ -181,7 +232,10 @@
         source_name = "the store" if source is None else str(source)
         record = _records.Record(
             kind=_records.RecordKind.CONFIG_HEARD,
-            detail=f"version {ref.version} from {source_name}",
+            detail=(
+                f"version {ref.version} from {source_name}, "
+                f"known for {now - known.known_at:.3f} s"
+            ),
         )
         out.append(_commands.WriteRecord(record=record))
         self._fetch(source, now, out)
@@ -190,6 +244,7 @@
         self,
         ref: _manifest.VersionRef,
         configuration: _settings.Configuration,
+        now: float,
     ) -> bool:
         """Put a version in force; return False if it is not newer."""
         self._fetching.discard(ref.digest)
@@ -198,11 +253,29 @@
         if ref.digest == self._wanted.digest:
             newest = max(ref.version, self._wanted.version)
             ref = dataclasses.replace(ref, version=newest)
+        self._known_at = min(
+            (
+                newer.known_at
+                for newer in self._newer
+                if newer.ref.digest == ref.digest
+            ),
+            default=now,
+        )
         self._ref = ref
         self._configuration = configuration
-        self._clear_behind()
+        self._forget_older()
         return True
 
+    def reject(self, ref: _manifest.VersionRef) -> None:
+        """Note that this node cannot read the content of a version.
+
+        The node must go on serving by the version in force, since no retry
+        will help.
+        """
+        self._newer = [
+            newer for newer in self._newer if newer.ref.digest != ref.digest
+        ]
+
     def fetch_failed(
         self, ref: _manifest.VersionRef, now: float, rng: random.Random
     ) -> None:
@@ -255,9 +328,34 @@
             )
         )
 
-    def _clear_behind(self) -> None:
-        if self._is_in_force():
-            self._behind_since = None
+    def _note_newer(
+        self, known: _manifest.KnownVersion, *, is_at_peers: bool
+    ) -> None:
+        for newer in self._newer:
+            if newer.ref.digest == known.ref.digest:
+                newer.known_at = min(newer.known_at, known.known_at)
+                newer.is_at_peers = newer.is_at_peers or is_at_peers
+                if known.ref.version > newer.ref.version:
+                    newer.ref = known.ref
+                return
+        if len(self._newer) >= MAX_NEWER_VERSIONS:
+            # The oldest determines how long this node has been behind.
+            del self._newer[1]
+        self._newer.append(
+            _NewerVersion(
+                ref=known.ref,
+                known_at=known.known_at,
+                is_at_peers=is_at_peers,
+            )
+        )
+
+    def _forget_older(self) -> None:
+        """Forget the versions that the one in force supersedes."""
+        self._newer = [
+            newer
+            for newer in self._newer
+            if newer.ref.version > self._ref.version
+        ]
 
     def _is_in_force(self) -> bool:
         """Return whether the wanted version or a newer one is in force."""
--- a/packages/core/marjoramledge_core/configuration.py
+++ b/packages/core/marjoramledge_core/configuration.py
@@ -15,6 +15,7 @@
 Change = _plan.Change
 ChangeAction = _plan.ChangeAction
 Configuration = _settings.Configuration
+KnownVersion = _manifest.KnownVersion
 Manifest = _manifest.Manifest
 ProbeBudget = _settings.ProbeBudget
 Priority = _settings.Priority
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -19,6 +19,7 @@
 StopPhase = _state.StopPhase
 FleetRetryBudget = _budget.FleetRetryBudget
 Options = _options.Options
+DEFAULT_OUTDATED_LIMIT_S = _options.DEFAULT_OUTDATED_LIMIT_S
 create_state = _node.create_state
 handle = _node.handle
 next_wakeup = _node.next_wakeup
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -284,6 +284,9 @@
                 _headers.STAMP: str(stamp),
                 _headers.FINGERPRINT: exchange.fingerprint,
                 _headers.KIND: kind,
+                _headers.CONFIG: _headers.format_config(
+                    self._engine.state.versions.in_force, self._engine.now()
+                ),
                 _headers.AUTH: self._keys.sign_header(signed),
             }
         )
@@ -325,6 +328,7 @@
                 attempt=attempt,
                 is_error=answer.outcome is node.ServerOutcome.ERRORED,
                 load=answer.load,
+                config=answer.config,
             )
         )
 
@@ -342,6 +346,7 @@
                 reason=attempt_failure.reason,
                 load=attempt_failure.load,
                 is_body_consumed=exchange.is_body_consumed,
+                config=attempt_failure.config,
             )
         )
 
--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -82,6 +82,20 @@
     return result.Success(content)
 
 
+def _verify_fetched(
+    command: node.FetchManifest, fetched: bytes
+) -> result.Result[bytes, str]:
+    """Decompress and check fetched content, which peers send compressed."""
+    decompressed: result.Result[bytes, str] = result.Success(fetched)
+    if command.source is not None:
+        decompressed = _config_content.decompress_content(
+            fetched, configuration.MAX_MANIFEST_BYTES
+        )
+    return decompressed.bind(
+        lambda content: _check_digest(content, command.ref.digest)
+    )
+
+
 def _parse_content(
     content: bytes, parse: collections.abc.Callable[[], _manifests.ParseResult]
 ) -> result.Result[_ParsedContent, str]:
@@ -432,40 +446,32 @@
             fetched = result.Failure("no store is configured")
         times.fetched_at = times.reading_at = self._engine.now()
 
-        def read() -> result.Result[_ParsedContent, str]:
+        def read() -> tuple[bool, result.Result[_ParsedContent, str]]:
             times.reading_at = self._engine.now()
-            return fetched.bind(
-                lambda content: self._parse_fetched(command, content)
+            verified = fetched.bind(
+                lambda content: _verify_fetched(command, content)
+            )
+            parsed = verified.bind(
+                lambda content: _parse_content(
+                    content,
+                    lambda: self._read_configuration(content, ref.digest),
+                )
             )
+            return isinstance(verified, result.Success), parsed
 
-        parsed = await self._worker.run(read)
+        is_verified, parsed = await self._worker.run(read)
         self._record_fetch(command, fetched, times)
         if isinstance(parsed, result.Failure):
             self._engine.submit(
-                node.ManifestFailed(ref=ref, detail=parsed.failure())
+                node.ManifestFailed(
+                    ref=ref,
+                    detail=parsed.failure(),
+                    is_unreadable=is_verified,
+                )
             )
             return
         self._adopt(ref, parsed.unwrap())
 
-    def _parse_fetched(
-        self, command: node.FetchManifest, fetched: bytes
-    ) -> result.Result[_ParsedContent, str]:
-        """Check and parse fetched content, which peers send compressed."""
-        decompressed: result.Result[bytes, str] = result.Success(fetched)
-        if command.source is not None:
-            decompressed = _config_content.decompress_content(
-                fetched, configuration.MAX_MANIFEST_BYTES
-            )
-        verified = decompressed.bind(
-            lambda content: _check_digest(content, command.ref.digest)
-        )
-        return verified.bind(
-            lambda content: _parse_content(
-                content,
-                lambda: self._read_configuration(content, command.ref.digest),
-            )
-        )
-
     def _record_fetch(
         self,
         command: node.FetchManifest,
--- a/packages/node/marjoramledge_node/_gossip_port.py
+++ b/packages/node/marjoramledge_node/_gossip_port.py
@@ -99,14 +99,20 @@
             return None
         if not self._guard.accept(envelope.stamp.run, envelope.stamp.number):
             return None
-        return _wire.decode_message(envelope.payload).value_or(None)
+        return _wire.decode_message(
+            envelope.payload, self._engine.now()
+        ).value_or(None)
 
     def _send(self, command: node.SendMessage) -> None:
         if self._transport is None or self._transport.is_closing():
             return
         address = command.address
         datagram = encode_datagram(
-            self._keys, self._stamper, address, command.message
+            self._keys,
+            self._stamper,
+            address,
+            command.message,
+            self._engine.now(),
         )
         self._counts.note_message(command.message.kind, len(datagram))
         self._transport.sendto(datagram, (address.host, address.port))
@@ -117,9 +123,10 @@
     stamper: _auth.Stamper,
     receiver: node.Address,
     message: node.Message,
+    now: float,
 ) -> bytes:
     """Encode, number and sign a message to one receiver."""
-    payload = _wire.encode_message(message)
+    payload = _wire.encode_message(message, now)
     stamp = stamper.stamp()
     signed = _auth.signed_message_content(stamp, receiver, payload)
     return _wire.encode_envelope(
--- a/packages/node/marjoramledge_node/_headers.py
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -30,6 +30,7 @@
 PATIENT: typing.Final = "Marjoramledge-Patient"
 KIND: typing.Final = "Marjoramledge-Kind"
 TARGET: typing.Final = "Marjoramledge-Target-Ms"
+CONFIG: typing.Final = "Marjoramledge-Config"
 
 _SYSTEM_PREFIX: typing.Final = "marjoramledge-"
 # RFC 9110, section 7.6.1: these apply to a single connection.
@@ -134,6 +135,29 @@
         return None
 
 
+def format_config(known: configuration.KnownVersion, now: float) -> str:
+    """Format a configuration version and its age at ``now``."""
+    age_ms = round(1000 * (now - known.known_at))
+    return f"{known.ref.version};{known.ref.digest};{age_ms}"
+
+
+def parse_config(
+    text: str | None, now: float
+) -> configuration.KnownVersion | None:
+    """Parse a configuration version; return None if missing or invalid."""
+    try:
+        version, digest, age_ms = (text or "").split(";")
+        return configuration.KnownVersion(
+            ref=configuration.VersionRef(
+                version=ids.ConfigVersion(int(version)),
+                digest=ids.Digest(digest),
+            ),
+            known_at=now - max(0, int(age_ms)) / 1000,
+        )
+    except ValueError:
+        return None
+
+
 def parse_run(text: str | None) -> node.RunState | None:
     """Parse the ``RUN`` header; return None if it is missing or invalid."""
     try:
--- a/packages/node/marjoramledge_node/_main.py
+++ b/packages/node/marjoramledge_node/_main.py
@@ -137,6 +137,17 @@
             help="Seconds that a planned stop waits for running calls.",
         ),
     ] = _options.DEFAULT_STOP_LIMIT_S,
+    outdated_limit_s: typing.Annotated[
+        float,
+        typer.Option(
+            "--outdated-limit-s",
+            envvar="MARJORAMLEDGE_OUTDATED_LIMIT_S",
+            min=0.5,
+            max=3600.0,
+            help="Seconds after which a node that lacks a configuration "
+            "known to the fleet refuses calls.",
+        ),
+    ] = node.DEFAULT_OUTDATED_LIMIT_S,
     log_format: typing.Annotated[
         _options.LogFormat,
         typer.Option(
@@ -211,7 +222,9 @@
         ),
         seeds=_parse_addresses(seed, "--seeds"),
         keys=_parse_option(_auth.parse_keys, keys, "--keys"),
-        core_options=node.Options(stop_limit_s=stop_limit_s),
+        core_options=node.Options(
+            stop_limit_s=stop_limit_s, outdated_limit_s=outdated_limit_s
+        ),
         log_format=log_format,
         log_level=log_level,
         statsd_address=(
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -177,6 +177,7 @@
                     target_s=_headers.parse_target(
                         request.headers.get(_headers.TARGET)
                     ),
+                    config=self._read_config(request),
                 )
             )
             command = await mailbox.get()
@@ -279,6 +280,7 @@
                 _headers.LOAD: _headers.format_load(
                     self._engine.state.gate.report(now)
                 ),
+                **self._build_config_header(request),
             },
             closes_connection=False,
             remaining_s=command.deadline_at - now,
@@ -302,10 +304,32 @@
             run,
             load=self._engine.state.gate.report(self._engine.now()),
         )
+        response.headers.update(self._build_config_header(request))
         if request.body_exists and not request.content.at_eof():
             response.force_close()
         return response
 
+    def _read_config(
+        self, request: web.BaseRequest
+    ) -> configuration.VersionRef | None:
+        """Return the configuration version that the entry node has."""
+        known = _headers.parse_config(
+            request.headers.get(_headers.CONFIG), self._engine.now()
+        )
+        return None if known is None else known.ref
+
+    def _build_config_header(self, request: web.BaseRequest) -> dict[str, str]:
+        """Name this node's configuration version if the entry's is older."""
+        ref = self._read_config(request)
+        versions = self._engine.state.versions
+        if ref is None or not versions.is_newer_than(ref):
+            return {}
+        return {
+            _headers.CONFIG: _headers.format_config(
+                versions.in_force, self._engine.now()
+            )
+        }
+
     def _report_work_ended(
         self,
         attempt: ids.AttemptId,
--- a/packages/node/marjoramledge_node/_refusals.py
+++ b/packages/node/marjoramledge_node/_refusals.py
@@ -14,6 +14,7 @@
 
 _STATUS_BY_REASON: typing.Final = {
     node.Reason.NO_CONFIGURATION: 503,
+    node.Reason.OUTDATED_CONFIGURATION: 503,
     node.Reason.UNKNOWN_SERVICE: 404,
     node.Reason.NO_SERVER: 503,
     node.Reason.OVERLOADED: 503,
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 import loguru
+from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
 import multidict
@@ -84,12 +85,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AttemptFailure:
-    """A request attempt that failed without a usable response."""
+    """A request attempt that failed without a usable response.
+
+    ``config`` is the configuration version that a peer named.
+    """
 
     outcome: node.ServerOutcome
     run: node.RunState
     reason: node.Reason
     load: node.LoadReport | None = None
+    config: configuration.KnownVersion | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -99,7 +104,8 @@
     ``connection_closed`` is set if the response ends when its connection is
     closed; awaiting it raises an error if the connection was reset.
     ``slowdown`` is the slowdown factor of the backend server's VM, if the
-    server reports it.
+    server reports it, and ``config`` the configuration version that a peer
+    named.
     """
 
     response: aiohttp.ClientResponse
@@ -107,6 +113,7 @@
     head_s: float
     connection_closed: asyncio.Future[None] | None = None
     slowdown: float | None = None
+    config: configuration.KnownVersion | None = None
 
     @property
     def outcome(self) -> node.ServerOutcome:
@@ -361,9 +368,13 @@
             # The response, even a refusal, belongs to another attempt.
             answer.response.close()
             return result.Failure(_OUTCOME_UNKNOWN)
+        config = _headers.parse_config(
+            answer.response.headers.get(_headers.CONFIG),
+            asyncio.get_running_loop().time(),
+        )
         run = _headers.parse_run(answer.response.headers.get(_headers.RUN))
         if run is None:
-            return send_result
+            return result.Success(dataclasses.replace(answer, config=config))
         answer.response.release()
         return result.Failure(
             AttemptFailure(
@@ -373,6 +384,7 @@
                     answer.response.headers.get(_headers.REASON)
                 ),
                 load=answer.load,
+                config=config,
             )
         )
 
--- a/packages/node/marjoramledge_node/_wire.py
+++ b/packages/node/marjoramledge_node/_wire.py
@@ -75,6 +75,7 @@
         9: (_LIST, "news", (_STRUCT, _MemberStruct), False),
         10: (_LIST, "suspicions", (_STRUCT, _SuspicionStruct), False),
         11: (_STRUCT, "load", _LoadStruct, False),
+        12: (_I64, "config_age_ms", False),
     }
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
@@ -100,8 +101,12 @@
 _PROTOCOL: typing.Final = protocol.TCyBinaryProtocolFactory()
 
 
-def encode_message(message: node.Message) -> bytes:
-    """Encode a membership message."""
+def encode_message(message: node.Message, now: float) -> bytes:
+    """Encode a membership message.
+
+    Monotonic times are sent as ages at ``now``, since clocks differ.
+    """
+    known_at = message.config_known_at
     return _encode(
         _MessageStruct(
             kind=message.kind,
@@ -122,12 +127,20 @@
                 for suspicion in message.suspicions
             ],
             load=None if message.load is None else _to_load(message.load),
+            config_age_ms=(
+                None if known_at is None else round(1000 * (now - known_at))
+            ),
         )
     )
 
 
-def decode_message(content: bytes) -> result.Result[node.Message, str]:
-    """Decode a membership message, or return a description of the error."""
+def decode_message(
+    content: bytes, now: float
+) -> result.Result[node.Message, str]:
+    """Decode a membership message, or return a description of the error.
+
+    Ages are relative to ``now``, the monotonic time of its arrival.
+    """
     try:
         struct = utils.deserialize(_MessageStruct(), content, _PROTOCOL)
         return result.Success(
@@ -153,6 +166,11 @@
                     for entry in struct.suspicions or ()
                 ),
                 load=None if struct.load is None else _from_load(struct.load),
+                config_known_at=(
+                    None
+                    if struct.config_age_ms is None
+                    else now - max(0, struct.config_age_ms) / 1000
+                ),
             )
         )
     except Exception as error:  # Decoding raises many error types.
--- a/packages/standins/marjoramledge_standins/builders.py
+++ b/packages/standins/marjoramledge_standins/builders.py
@@ -158,7 +158,9 @@
             )
         )
 
-    def hear_version(self, version: int, peer: str) -> list[node.Command]:
+    def hear_version(
+        self, version: int, peer: str, age_s: float = 0.0
+    ) -> list[node.Command]:
         """Receive a peer's message that names a version as in force."""
         port = 7000 + int(peer.removeprefix("n"))
         return self.submit(
@@ -172,6 +174,7 @@
                     config=build_ref(version),
                     updates=(),
                     suspicions=(),
+                    config_known_at=self.now - age_s,
                 )
             )
         )
--- a/packages/standins/marjoramledge_standins/measure_control.py
+++ b/packages/standins/marjoramledge_standins/measure_control.py
@@ -148,7 +148,7 @@
         self, message: node.Message, receiver: node.Address = SELF
     ) -> bytes:
         return _gossip_port.encode_datagram(
-            self._keys, self._stamper, receiver, message
+            self._keys, self._stamper, receiver, message, self.now
         )
 
     def _receive(self, content: bytes) -> None:
@@ -161,7 +161,7 @@
         if not self._keys.verify(envelope.key_id, envelope.mac, signed):
             raise AssertionError("a generated message has a wrong signature")
         self._guard.accept(envelope.stamp.run, envelope.stamp.number)
-        message = _wire.decode_message(envelope.payload).unwrap()
+        message = _wire.decode_message(envelope.payload, self.now).unwrap()
         self.cpu_s += time.process_time() - began_at
         self._submit(node.MessageReceived(message=message))
 
--- a/packages/standins/marjoramledge_standins/virtual_links.py
+++ b/packages/standins/marjoramledge_standins/virtual_links.py
@@ -21,6 +21,8 @@
 
 # The store returns rows as base64 text.
 STORE_OVERHEAD: typing.Final = 4.0 / 3.0
+# Half a second less than the promised time for a version to be in force.
+OUTDATED_LIMIT_S: typing.Final = 2.0
 
 
 class LinkedNetwork(virtual_network.Network):
@@ -56,7 +58,11 @@
 
     def make_options(self) -> node.Options:
         """Build the options of nodes that follow the store."""
-        return node.Options(stop_limit_s=30.0, waits_for_version=True)
+        return node.Options(
+            stop_limit_s=30.0,
+            waits_for_version=True,
+            outdated_limit_s=OUTDATED_LIMIT_S,
+        )
 
     def zone_of(self, number: int) -> str:
         """Return the name of a node's zone."""
--- a/tests/test_control_traffic.py
+++ b/tests/test_control_traffic.py
@@ -47,7 +47,11 @@
         if not command.message.suspicions:
             return
         content = _gossip_port.encode_datagram(
-            self._keys, self._stamper, command.address, command.message
+            self._keys,
+            self._stamper,
+            command.address,
+            command.message,
+            self.driver.now,
         )
         self.sent_bytes += len(content) + UDP_HEADER_BYTES
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,6 +5,7 @@
 
 from marjoramledge_core import _timers
 from marjoramledge_core import _versions
+from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_standins import builders
@@ -336,7 +337,8 @@
     out: list[node.Command] = []
     now = 0.0
     ref = builders.build_ref(2)
-    versions.observe_version(ref, peers[0], now, out)
+    known = configuration.KnownVersion(ref=ref, known_at=now)
+    versions.observe_version(known, peers[0], now, out)
     # The connection attempt to the sender ends after half a second.
     now += 0.5
     sources: list[node.Address] = []
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -68,9 +68,9 @@
         ),
     )
     stamper = _auth.Stamper(run="n0-")
-    content = _gossip_port.encode_datagram(keys, stamper, HERE, message)
+    content = _gossip_port.encode_datagram(keys, stamper, HERE, message, 0.0)
     decoded = _wire.decode_envelope(content).unwrap()
-    assert _wire.decode_message(decoded.payload).unwrap() == message
+    assert _wire.decode_message(decoded.payload, 0.0).unwrap() == message
     return content
 
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -33,7 +33,8 @@
             digest=ids.Digest(content),
         )
         out: list[node.Command] = []
-        self.versions.observe_version(self.newest, None, self.now, out)
+        known = configuration.KnownVersion(ref=self.newest, known_at=self.now)
+        self.versions.observe_version(known, None, self.now, out)
         self._start_fetches(out)
 
     def end(self, is_success: bool) -> None:
@@ -42,7 +43,7 @@
             return
         ref = self.open_fetches.pop(0)
         if is_success:
-            self.versions.adopt(ref, DECLARED)
+            self.versions.adopt(ref, DECLARED, self.now)
         else:
             self.versions.fetch_failed(ref, self.now, self.rng)
 
@@ -52,7 +53,7 @@
             version=ids.ConfigVersion(self.newest.version + 1),
             digest=ids.Digest(content),
         )
-        self.versions.adopt(self.newest, DECLARED)
+        self.versions.adopt(self.newest, DECLARED, self.now)
         # A fetch of this content that ends later has no effect.
         self.open_fetches = [
             ref for ref in self.open_fetches if ref.digest != content
