Download a configuration for as long as bytes arrive

What callers saw: requests handled by an old version seconds after the new one was acknowledged.

Cause: a download was aborted after 2 s, whatever had arrived, and begun anew with another peer, which takes the same full link again.

A download ends after a second without bytes, or 10 s in all.

--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -34,6 +34,10 @@
 CommandT = typing.TypeVar("CommandT", bound=node.Command)
 
 PEER_TIMEOUT_S: typing.Final = 2.0
+# A configuration is downloaded for as long as bytes arrive: a transfer that is
+# aborted and started again with another peer takes the same full link again.
+MANIFEST_TIMEOUT_S: typing.Final = 10.0
+MANIFEST_IDLE_S: typing.Final = 1.0
 PROBE_TIMEOUT_S: typing.Final = 1.0
 # How long a starting node waits for the store's list of departed servers
 # before it announces the backend server that already runs.
@@ -436,6 +440,8 @@
                 _peer_port.manifest_target(ref.digest),
                 b"",
                 configuration.MAX_MANIFEST_BYTES,
+                timeout_s=MANIFEST_TIMEOUT_S,
+                idle_s=MANIFEST_IDLE_S,
             )
         elif self._store is not None:
             manifest_read = await self._store.get_manifest(ref.digest)
@@ -521,6 +527,9 @@
         target: str,
         body: bytes,
         max_bytes: int,
+        *,
+        timeout_s: float = PEER_TIMEOUT_S,
+        idle_s: float = PEER_TIMEOUT_S,
     ) -> result.Result[bytes, str]:
         return await self._upstream.fetch(
             method,
@@ -530,7 +539,8 @@
                 self._options.keys, method, target, body
             ),
             body=body,
-            timeout_s=PEER_TIMEOUT_S,
+            timeout_s=timeout_s,
+            idle_s=idle_s,
             max_bytes=max_bytes,
         )
 
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -187,11 +187,7 @@
     session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=CONNECT_TIMEOUT_S,
-            sock_read=BODY_IDLE_TIMEOUT_S,
-        ),
+        timeout=_build_timeouts(BODY_IDLE_TIMEOUT_S),
         auto_decompress=False,
         skip_auto_headers=_AUTO_HEADERS,
         max_line_size=16384,
@@ -203,6 +199,12 @@
     return session
 
 
+def _build_timeouts(idle_s: float) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(
+        total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=idle_s
+    )
+
+
 def _get_close_future(
     response: aiohttp.ClientResponse,
 ) -> asyncio.Future[None] | None:
@@ -397,10 +399,14 @@
         headers: collections.abc.Mapping[str, str],
         body: bytes = b"",
         timeout_s: float,
+        idle_s: float = BODY_IDLE_TIMEOUT_S,
         max_bytes: int,
     ) -> result.Result[bytes, str]:
         """Request a document from a peer.
 
+        The request ends after ``timeout_s``, or when the peer has sent
+        nothing for ``idle_s``.
+
         Returns
         -------
         Result
@@ -414,6 +420,7 @@
                     headers=headers,
                     data=body or None,
                     allow_redirects=False,
+                    timeout=_build_timeouts(idle_s),
                 ) as response:
                     content = await read_bounded(response, max_bytes)
                     if response.status != 200:
--- a/packages/node/marjoramledge_node/peers.py
+++ b/packages/node/marjoramledge_node/peers.py
@@ -9,7 +9,8 @@
 KeyRing = _auth.KeyRing
 DRAIN_TARGET = _peer_port.DRAIN_TARGET
 MEMBERS_TARGET = _peer_port.MEMBERS_TARGET
-PEER_TIMEOUT_S = _document_exchange.PEER_TIMEOUT_S
+MANIFEST_IDLE_S = _document_exchange.MANIFEST_IDLE_S
+MANIFEST_TIMEOUT_S = _document_exchange.MANIFEST_TIMEOUT_S
 STATUS_TARGET = _peer_port.STATUS_TARGET
 
 compress_content = _config_content.compress_content
--- a/packages/standins/marjoramledge_standins/virtual_links.py
+++ b/packages/standins/marjoramledge_standins/virtual_links.py
@@ -3,8 +3,8 @@
 Extends ``virtual_network`` with what matters for distributing a large
 configuration: each node sends and receives documents one at a time over its
 own link; nodes follow the store with long-polling reads; a node that has read
-a version keeps its content, and a peer's response that comes after the
-timeout is discarded.
+a version keeps its content, and a peer's response that begins or ends after
+the timeouts is discarded.
 """
 
 import collections
@@ -185,8 +185,10 @@
         self._sending_until[command.source] = sent_at
         arrived_at = self._receive(address, sent_at, size)
         duration_s = arrived_at - self.now
-        if duration_s > peers.PEER_TIMEOUT_S:
-            self._end_fetch(address, command, False, peers.PEER_TIMEOUT_S)
+        if begun_at - self.now > peers.MANIFEST_IDLE_S:
+            self._end_fetch(address, command, False, peers.MANIFEST_IDLE_S)
+        elif duration_s > peers.MANIFEST_TIMEOUT_S:
+            self._end_fetch(address, command, False, peers.MANIFEST_TIMEOUT_S)
         else:
             self._end_fetch(address, command, True, duration_s)
 
