Fetch from the same peer again when its connect timeout fires late

What callers saw: a configuration in force 3 to 4 s after it was known, in trials on slowed VMs.

Cause: 'connect timeout fired late' says that this process was blocked, but the peer was given up for it, and the next download began only after a retry delay with another peer.

The new test blocks the loop while a download connects; without this change it fails on both event loops.

--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -412,29 +412,55 @@
         Result
             The body of a response with status 200, or an error message.
         """
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + timeout_s
         try:
-            async with asyncio.timeout(timeout_s):
-                async with self._session.request(
-                    method,
-                    _build_url(address.host, address.port, target),
-                    headers=headers,
-                    data=body or None,
-                    allow_redirects=False,
-                    timeout=_build_timeouts(idle_s),
-                ) as response:
-                    content = await read_bounded(response, max_bytes)
-                    if response.status != 200:
-                        return result.Failure(f"status {response.status}")
-                    if len(content) > max_bytes:
-                        return result.Failure(
-                            f"response exceeds {max_bytes} bytes"
+            async with asyncio.timeout_at(ends_at):
+                while True:
+                    try:
+                        return await self._fetch_once(
+                            method,
+                            address,
+                            target,
+                            headers=headers,
+                            body=body,
+                            idle_s=idle_s,
+                            max_bytes=max_bytes,
                         )
-                    return result.Success(content)
+                    except _connections.LateTimeoutError as error:
+                        # The fault is local, so another peer is no better.
+                        _log_late_fetch(target, error)
         except (aiohttp.ClientError, OSError) as error:
             if _is_local_error(error):
                 _faults.report("cannot fetch a document", error)
             return result.Failure(repr(error))
 
+    async def _fetch_once(
+        self,
+        method: str,
+        address: node.Address,
+        target: str,
+        *,
+        headers: collections.abc.Mapping[str, str],
+        body: bytes,
+        idle_s: float,
+        max_bytes: int,
+    ) -> result.Result[bytes, str]:
+        async with self._session.request(
+            method,
+            _build_url(address.host, address.port, target),
+            headers=headers,
+            data=body or None,
+            allow_redirects=False,
+            timeout=_build_timeouts(idle_s),
+        ) as response:
+            content = await read_bounded(response, max_bytes)
+            if response.status != 200:
+                return result.Failure(f"status {response.status}")
+            if len(content) > max_bytes:
+                return result.Failure(f"response exceeds {max_bytes} bytes")
+            return result.Success(content)
+
     async def _send(
         self,
         outgoing: OutgoingRequest,
@@ -513,6 +539,12 @@
     return b"".join(parts)
 
 
+def _log_late_fetch(target: str, error: Exception) -> None:
+    loguru.logger.bind(event="fetch-retried").debug(
+        "fetching {} from the same peer again: {}", target, error
+    )
+
+
 def _is_local_error(error: Exception) -> bool:
     """Return whether an error originated in this process."""
     return isinstance(error, OSError) and error.errno in _LOCAL_ERRNOS
--- a/tests/test_document_downloads.py
+++ b/tests/test_document_downloads.py
@@ -2,11 +2,18 @@
 
 import asyncio
 import collections.abc
+import contextlib
+import socket
+import time
+import typing
 
 from marjoramledge_core import node
+from marjoramledge_node import _connections
 from marjoramledge_node import _dialect
 from marjoramledge_node import _upstream
+import pytest
 from returns import result
+import uvloop
 
 HOST = "127.0.0.1"
 TIMEOUT_S = 5.0
@@ -16,6 +23,8 @@
 # All parts together take longer than the peer may be silent.
 PART_INTERVAL_S = 2 * IDLE_S / PARTS
 
+SHORT_CONNECT_TIMEOUT_S = 0.1
+
 Serve = collections.abc.Callable[
     [asyncio.StreamWriter], collections.abc.Awaitable[None]
 ]
@@ -41,9 +50,11 @@
     async def respond(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        await serve(writer)
-        await reader.read()
+        # A connection that is given up ends without a request.
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            await serve(writer)
+            await reader.read()
         writer.close()
 
     listener = await asyncio.start_server(respond, HOST, 0)
@@ -63,6 +74,7 @@
     finally:
         await upstream.close()
         listener.close()
+        await listener.wait_closed()
 
 
 # Guards against a slow download that is aborted while bytes still arrive.
@@ -75,3 +87,38 @@
 def test_a_download_ends_when_the_peer_falls_silent() -> None:
     fetched = asyncio.run(_fetch(_send_head))
     assert isinstance(fetched, result.Failure)
+
+
+# Guards against a peer being given up because this process was blocked while
+# it connected, which costs a busy node the time for another download.
+@pytest.mark.parametrize("loop", ["asyncio", "uvloop"])
+def test_a_blocked_event_loop_does_not_end_a_download(
+    loop: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(
+        _upstream, "CONNECT_TIMEOUT_S", SHORT_CONNECT_TIMEOUT_S
+    )
+    open_socket = _connections._open_socket
+    opened: list[socket.socket] = []
+
+    def open_and_block_loop_once(
+        address: tuple[
+            int | socket.AddressFamily,
+            int | socket.SocketKind,
+            int,
+            str,
+            tuple[typing.Any, ...],
+        ],
+    ) -> socket.socket:
+        if not opened:
+            asyncio.get_running_loop().call_soon(
+                time.sleep, 2 * SHORT_CONNECT_TIMEOUT_S
+            )
+        opened.append(open_socket(address))
+        return opened[-1]
+
+    monkeypatch.setattr(_connections, "_open_socket", open_and_block_loop_once)
+    factory = uvloop.new_event_loop if loop == "uvloop" else None
+    with asyncio.Runner(loop_factory=factory) as runner:
+        fetched = runner.run(_fetch(_send_slowly))
+    assert fetched == result.Success(PART * PARTS)
