Start without a bound for the time until a configuration is in force

A settings file without that bound ended the node at its start (KeyError); the default limit applies then.

--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -199,6 +199,20 @@
         ratio=0.2, slack=56
     )
     assert settings.store_address.port == 8142
+    default_s = node.DEFAULT_OUTDATED_LIMIT_S
+    assert options.core_options.outdated_limit_s == default_s
+
+
+# Guards against calls that are served by an old configuration later than the
+# deployment allows.
+def test_the_bound_of_a_configuration_limits_outdated_ones() -> None:
+    bounds = {
+        "configApply": "2500ms",
+        "grace": "6s",
+        "retryBudgetRatio": 0.2,
+        "retryBudgetSlack": 56,
+    }
+    assert _settings.read_core_options(bounds).outdated_limit_s == 2.0
 
 
 @pytest.mark.parametrize(
