--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -11,6 +11,7 @@
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _reports
 from marjoramledge_core import _settings
+from marjoramledge_core import _signals
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -119,13 +120,25 @@
 
     ``head_s`` is the time from sending the request to the answer's headers,
     and ``slowdown`` is the slowdown factor of the VM, if the server reports
-    one.
+    one.  ``signals`` is None if there was no answer.
     """
 
     attempt: _ids.AttemptId
     outcome: _outcomes.ServerOutcome
     head_s: float
     slowdown: float | None = None
+    signals: _signals.ServerSignals | None = None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ServerSignalled:
+    """The headers of an answer of the local server contain signals.
+
+    ``server`` is the start of the server that the request was sent to.
+    """
+
+    server: _gate.ServerStart
+    signals: _signals.ServerSignals
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -280,6 +293,7 @@
     | WorkEnded
     | WorkAbandoned
     | ServerAnnounced
+    | ServerSignalled
     | ServerDraining
     | ServerWithdrawn
     | DeparturesRead
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -149,6 +149,8 @@
         self._probe_duration_s = 0.0
         self._cold_rate_limiter = _rate_limiter.ColdRateLimiter()
         self._cold_until = 0.0
+        self._rate_limit_per_s: float | None = None
+        self._rate_limit_named_at = 0.0
         self._service: _settings.Service | None = None
         self._departed: dict[_ids.ServerId, int] = {}
         self._aborted: collections.deque[tuple[float, _ids.Fingerprint]] = (
@@ -253,6 +255,7 @@
         self._cold_until = now + server.cold_left_s
         if is_repeat and self.accepts_work:
             return
+        self._rate_limit_per_s = None
         self._estimates.set_slots(server.slots)
         self._limit = _limit.ConcurrencyLimit(
             slots=server.slots,
@@ -322,6 +325,32 @@
         self._service = service
         self._estimates.set_expected(expected_s)
 
+    @property
+    def rate_limit_per_s(self) -> float | None:
+        """Calls per second that the server named as its limit, if any."""
+        return self._rate_limit_per_s
+
+    def name_rate_limit(self, rate_per_s: float, now: float) -> bool:
+        """Set the limit that the server names; return whether it changed."""
+        is_change = rate_per_s != self._rate_limit_per_s
+        self._rate_limit_per_s = rate_per_s
+        self._rate_limit_named_at = now
+        return is_change
+
+    def note_unlimited_answer(self, work: _queue.Work) -> bool:
+        """Note an answer without a limit; return whether it ended one.
+
+        An answer to a call that had started before the limit was last named
+        may be older than the limit.
+        """
+        if (
+            self._rate_limit_per_s is None
+            or work.started_at <= self._rate_limit_named_at
+        ):
+            return False
+        self._rate_limit_per_s = None
+        return True
+
     def assume_cold(self, now: float) -> None:
         """Treat the backend server as cold until it reports otherwise."""
         self._limit.restart_ramp()
@@ -352,6 +381,7 @@
         """Remove the backend server; return the calls that were queued."""
         self._state = _members.ServerState.ABSENT
         self._server = None
+        self._rate_limit_per_s = None
         return self.drop_waiting()
 
     def offer(self, work: _queue.Work, now: float) -> OfferResult:
--- a/packages/core/marjoramledge_core/_gate_handlers.py
+++ b/packages/core/marjoramledge_core/_gate_handlers.py
@@ -19,6 +19,7 @@
 from marjoramledge_core import _queue
 from marjoramledge_core import _records
 from marjoramledge_core import _settings
+from marjoramledge_core import _signals
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
 
@@ -107,6 +108,8 @@
     gate = step.state.gate
     _note_slowdown(step, event.slowdown)
     ended = gate.find(event.attempt)
+    if ended is not None:
+        _note_end_of_rate_limit(step, ended, event.signals)
     if ended is not None and event.outcome in _ANSWERS:
         step.publish_suspicions(
             step.state.quarantine.clear_answered(ended.fingerprint, step.now)
@@ -137,6 +140,50 @@
         step.record(_records.RecordKind.SERVER_FELL_COLD)
 
 
+def note_signals(step: _state.Step, event: _events.ServerSignalled) -> None:
+    """Apply what the backend server says of itself in an answer."""
+    gate = step.state.gate
+    if not gate.matches_start(event.server):
+        return
+    signals = event.signals
+    if signals.invalid_rate_limit:
+        # The last limit that could be read stays in force.
+        step.record(
+            _records.RecordKind.RATE_LIMIT_INVALID,
+            detail=f"{signals.invalid_rate_limit!r}, "
+            f"{_describe_rate_limit(gate)} stays",
+        )
+    if signals.rate_limit_per_s is not None:
+        before = _describe_rate_limit(gate)
+        if gate.name_rate_limit(signals.rate_limit_per_s, step.now):
+            step.record(
+                _records.RecordKind.RATE_LIMIT_NAMED,
+                detail=f"{_describe_rate_limit(gate)}, before {before}",
+            )
+
+
+def _note_end_of_rate_limit(
+    step: _state.Step,
+    work: _queue.Work,
+    signals: _signals.ServerSignals | None,
+) -> None:
+    """Lift the named limit if an answer names none any more."""
+    gate = step.state.gate
+    if signals is None or signals.invalid_rate_limit:
+        return
+    before = _describe_rate_limit(gate)
+    if signals.rate_limit_per_s is None and gate.note_unlimited_answer(work):
+        step.record(
+            _records.RecordKind.RATE_LIMIT_ENDED, detail=f"before {before}"
+        )
+
+
+def _describe_rate_limit(gate: _gate.Gate) -> str:
+    if gate.rate_limit_per_s is None:
+        return "no limit"
+    return f"{gate.rate_limit_per_s:g} calls a second"
+
+
 def abandon_work(step: _state.Step, event: _events.WorkAbandoned) -> None:
     """Remove a request from the queue.
 
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -326,6 +326,7 @@
     _events.WorkEnded: _gate_handlers.end_work,
     _events.WorkAbandoned: _gate_handlers.abandon_work,
     _events.ServerAnnounced: _gate_handlers.announce_server,
+    _events.ServerSignalled: _gate_handlers.note_signals,
     _events.ServerDraining: _gate_handlers.drain_server,
     _events.ServerWithdrawn: _gate_handlers.withdraw_server,
     _events.DeparturesRead: _gate_handlers.note_departures,
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -16,6 +16,8 @@
     ``GATE_PRESSED`` summarises what a gate did while it refused calls,
     ``SERVER_FELL_COLD`` a server that became cold again without announcing
     it, and ``CONFIG_HEARD`` the first notice of a newer configuration.
+    ``LIMIT_CHANGED`` concerns the gate's own limit of concurrent calls, and
+    the ``RATE_LIMIT`` kinds the limit that the server names in its answers.
     """
 
     CALL_REFUSED = "call-refused"
@@ -30,6 +32,9 @@
     SERVER_FELL_COLD = "server-fell-cold"
     GATE_PRESSED = "gate-pressed"
     LIMIT_CHANGED = "limit-changed"
+    RATE_LIMIT_NAMED = "rate-limit-named"
+    RATE_LIMIT_ENDED = "rate-limit-ended"
+    RATE_LIMIT_INVALID = "rate-limit-invalid"
     SERVER_DIED = "server-died"
     DEATH_WITHDRAWN = "death-withdrawn"
     REQUEST_QUARANTINED = "request-quarantined"
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -12,6 +12,7 @@
 from marjoramledge_core import _records
 from marjoramledge_core import _replay
 from marjoramledge_core import _reports
+from marjoramledge_core import _signals
 from marjoramledge_core import _state
 
 Identity = _node.Identity
@@ -38,8 +39,11 @@
 RunState = _outcomes.RunState
 Server = _gate.Server
 ServerStart = _gate.ServerStart
+ANY_START = _gate.ANY_START
 ServerOutcome = _outcomes.ServerOutcome
 ServerState = _members.ServerState
+ServerSignals = _signals.ServerSignals
+NO_SIGNALS = _signals.NO_SIGNALS
 
 AnswerLost = _events.AnswerLost
 AttemptAnswered = _events.AttemptAnswered
@@ -58,6 +62,7 @@
 build_stored_member = _members.build_stored
 StoredMembersRead = _events.StoredMembersRead
 ServerAnnounced = _events.ServerAnnounced
+ServerSignalled = _events.ServerSignalled
 ServerDraining = _events.ServerDraining
 ServerWithdrawn = _events.ServerWithdrawn
 DeparturesRead = _events.DeparturesRead
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -254,9 +254,15 @@
             self._report_work_ended(
                 exchange, attempt, node.ServerOutcome.CANCELLED
             )
-        elif isinstance(outcome, result.Failure):
+            return
+        signalled = _upstream.build_signalled(command.server, outcome)
+        if signalled is not None:
+            self._engine.submit(signalled)
+        if isinstance(outcome, result.Failure):
             attempt_failure = outcome.failure()
-            self._report_work_ended(exchange, attempt, attempt_failure.outcome)
+            self._report_work_ended(
+                exchange, attempt, attempt_failure.outcome, attempt_failure
+            )
             self._fail_attempt(exchange, attempt, attempt_failure)
         else:
             self._answer_attempt(exchange, attempt, outcome.unwrap())
@@ -393,13 +399,13 @@
         exchange: _Exchange,
         attempt: ids.AttemptId,
         outcome: node.ServerOutcome,
-        answer: _upstream.Answer | None = None,
+        response: _upstream.Answer | _upstream.AttemptFailure | None = None,
     ) -> None:
         if attempt not in exchange.local_attempts:
             return
         exchange.local_attempts.discard(attempt)
         self._engine.submit(
-            _upstream.build_work_ended(attempt, outcome, answer)
+            _upstream.build_work_ended(attempt, outcome, response)
         )
 
     def _clean_up(self, exchange: _Exchange) -> None:
--- a/packages/node/marjoramledge_node/_dialect.py
+++ b/packages/node/marjoramledge_node/_dialect.py
@@ -8,12 +8,20 @@
 import collections.abc
 import dataclasses
 import math
+import re
 import typing
 
 from marjoramledge_core import node
 
 from marjoramledge_node import _headers
 
+# Decimal digits only: no sign, exponent, infinity or other scripts.
+_RATE_LIMIT_PATTERN: typing.Final = re.compile(
+    r"[0-9]{1,9}(?:\.[0-9]{0,9})?|\.[0-9]{1,9}"
+)
+# Characters of an invalid value that are logged.
+MAX_INVALID_CHARS: typing.Final = 64
+
 HeaderMap = collections.abc.Mapping[str, str]
 
 
@@ -47,6 +55,8 @@
         Reads the number of a server's slots.
     read_slowdown
         Reads the slowdown factor of a server's VM.
+    read_signals
+        Reads what a server says of itself in a response.
     format_retry_after
         Formats a number of seconds as a ``Retry-After`` value.
     map_status
@@ -63,6 +73,7 @@
     indicates_not_run: collections.abc.Callable[[int, HeaderMap], bool]
     read_slots: collections.abc.Callable[[HeaderMap], int | None]
     read_slowdown: collections.abc.Callable[[HeaderMap], float | None]
+    read_signals: collections.abc.Callable[[HeaderMap], node.ServerSignals]
     format_retry_after: collections.abc.Callable[[float], str]
     map_status: collections.abc.Callable[[int, node.RunState], int]
 
@@ -74,6 +85,21 @@
     )
 
 
+def parse_signals(rate_limit: str | None) -> node.ServerSignals:
+    """Parse the signals of a response from the values of its headers.
+
+    ``rate_limit`` is a decimal number of requests per second, or None if the
+    server names no limit.
+    """
+    if rate_limit is None:
+        return node.NO_SIGNALS
+    if _RATE_LIMIT_PATTERN.fullmatch(rate_limit.strip()) is None:
+        return node.ServerSignals(
+            invalid_rate_limit=rate_limit[:MAX_INVALID_CHARS] or "empty"
+        )
+    return node.ServerSignals(rate_limit_per_s=float(rate_limit))
+
+
 DEFAULT_DIALECT: typing.Final = Dialect(
     deadline=_headers.DEADLINE,
     request_id=None,
@@ -85,6 +111,9 @@
     indicates_not_run=_indicates_not_run,
     read_slots=lambda headers: None,
     read_slowdown=lambda headers: None,
+    read_signals=lambda headers: parse_signals(
+        headers.get(_headers.RATE_LIMIT)
+    ),
     format_retry_after=lambda seconds: str(math.ceil(seconds)),
     map_status=lambda status, run: status,
 )
--- a/packages/node/marjoramledge_node/_headers.py
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -21,6 +21,8 @@
 RUN: typing.Final = "Marjoramledge-Run"
 REASON: typing.Final = "Marjoramledge-Reason"
 CALL: typing.Final = "Marjoramledge-Call"
+# Header that backend servers send in their answers.
+RATE_LIMIT: typing.Final = "Marjoramledge-Rate-Limit"
 # Headers that nodes exchange with each other.
 ATTEMPT: typing.Final = "Marjoramledge-Attempt"
 AUTH: typing.Final = "Marjoramledge-Auth"
--- a/packages/node/marjoramledge_node/_metrics_port.py
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -125,6 +125,13 @@
         yield "gate_running", "Running calls.", state.gate.running
         yield "gate_queued", "Queued calls.", state.gate.queued
         yield "gate_limit", "Limit of running calls.", state.gate.limit
+        rate_limit = state.gate.rate_limit_per_s
+        if rate_limit is not None:
+            yield (
+                "gate_rate_limit",
+                "Calls per second that the backend server named as its limit.",
+                rate_limit,
+            )
         yield "gate_call_seconds", "Expected service time.", report.service_s
         yield (
             "calls",
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -201,7 +201,7 @@
         self, request: web.BaseRequest, command: node.StartWork
     ) -> web.StreamResponse:
         outcome = node.ServerOutcome.CANCELLED
-        answer = None
+        received: _upstream.Answer | _upstream.AttemptFailure | None = None
         try:
             send_result = await self._send_before_deadline(request, command)
             if send_result is None:
@@ -210,13 +210,17 @@
                     node.Reason.DEADLINE_PASSED,
                     node.RunState.MAY_HAVE_RUN,
                 )
+            signalled = _upstream.build_signalled(command.server, send_result)
+            if signalled is not None:
+                self._engine.submit(signalled)
             if isinstance(send_result, result.Failure):
                 attempt_failure = send_result.failure()
+                received = attempt_failure
                 outcome = attempt_failure.outcome
                 return self._refuse(
                     request, attempt_failure.reason, attempt_failure.run
                 )
-            answer = send_result.unwrap()
+            received = answer = send_result.unwrap()
             response, outcome = await self._relay_answer(
                 request, answer, command
             )
@@ -226,7 +230,7 @@
                 request, node.Reason.BODY_STALLED, node.RunState.NOT_RUN
             )
         finally:
-            self._report_work_ended(command.attempt, outcome, answer)
+            self._report_work_ended(command.attempt, outcome, received)
 
     async def _send_before_deadline(
         self, request: web.BaseRequest, command: node.StartWork
@@ -334,10 +338,10 @@
         self,
         attempt: ids.AttemptId,
         outcome: node.ServerOutcome,
-        answer: _upstream.Answer | None = None,
+        response: _upstream.Answer | _upstream.AttemptFailure | None = None,
     ) -> None:
         self._engine.submit(
-            _upstream.build_work_ended(attempt, outcome, answer)
+            _upstream.build_work_ended(attempt, outcome, response)
         )
 
 
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -87,7 +87,8 @@
 class AttemptFailure:
     """A request attempt that failed without a usable response.
 
-    ``config`` is the configuration version that a peer named.
+    ``config`` is the configuration version that a peer named, and
+    ``signals`` what a backend server said of itself when it refused.
     """
 
     outcome: node.ServerOutcome
@@ -95,6 +96,7 @@
     reason: node.Reason
     load: node.LoadReport | None = None
     config: configuration.KnownVersion | None = None
+    signals: node.ServerSignals | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -104,8 +106,8 @@
     ``connection_closed`` is set if the response ends when its connection is
     closed; awaiting it raises an error if the connection was reset.
     ``slowdown`` is the slowdown factor of the backend server's VM, if the
-    server reports it, and ``config`` the configuration version that a peer
-    named.
+    server reports it, ``config`` the configuration version that a peer
+    named, and ``signals`` what a backend server says of itself.
     """
 
     response: aiohttp.ClientResponse
@@ -114,6 +116,7 @@
     connection_closed: asyncio.Future[None] | None = None
     slowdown: float | None = None
     config: configuration.KnownVersion | None = None
+    signals: node.ServerSignals | None = None
 
     @property
     def outcome(self) -> node.ServerOutcome:
@@ -132,17 +135,33 @@
 def build_work_ended(
     attempt: ids.AttemptId,
     outcome: node.ServerOutcome,
-    answer: Answer | None,
+    response: Answer | AttemptFailure | None,
 ) -> node.WorkEnded:
     """Build the event that reports how a backend server ended a request."""
+    answer = response if isinstance(response, Answer) else None
     return node.WorkEnded(
         attempt=attempt,
         outcome=outcome,
         head_s=0.0 if answer is None else answer.head_s,
         slowdown=None if answer is None else answer.slowdown,
+        signals=None if response is None else response.signals,
     )
 
 
+def build_signalled(
+    server: node.Server, send_result: SendResult
+) -> node.ServerSignalled | None:
+    """Build the event that reports a server's signals; None without any."""
+    signals = (
+        send_result.failure().signals
+        if isinstance(send_result, result.Failure)
+        else send_result.unwrap().signals
+    )
+    if signals is None or signals == node.NO_SIGNALS:
+        return None
+    return node.ServerSignalled(server=server.start, signals=signals)
+
+
 _NOT_CONNECTED: typing.Final = AttemptFailure(
     outcome=node.ServerOutcome.UNREACHABLE,
     run=node.RunState.NOT_RUN,
@@ -271,12 +290,15 @@
         if self._has_other_request_id(outgoing, answer):
             answer.response.close()
             return result.Failure(_OUTCOME_UNKNOWN)
+        signals = dialect.read_signals(answer.response.headers)
         if dialect.indicates_not_run(
             answer.response.status, answer.response.headers
         ):
             answer.response.release()
-            return result.Failure(_REFUSED)
-        return send_result
+            return result.Failure(
+                dataclasses.replace(_REFUSED, signals=signals)
+            )
+        return result.Success(dataclasses.replace(answer, signals=signals))
 
     def _has_other_request_id(
         self, outgoing: OutgoingRequest, answer: Answer
--- a/packages/node/marjoramledge_node/process.py
+++ b/packages/node/marjoramledge_node/process.py
@@ -18,5 +18,6 @@
 
 new_event_loop = _event_loop.new_event_loop
 parse_address = _options.parse_address
+parse_signals = _dialect.parse_signals
 parse_keys = _auth.parse_keys
 run_node = _process.run_node
