--- a/packages/standins/marjoramledge_standins/driver.py
+++ b/packages/standins/marjoramledge_standins/driver.py
@@ -69,6 +69,8 @@
         served_s=served_s,
         probes=0 if nodes is None else nodes.probes,
         sent_to_servers=world.sent_to_servers,
+        starts=tuple(map(tuple, world.starts)),
+        offers=world.offers,
     )
 
 
--- a/packages/standins/marjoramledge_standins/scenarios.py
+++ b/packages/standins/marjoramledge_standins/scenarios.py
@@ -50,6 +50,16 @@
     factor: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NamedLimit:
+    """An interval in which a server names a rate limit in its answers."""
+
+    server: int
+    rate_per_s: float
+    from_s: float
+    until_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Scenario:
     """Services, their load and disturbances.
@@ -86,6 +96,7 @@
     knee: virtual_servers.Knee = virtual_servers.NO_KNEE
     reports_slowdown: bool = False
     announced_slots: int | None = None
+    named_limits: tuple[NamedLimit, ...] = ()
     options: node.Options = DEFAULT_OPTIONS
 
     @property
@@ -130,6 +141,8 @@
     """Outcomes of a scenario run, and counters of the servers.
 
     ``arrivals`` counts all calls; one that hangs for ever has no outcome.
+    ``starts`` are the times at which each server got a call, and ``offers``
+    counts the attempts that were sent to another node.
     """
 
     arrivals: int
@@ -138,3 +151,5 @@
     served_s: float
     probes: int
     sent_to_servers: int
+    starts: tuple[tuple[float, ...], ...] = ()
+    offers: int = 0
--- a/packages/standins/marjoramledge_standins/virtual_nodes.py
+++ b/packages/standins/marjoramledge_standins/virtual_nodes.py
@@ -229,9 +229,20 @@
     ) -> None:
         started_at = self._world.now
         self._world.sent_to_servers += 1
+        self._world.starts[number].append(started_at)
 
         def done(end: virtual_servers.JobEnd) -> None:
             self._jobs.pop(attempt, None)
+            signals = None
+            if end is not virtual_servers.JobEnd.ABORTED:
+                signals = self._world.signals_of(number)
+                if signals != node.NO_SIGNALS:
+                    self.submit(
+                        number,
+                        node.ServerSignalled(
+                            server=node.ANY_START, signals=signals
+                        ),
+                    )
             if gate is None:
                 self._deliver_answer(number, call, attempt, end, None)
             self.submit(
@@ -241,6 +252,7 @@
                     outcome=_OUTCOMES[end],
                     head_s=self._world.now - started_at,
                     slowdown=self._slowdown_of(number),
+                    signals=signals,
                 ),
             )
             if gate is not None:
@@ -293,6 +305,7 @@
     def _send_attempt(self, number: int, command: node.SendToPeer) -> None:
         peer = self._number_of[command.address]
         self._gate_of[command.attempt] = peer
+        self._world.offers += 1
         mix = self._calls[command.call].mix
         remaining_s = command.deadline_at - self._world.now
         target_s = command.target_at - self._world.now
--- a/packages/standins/marjoramledge_standins/virtual_world.py
+++ b/packages/standins/marjoramledge_standins/virtual_world.py
@@ -4,6 +4,8 @@
 import heapq
 import typing
 
+from marjoramledge_core import node
+
 from marjoramledge_standins import scenarios
 from marjoramledge_standins import virtual_servers
 
@@ -29,6 +31,8 @@
         self._sequence = 0
         self.outcomes: list[scenarios.Outcome] = []
         self.sent_to_servers = 0
+        self.offers = 0
+        self.starts: list[list[float]] = [[] for _ in scenario.server_zones]
         self.zones = scenario.server_zones + scenario.other_entry_zones
         self.servers = [
             self._create_server(number)
@@ -61,6 +65,14 @@
             action()
         self.now = until
 
+    def signals_of(self, server: int) -> node.ServerSignals:
+        """Return what a server says of itself in an answer now."""
+        for limit in self.scenario.named_limits:
+            is_named = limit.from_s <= self.now < limit.until_s
+            if limit.server == server and is_named:
+                return node.ServerSignals(rate_limit_per_s=limit.rate_per_s)
+        return node.NO_SIGNALS
+
     def delay_s(self, one: int, other: int) -> float:
         """Return the one-way network delay between two nodes."""
         if one == other:
--- /dev/null
+++ b/tests/test_named_limits.py
@@ -0,0 +1,211 @@
+"""Servers that name the requests a second that they take from all nodes."""
+
+import collections.abc
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+from marjoramledge_core import ids
+from marjoramledge_core import node
+from marjoramledge_standins import builders
+from marjoramledge_standins import driver
+from marjoramledge_standins import experiment
+from marjoramledge_standins import scenarios
+import pytest
+
+# A server that names a limit gets no more than this in any window, from this
+# long after it was first named.
+GRACE_S = 3.0
+WINDOW_S = 4.0
+RATIO = 1.5
+SLACK = 5
+# The gate itself keeps to the limit; only a burst of a second comes on top.
+BURST_S = 1.0
+OFFERS_PER_S = 20
+RUN_S = 0.1
+
+
+def _count_most(starts: collections.abc.Sequence[float], since: float) -> int:
+    """Return the most starts in any window that begins after ``since``."""
+    late = [at for at in starts if at >= since]
+    return max(
+        (sum(first <= at < first + WINDOW_S for at in late) for first in late),
+        default=0,
+    )
+
+
+def _allow(rate_per_s: float) -> float:
+    return RATIO * WINDOW_S * rate_per_s + SLACK
+
+
+class _Gate:
+    """A gate that is offered calls by its own entry and by peers."""
+
+    def __init__(self) -> None:
+        self.driver = builders.CoreDriver()
+        self.driver.configure()
+        self.driver.submit(
+            node.ServerAnnounced(server=builders.build_server(slots=12))
+        )
+        self.starts: list[float] = []
+        self.refused = 0
+        self.signals = node.NO_SIGNALS
+        self._running: list[
+            tuple[float, ids.AttemptId, ids.CallId | None]
+        ] = []
+        self._calls = 0
+
+    def run(self, seconds: float) -> None:
+        """Offer calls at a steady rate, every second one from a peer."""
+        for _ in range(round(seconds * OFFERS_PER_S)):
+            self._calls += 1
+            if self._calls % 2:
+                self._carry_out(
+                    self.driver.offer(f"p{self._calls}", target_s=0.4)
+                )
+            else:
+                self._carry_out(self.driver.arrive(f"c{self._calls}"))
+            self._pass_time(1.0 / OFFERS_PER_S)
+
+    def _pass_time(self, seconds: float) -> None:
+        until = self.driver.now + seconds
+        while self._running and self._running[0][0] <= until:
+            at, attempt, call = self._running.pop(0)
+            self._carry_out(
+                self.driver.pass_time(max(0.0, at - self.driver.now))
+            )
+            self._answer(attempt, call)
+        self._carry_out(
+            self.driver.pass_time(max(0.0, until - self.driver.now))
+        )
+
+    def _carry_out(self, commands: list[node.Command]) -> None:
+        for command in commands:
+            if isinstance(command, node.StartWork | node.RunOnServer):
+                call = getattr(command, "call", None)
+                self.starts.append(self.driver.now)
+                self._running.append(
+                    (self.driver.now + RUN_S, command.attempt, call)
+                )
+            elif isinstance(command, node.RefuseWork | node.RefuseCall):
+                self.refused += 1
+
+    def _answer(self, attempt: ids.AttemptId, call: ids.CallId | None) -> None:
+        submit = self.driver.submit
+        if self.signals != node.NO_SIGNALS:
+            self._carry_out(
+                submit(
+                    node.ServerSignalled(
+                        server=node.ANY_START, signals=self.signals
+                    )
+                )
+            )
+        if call is not None:
+            submit(
+                node.AttemptAnswered(
+                    call=call, attempt=attempt, is_error=False, load=None
+                )
+            )
+        self._carry_out(
+            submit(
+                node.WorkEnded(
+                    attempt=attempt,
+                    outcome=node.ServerOutcome.ANSWERED,
+                    head_s=RUN_S,
+                    signals=self.signals,
+                )
+            )
+        )
+        if call is not None:
+            submit(node.CallEnded(call=call))
+
+
+def _name(rate_per_s: float) -> node.ServerSignals:
+    return node.ServerSignals(rate_limit_per_s=rate_per_s)
+
+
+# Guards against a server in need that gets many times the requests a second
+# that it has said it takes, since its gate counts running calls only.
+@pytest.mark.parametrize("rate_per_s", [0.5, 1.0, 5.2, 6.5, 12.0])
+def test_a_server_gets_no_more_than_the_limit_that_it_named(
+    rate_per_s: float,
+) -> None:
+    gate = _Gate()
+    gate.run(2.0)
+    gate.signals = _name(rate_per_s)
+    named_at = gate.driver.now
+    gate.run(20.0)
+    most = _count_most(gate.starts, named_at + GRACE_S)
+    assert most <= rate_per_s * (WINDOW_S + BURST_S) + 1 <= _allow(rate_per_s)
+    # It gets what it takes.
+    assert len([at for at in gate.starts if at > named_at + GRACE_S]) >= (
+        0.8 * rate_per_s * (20.0 - GRACE_S) - 1
+    )
+
+
+# Guards against the same where 88 nodes send to servers of which some take one
+# request a second.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_fleet_keeps_to_a_limit_of_one_request_a_second(seed: int) -> None:
+    base = experiment.build_scenario("noisy, told", 0.3, seed)
+    named_at = scenarios.START_S
+    limits = tuple(
+        scenarios.NamedLimit(
+            server=number, rate_per_s=1.0, from_s=named_at, until_s=100.0
+        )
+        for number in (0, 5)
+    )
+    result = driver.run_scenario(
+        dataclasses.replace(
+            base,
+            other_entry_zones=experiment.ZONES * 25 + ("north",),
+            named_limits=limits,
+        ),
+        driver.Policy.OURS,
+    )
+    for limit in limits:
+        starts = result.starts[limit.server]
+        assert _count_most(starts, named_at + GRACE_S) <= _allow(1.0)
+    in_target = experiment.share_in_target(result)
+    without = experiment.share_in_target(
+        driver.run_scenario(base, driver.Policy.OURS)
+    )
+    assert in_target >= 0.9 * without
+
+
+# Guards against limits that change from answer to answer, end and come back:
+# each window gets at most what the largest limit in it allows.
+@hypothesis.given(
+    steps=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from([0.0, 0.5, 1.0, 3.0, 10.0]),
+            strategies.sampled_from([0.2, 1.0, 4.0]),
+        ),
+        min_size=1,
+        max_size=6,
+    )
+)
+@hypothesis.settings(max_examples=25)
+def test_a_changing_limit_is_kept(steps: list[tuple[float, float]]) -> None:
+    gate = _Gate()
+    gate.signals = _name(steps[0][0])
+    gate.run(GRACE_S)
+    since = gate.driver.now
+    for rate_per_s, seconds in steps:
+        gate.signals = _name(rate_per_s)
+        gate.run(seconds)
+    largest = max(rate_per_s for rate_per_s, _ in steps)
+    assert _count_most(gate.starts, since) <= _allow(largest)
+
+
+# Guards against a limit that outlives the answers that name it.
+def test_a_limit_ends_with_the_answers_that_name_it() -> None:
+    gate = _Gate()
+    gate.signals = _name(1.0)
+    gate.run(5.0)
+    gate.signals = node.NO_SIGNALS
+    gate.run(5.0)
+    ended_at = gate.driver.now
+    gate.run(5.0)
+    starts = [at for at in gate.starts if at >= ended_at]
+    assert len(starts) == 5.0 * OFFERS_PER_S
