Start calls at a server no faster than the limit that it names

Cause: nothing in the fleet read the limit; a gate started as many calls as there are slots.

A call that would wait longer than it may queue is refused at once, and is sent to another server.

Class: a contract of a neighbour that is passed on and not read.

--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -16,6 +16,7 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _limit
 from marjoramledge_core import _members
+from marjoramledge_core import _named_limit
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _queue
 from marjoramledge_core import _rate_limiter
@@ -149,8 +150,7 @@
         self._probe_duration_s = 0.0
         self._cold_rate_limiter = _rate_limiter.ColdRateLimiter()
         self._cold_until = 0.0
-        self._rate_limit_per_s: float | None = None
-        self._rate_limit_named_at = 0.0
+        self._named_limit = _named_limit.NamedLimit()
         self._service: _settings.Service | None = None
         self._departed: dict[_ids.ServerId, int] = {}
         self._aborted: collections.deque[tuple[float, _ids.Fingerprint]] = (
@@ -204,6 +204,12 @@
         """Describe the data that the contention limit was chosen from."""
         return self._estimates.describe_limit(now)
 
+    def describe_rate_limit(self) -> str:
+        """Describe the limit that the server names."""
+        if self.rate_limit_per_s is None:
+            return "no named limit"
+        return f"named limit {self.rate_limit_per_s:g} calls a second"
+
     def pop_summary(self, now: float) -> str | None:
         """Return a summary of load and refusals, and reset its counts.
 
@@ -218,6 +224,7 @@
         return (
             f"{len(self._running)} running of at most {self.limit}, "
             f"{len(self._waiting)} queued, ramp limit {self._limit.current}, "
+            f"{self.describe_rate_limit()}, "
             f"{self._estimates.describe(len(self._running), now)}, {summary}"
         )
 
@@ -227,7 +234,7 @@
             self._state in _members.ACCEPTING_STATES
             and not self._waiting
             and len(self._running) < self.limit
-            and self._cold_wait_s(now) <= 0.0
+            and self._start_wait_s(now) <= 0.0
         )
 
     def report(self, now: float) -> _reports.LoadReport:
@@ -255,7 +262,7 @@
         self._cold_until = now + server.cold_left_s
         if is_repeat and self.accepts_work:
             return
-        self._rate_limit_per_s = None
+        self._named_limit.end()
         self._estimates.set_slots(server.slots)
         self._limit = _limit.ConcurrencyLimit(
             slots=server.slots,
@@ -328,14 +335,11 @@
     @property
     def rate_limit_per_s(self) -> float | None:
         """Calls per second that the server named as its limit, if any."""
-        return self._rate_limit_per_s
+        return self._named_limit.named_per_s
 
     def name_rate_limit(self, rate_per_s: float, now: float) -> bool:
         """Set the limit that the server names; return whether it changed."""
-        is_change = rate_per_s != self._rate_limit_per_s
-        self._rate_limit_per_s = rate_per_s
-        self._rate_limit_named_at = now
-        return is_change
+        return self._named_limit.name(rate_per_s, now)
 
     def note_unlimited_answer(self, work: _queue.Work) -> bool:
         """Note an answer without a limit; return whether it ended one.
@@ -343,14 +347,23 @@
         An answer to a call that had started before the limit was last named
         may be older than the limit.
         """
-        if (
-            self._rate_limit_per_s is None
-            or work.started_at <= self._rate_limit_named_at
-        ):
+        limit = self._named_limit
+        if limit.named_per_s is None or work.started_at <= limit.named_at:
             return False
-        self._rate_limit_per_s = None
+        limit.end()
         return True
 
+    def rate_wait_s(self, now: float) -> float:
+        """Return the seconds until the named limit permits another call.
+
+        Calls that are queued already come first.
+        """
+        return self._named_limit.wait_s(now, len(self._waiting))
+
+    def draw_pause_s(self, now: float) -> float:
+        """Return for how long the entry of a refused call should pause."""
+        return self._named_limit.draw_pause_s(now)
+
     def assume_cold(self, now: float) -> None:
         """Treat the backend server as cold until it reports otherwise."""
         self._limit.restart_ramp()
@@ -358,13 +371,13 @@
             self._cold_until = now + self._service.cold_s
 
     def next_start_at(self, now: float) -> float | None:
-        """Return when the cold rate limit lets the next queued call start.
+        """Return when the rate limits let the next queued call start.
 
-        None if no call is queued, or none of them waits for that limit.
+        None if no call is queued, or none of them waits for these limits.
         """
         if not self._waiting or len(self._running) >= self.limit:
             return None
-        wait_s = self._cold_wait_s(now)
+        wait_s = self._start_wait_s(now)
         return now + max(MIN_START_WAIT_S, wait_s) if wait_s > 0.0 else None
 
     def start_waiting(self, now: float) -> list[_queue.Work]:
@@ -381,7 +394,7 @@
         """Remove the backend server; return the calls that were queued."""
         self._state = _members.ServerState.ABSENT
         self._server = None
-        self._rate_limit_per_s = None
+        self._named_limit.end()
         return self.drop_waiting()
 
     def offer(self, work: _queue.Work, now: float) -> OfferResult:
@@ -401,7 +414,8 @@
             self._estimates.is_slow or self._is_queue_long()
         ):
             return OfferResult(admission=Admission.REFUSED)
-        if self.max_wait_s(work, now) <= 0.0:
+        max_wait_s = self.max_wait_s(work, now)
+        if max_wait_s <= 0.0 or self.rate_wait_s(now) > max_wait_s:
             return OfferResult(admission=Admission.REFUSED)
         displaced = self._queue.push(work)
         if displaced is work:
@@ -576,6 +590,7 @@
     def _start(self, work: _queue.Work, now: float) -> None:
         work.started_at = now
         self._cold_rate_limiter.note_start(now)
+        self._named_limit.note_start(now)
         self._statistics.note_start()
         self._estimates.note_start(work, len(self._running), now)
         self._running[work.attempt] = work
@@ -610,7 +625,7 @@
         while (
             self._waiting
             and len(self._running) < self.limit
-            and self._cold_wait_s(now) <= 0.0
+            and self._start_wait_s(now) <= 0.0
         ):
             work = self._queue.pop_next(
                 lambda waiting: self._may_start(waiting, now)
@@ -622,6 +637,10 @@
             started.append(work)
         return started
 
+    def _start_wait_s(self, now: float) -> float:
+        """Return the seconds until the rate limits permit the next call."""
+        return max(self._cold_wait_s(now), self._named_limit.wait_s(now))
+
     def _cold_wait_s(self, now: float) -> float:
         """Return the seconds until a cold server may get the next call."""
         service = self._service
--- a/packages/core/marjoramledge_core/_gate_handlers.py
+++ b/packages/core/marjoramledge_core/_gate_handlers.py
@@ -125,7 +125,7 @@
         )
     for work in result.started:
         start_work(step, work)
-    _schedule_cold_start(step)
+    _schedule_rate_start(step)
     for work in result.refused:
         return_work(step, work, _outcomes.Reason.SERVER_UNREACHABLE)
     if result.became_unreachable:
@@ -151,14 +151,14 @@
         step.record(
             _records.RecordKind.RATE_LIMIT_INVALID,
             detail=f"{signals.invalid_rate_limit!r}, "
-            f"{_describe_rate_limit(gate)} stays",
+            f"{gate.describe_rate_limit()} stays",
         )
     if signals.rate_limit_per_s is not None:
-        before = _describe_rate_limit(gate)
+        before = gate.describe_rate_limit()
         if gate.name_rate_limit(signals.rate_limit_per_s, step.now):
             step.record(
                 _records.RecordKind.RATE_LIMIT_NAMED,
-                detail=f"{_describe_rate_limit(gate)}, before {before}",
+                detail=f"{gate.describe_rate_limit()}, before {before}",
             )
 
 
@@ -171,19 +171,13 @@
     gate = step.state.gate
     if signals is None or signals.invalid_rate_limit:
         return
-    before = _describe_rate_limit(gate)
+    before = gate.describe_rate_limit()
     if signals.rate_limit_per_s is None and gate.note_unlimited_answer(work):
         step.record(
             _records.RecordKind.RATE_LIMIT_ENDED, detail=f"before {before}"
         )
 
 
-def _describe_rate_limit(gate: _gate.Gate) -> str:
-    if gate.rate_limit_per_s is None:
-        return "no limit"
-    return f"{gate.rate_limit_per_s:g} calls a second"
-
-
 def abandon_work(step: _state.Step, event: _events.WorkAbandoned) -> None:
     """Remove a request from the queue.
 
@@ -295,9 +289,9 @@
         step.out.append(_commands.ProbeServer(server=gate.server))
 
 
-def cold_wait_ended(step: _state.Step) -> None:
-    """Start queued calls that the cold rate limit now permits."""
-    step.state.cold_start_timer = None
+def rate_wait_ended(step: _state.Step) -> None:
+    """Start queued calls that the rate limits now permit."""
+    step.state.rate_start_timer = None
     start_waiting(step)
 
 
@@ -305,7 +299,7 @@
     """Start queued calls up to the limits of the gate."""
     for work in step.state.gate.start_waiting(step.now):
         start_work(step, work)
-    _schedule_cold_start(step)
+    _schedule_rate_start(step)
 
 
 def note_departures(step: _state.Step, event: _events.DeparturesRead) -> None:
@@ -434,7 +428,7 @@
     if offer.admission is _gate.Admission.STARTED:
         start_work(step, work)
     elif offer.admission is _gate.Admission.QUEUED:
-        _schedule_cold_start(step)
+        _schedule_rate_start(step)
         step.state.timers.set(
             min(
                 work.deadline_at,
@@ -446,14 +440,14 @@
     return offer.admission
 
 
-def _schedule_cold_start(step: _state.Step) -> None:
-    """Set a timer for when the cold rate limit permits the next call."""
-    if step.state.cold_start_timer is not None:
+def _schedule_rate_start(step: _state.Step) -> None:
+    """Set a timer for when the rate limits permit the next call."""
+    if step.state.rate_start_timer is not None:
         return
     at = step.state.gate.next_start_at(step.now)
     if at is not None:
-        step.state.cold_start_timer = step.state.timers.set(
-            at, _timers.TimerKind.COLD_START
+        step.state.rate_start_timer = step.state.timers.set(
+            at, _timers.TimerKind.RATE_START
         )
 
 
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -356,8 +356,8 @@
     _timers.TimerKind.QUEUE_WAIT: lambda step, timer: (
         _gate_handlers.queue_wait_ended(step, _ids.AttemptId(timer.subject))
     ),
-    _timers.TimerKind.COLD_START: lambda step, timer: (
-        _gate_handlers.cold_wait_ended(step)
+    _timers.TimerKind.RATE_START: lambda step, timer: (
+        _gate_handlers.rate_wait_ended(step)
     ),
     _timers.TimerKind.SERVER_PROBE: lambda step, timer: (
         _gate_handlers.probe_server(step)
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -210,7 +210,7 @@
     presumed_death: PresumedDeath | None = None
     death_withdrawn_at: float = -math.inf
     is_drained_by_order: bool = False
-    cold_start_timer: _timers.Timer | None = None
+    rate_start_timer: _timers.Timer | None = None
     stop_phase: StopPhase = StopPhase.RUNNING
     stop_begun_at: float = 0.0
 
--- a/packages/core/marjoramledge_core/_timers.py
+++ b/packages/core/marjoramledge_core/_timers.py
@@ -16,7 +16,7 @@
     CALL_DEADLINE = enum.auto()
     CALL_HEDGE = enum.auto()
     QUEUE_WAIT = enum.auto()
-    COLD_START = enum.auto()
+    RATE_START = enum.auto()
     SERVER_PROBE = enum.auto()
     MEMBER_PROBE = enum.auto()
     PROBE_TIMEOUT = enum.auto()
