Tell a restarted gate the limit that its server named

A gate that restarts beside a server in need knew no limit and started a call in every slot: 12 beside the 2 of the seconds before, where 11 in 4 s are allowed. The new test fails without the recall and passes with it.

Entries keep what a gate tells about its server with answers and refusals, and send it along with each offer. A gate takes a limit from an entry only until its server has answered, and only for the same start of the server.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -155,6 +155,7 @@
         step.out.append(_commands.CancelAttempt(attempt=event.attempt))
         return
     _observe_version(step, attempt.server, event.config)
+    attempt.server.note_answer_status(event.status)
     _note_answer(step, attempt.server, event.load, event.is_error)
     if event.is_error and _retry_error(step, call, attempt):
         return
@@ -189,6 +190,7 @@
     if call is None or attempt is None or not attempt.is_open:
         return
     _observe_version(step, attempt.server, event.config)
+    attempt.server.note_refusal_status(event.status)
     _note_report(step, attempt.server, event.load)
     if event.reason in _FAULT_REASONS:
         _note_fault(step, attempt.server)
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -12,6 +12,7 @@
 from marjoramledge_core import _members
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _records
+from marjoramledge_core import _server_status
 from marjoramledge_core import _settings
 
 
@@ -35,7 +36,8 @@
 
     ``is_hedge`` marks an attempt that is made while another one is still
     open.  With ``prefers_queueing`` the gate should queue the request rather
-    than refuse it early.
+    than refuse it early.  ``status`` is what this node has learned about the
+    server.
     """
 
     call: _ids.CallId
@@ -48,6 +50,7 @@
     target_at: float
     is_hedge: bool
     prefers_queueing: bool
+    status: _server_status.ServerStatus | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_dispatch.py
+++ b/packages/core/marjoramledge_core/_dispatch.py
@@ -118,6 +118,7 @@
                 target_at=call.target_at,
                 is_hedge=is_hedge,
                 prefers_queueing=prefers_queueing,
+                status=server.status,
             )
         )
         return True
--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -10,6 +10,7 @@
 from marjoramledge_core import _options
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _reports
+from marjoramledge_core import _server_status
 from marjoramledge_core import _settings
 from marjoramledge_core import _signals
 
@@ -39,7 +40,8 @@
     """The status line and headers of an answer arrived.
 
     ``is_error`` marks an answer that reports a fault of the server, and
-    ``config`` is the version of the gate's node if it is newer.
+    ``config`` is the version of the gate's node if it is newer, and
+    ``status`` what the gate tells about the server.
     """
 
     call: _ids.CallId
@@ -47,6 +49,7 @@
     is_error: bool
     load: _reports.LoadReport | None
     config: _manifest.KnownVersion | None = None
+    status: _server_status.ServerStatus | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -55,7 +58,8 @@
 
     ``is_body_consumed`` is true if part of an unbuffered body has been read
     from the caller, so that the request cannot be sent again.  ``config`` is
-    the version of the gate's node if it is newer.
+    the version of the gate's node if it is newer, and ``status`` what the gate
+    tells about the server.
     """
 
     call: _ids.CallId
@@ -65,6 +69,7 @@
     load: _reports.LoadReport | None
     is_body_consumed: bool
     config: _manifest.KnownVersion | None = None
+    status: _server_status.ServerStatus | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -97,8 +102,9 @@
     refuse it early.  The ``service`` and ``kind`` that the entry node
     determined are used if present, so that entry and gate agree while their
     configuration versions differ.  ``target_s`` is the remaining time until
-    the latency target of the request, and ``config`` the version by which
-    the entry node decided, if it tells.
+    the latency target of the request, ``config`` the version by which the
+    entry node decided, and ``status`` what it has learned about the server,
+    if it tells.
     """
 
     attempt: _ids.AttemptId
@@ -112,6 +118,7 @@
     kind: _settings.RequestKind | None = None
     target_s: float = math.inf
     config: _manifest.VersionRef | None = None
+    status: _server_status.ServerStatus | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -137,7 +144,7 @@
     ``server`` is the start of the server that the request was sent to.
     """
 
-    server: _gate.ServerStart
+    server: _server_status.ServerStart
     signals: _signals.ServerSignals
 
 
@@ -163,21 +170,21 @@
     for the current one.
     """
 
-    server: _gate.ServerStart = _gate.ANY_START
+    server: _server_status.ServerStart = _server_status.ANY_START
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ServerWithdrawn:
     """The backend server on this VM deregistered from the node."""
 
-    server: _gate.ServerStart = _gate.ANY_START
+    server: _server_status.ServerStart = _server_status.ANY_START
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class DeparturesRead:
     """The store returned the server starts whose departure was recorded."""
 
-    servers: tuple[_gate.ServerStart, ...]
+    servers: tuple[_server_status.ServerStart, ...]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -21,6 +21,7 @@
 from marjoramledge_core import _queue
 from marjoramledge_core import _rate_limiter
 from marjoramledge_core import _reports
+from marjoramledge_core import _server_status
 from marjoramledge_core import _settings
 from marjoramledge_core import _statistics
 
@@ -58,23 +59,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ServerStart:
-    """One start of a backend server.
-
-    ``born`` is the start time of the process: it tells restarts of the same
-    ``server`` apart and grows with each.  Both fields have their defaults if
-    the backend server does not identify itself.
-    """
-
-    server: _ids.ServerId = _ids.NO_SERVER_ID
-    born: int = 0
-
-
-# Stands for the current start of a server that does not identify itself.
-ANY_START: typing.Final = ServerStart()
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Server:
     """A backend server, as it announced itself.
@@ -91,7 +75,7 @@
     cold_concurrency: int
     is_cold: bool
     health_path: str
-    start: ServerStart = ANY_START
+    start: _server_status.ServerStart = _server_status.ANY_START
     sequence: int = 0
     cold_left_s: float = 0.0
 
@@ -262,7 +246,7 @@
         self._cold_until = now + server.cold_left_s
         if is_repeat and self.accepts_work:
             return
-        self._named_limit.end()
+        self._named_limit.forget()
         self._estimates.set_slots(server.slots)
         self._limit = _limit.ConcurrencyLimit(
             slots=server.slots,
@@ -285,7 +269,7 @@
         whose departure has been acknowledged since.
         """
         start = server.start
-        if start == ANY_START:
+        if start == _server_status.ANY_START:
             return True
         if self._departed.get(start.server, -1) >= start.born:
             return False
@@ -296,9 +280,9 @@
             return start.born > known.start.born
         return server.sequence > known.sequence
 
-    def matches_start(self, start: ServerStart) -> bool:
+    def matches_start(self, start: _server_status.ServerStart) -> bool:
         """Return whether ``start`` identifies the current backend server."""
-        if start == ANY_START:
+        if start == _server_status.ANY_START:
             return True
         if self._server is None or self._server.start.server != start.server:
             return False
@@ -306,12 +290,12 @@
         # 0 means that whoever named the start did not know its start time.
         return start.born == known or 0 in (start.born, known)
 
-    def note_departure(self, start: ServerStart) -> None:
+    def note_departure(self, start: _server_status.ServerStart) -> None:
         """Record that a backend server, identified by its start, leaves.
 
         Later announcements of that start are ignored.
         """
-        if start == ANY_START:
+        if start == _server_status.ANY_START:
             return
         born = start.born
         if self._server is not None and self.matches_start(start):
@@ -348,10 +332,18 @@
         may be older than the limit.
         """
         limit = self._named_limit
-        if limit.named_per_s is None or work.started_at <= limit.named_at:
+        if work.started_at <= limit.named_at:
             return False
+        is_end = limit.named_per_s is not None
         limit.end()
-        return True
+        return is_end
+
+    def recall_rate_limit(self, rate_per_s: float, now: float) -> bool:
+        """Set a limit that another node remembers; return whether it is new.
+
+        Without effect once the server has answered to this gate.
+        """
+        return self._named_limit.recall(rate_per_s, now)
 
     def rate_wait_s(self, now: float) -> float:
         """Return the seconds until the named limit permits another call.
@@ -394,7 +386,7 @@
         """Remove the backend server; return the calls that were queued."""
         self._state = _members.ServerState.ABSENT
         self._server = None
-        self._named_limit.end()
+        self._named_limit.forget()
         return self.drop_waiting()
 
     def offer(self, work: _queue.Work, now: float) -> OfferResult:
--- a/packages/core/marjoramledge_core/_gate_handlers.py
+++ b/packages/core/marjoramledge_core/_gate_handlers.py
@@ -18,6 +18,7 @@
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _queue
 from marjoramledge_core import _records
+from marjoramledge_core import _server_status
 from marjoramledge_core import _settings
 from marjoramledge_core import _signals
 from marjoramledge_core import _state
@@ -72,6 +73,7 @@
 
 def handle_offer(step: _state.Step, event: _events.WorkOffered) -> None:
     """Start, queue or refuse a request that a peer offers."""
+    _apply_status(step, event.status)
     reason = reason_to_refuse(step)
     kind = None if reason else _find_kind(step, event)
     reason = reason or _reason_to_refuse_request(step, event)
@@ -162,6 +164,36 @@
             )
 
 
+def build_status(
+    state: _state.NodeState,
+) -> _server_status.ServerStatus | None:
+    """Build what entries are told about the local backend server.
+
+    None if the server has said nothing of itself.
+    """
+    gate = state.gate
+    if gate.server is None or gate.rate_limit_per_s is None:
+        return None
+    return _server_status.ServerStatus(
+        start=gate.server.start, rate_limit_per_s=gate.rate_limit_per_s
+    )
+
+
+def _apply_status(
+    step: _state.Step, status: _server_status.ServerStatus | None
+) -> None:
+    """Apply what an entry remembers about the local backend server."""
+    gate = step.state.gate
+    if status is None or not gate.matches_start(status.start):
+        return
+    rate_per_s = status.rate_limit_per_s
+    if rate_per_s is not None and gate.recall_rate_limit(rate_per_s, step.now):
+        step.record(
+            _records.RecordKind.RATE_LIMIT_NAMED,
+            detail=f"{gate.describe_rate_limit()}, recalled by an entry",
+        )
+
+
 def _note_end_of_rate_limit(
     step: _state.Step,
     work: _queue.Work,
--- a/packages/core/marjoramledge_core/_load.py
+++ b/packages/core/marjoramledge_core/_load.py
@@ -13,6 +13,7 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _members
 from marjoramledge_core import _reports
+from marjoramledge_core import _server_status
 
 # Minimum half-life of a report: queues may turn over within milliseconds, so
 # an old report says little about them.
@@ -34,8 +35,8 @@
     ``entry_in_flight`` counts the calls of this entry at the server, and
     ``others_in_flight`` those of all other entries by the last report.
     ``zone_cost_s`` is added to the expected response time of a server outside
-    the entry's zone, and ``ejections`` counts the ejections since the server
-    last recovered.
+    the entry's zone, ``ejections`` counts the ejections since the server last
+    recovered, and ``status`` is what its gate has told about it.
     """
 
     node: _ids.NodeId
@@ -53,6 +54,7 @@
     ejections: int = 0
     ejected_until: float = 0.0
     readmitted_at: float = -READMISSION_RAMP_S
+    status: _server_status.ServerStatus | None = None
 
     def start_call(self) -> None:
         """Record that a call was sent to the server."""
@@ -73,6 +75,23 @@
         self.latency_s = report.service_s
         self.reported_at = now
 
+    def note_answer_status(
+        self, status: _server_status.ServerStatus | None
+    ) -> None:
+        """Record what the gate tells with an answer of the server."""
+        self.status = status
+
+    def note_refusal_status(
+        self, status: _server_status.ServerStatus | None
+    ) -> None:
+        """Record what the gate tells when it refuses a call.
+
+        A gate that has restarted may know nothing about its server yet, so
+        the last status is kept if it tells none.
+        """
+        if status is not None:
+            self.status = status
+
     def note_success(self, now: float) -> bool:
         """Record a successful answer; return whether the server recovered.
 
--- a/packages/core/marjoramledge_core/_named_limit.py
+++ b/packages/core/marjoramledge_core/_named_limit.py
@@ -27,6 +27,7 @@
     def __init__(self) -> None:
         self._named_per_s: float | None = None
         self._named_at = -math.inf
+        self._is_known = False
         self._tokens = 0.0
         self._updated_at = 0.0
         self._paused_until = -math.inf
@@ -48,14 +49,34 @@
         self._refill(now)
         self._named_per_s = rate_per_s
         self._named_at = now
+        self._is_known = True
         self._tokens = min(1.0 if is_first else self._tokens, self._capacity)
         return is_change
 
+    def recall(self, rate_per_s: float, now: float) -> bool:
+        """Set a limit of the past, unless the server has answered since.
+
+        Return whether the limit was set.
+        """
+        if self._is_known or self._named_per_s is not None:
+            return False
+        self.name(rate_per_s, now)
+        # Any answer is newer than what an entry remembers.
+        self._named_at = -math.inf
+        self._is_known = False
+        return True
+
     def end(self) -> None:
-        """Lift the limit."""
+        """Lift the limit, as an answer without one does."""
         self._named_per_s = None
+        self._is_known = True
         self._paused_until = -math.inf
 
+    def forget(self) -> None:
+        """Forget the limit of a server that was replaced or is gone."""
+        self.end()
+        self._is_known = False
+
     def note_start(self, now: float) -> None:
         """Count a call that starts at the server."""
         self._refill(now)
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -4,6 +4,7 @@
 from marjoramledge_core import _commands
 from marjoramledge_core import _events
 from marjoramledge_core import _gate
+from marjoramledge_core import _gate_handlers
 from marjoramledge_core import _members
 from marjoramledge_core import _node
 from marjoramledge_core import _options
@@ -12,6 +13,7 @@
 from marjoramledge_core import _records
 from marjoramledge_core import _replay
 from marjoramledge_core import _reports
+from marjoramledge_core import _server_status
 from marjoramledge_core import _signals
 from marjoramledge_core import _state
 
@@ -38,12 +40,14 @@
 Suspicion = _quarantine.Suspicion
 RunState = _outcomes.RunState
 Server = _gate.Server
-ServerStart = _gate.ServerStart
-ANY_START = _gate.ANY_START
+ServerStart = _server_status.ServerStart
+ANY_START = _server_status.ANY_START
 ServerOutcome = _outcomes.ServerOutcome
 ServerState = _members.ServerState
 ServerSignals = _signals.ServerSignals
 NO_SIGNALS = _signals.NO_SIGNALS
+ServerStatus = _server_status.ServerStatus
+build_status = _gate_handlers.build_status
 
 AnswerLost = _events.AnswerLost
 AttemptAnswered = _events.AttemptAnswered
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -300,6 +300,10 @@
             outgoing.headers[_headers.TARGET] = _headers.format_target(
                 command.target_at - self._engine.now()
             )
+        if command.status is not None:
+            outgoing.headers[_headers.SERVER] = _headers.format_status(
+                command.status
+            )
         if command.prefers_queueing:
             outgoing.headers[_headers.PATIENT] = "1"
         outcome = await _cancellation.run_cancellable(
@@ -335,6 +339,7 @@
                 is_error=answer.outcome is node.ServerOutcome.ERRORED,
                 load=answer.load,
                 config=answer.config,
+                status=answer.status,
             )
         )
 
@@ -353,6 +358,7 @@
                 load=attempt_failure.load,
                 is_body_consumed=exchange.is_body_consumed,
                 config=attempt_failure.config,
+                status=attempt_failure.status,
             )
         )
 
--- a/packages/node/marjoramledge_node/_headers.py
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -8,6 +8,7 @@
 import collections.abc
 import math
 import typing
+import urllib.parse
 
 from marjoramledge_core import configuration
 from marjoramledge_core import ids
@@ -33,6 +34,7 @@
 KIND: typing.Final = "Marjoramledge-Kind"
 TARGET: typing.Final = "Marjoramledge-Target-Ms"
 CONFIG: typing.Final = "Marjoramledge-Config"
+SERVER: typing.Final = "Marjoramledge-Server"
 
 _SYSTEM_PREFIX: typing.Final = "marjoramledge-"
 # RFC 9110, section 7.6.1: these apply to a single connection.
@@ -160,6 +162,39 @@
         return None
 
 
+def format_status(status: node.ServerStatus) -> str:
+    """Format what a node tells another about a backend server."""
+    limit = status.rate_limit_per_s
+    return ";".join(
+        (
+            urllib.parse.quote(status.start.server, safe=""),
+            str(status.start.born),
+            "" if limit is None else repr(limit),
+        )
+    )
+
+
+def parse_status(text: str | None) -> node.ServerStatus | None:
+    """Parse a server's status; return None if missing or invalid.
+
+    Fields that a later build appends are ignored.
+    """
+    try:
+        server, born, limit = (text or "").split(";")[:3]
+        rate_per_s = float(limit) if limit else None
+        if rate_per_s is not None and not 0.0 <= rate_per_s < math.inf:
+            return None
+        return node.ServerStatus(
+            start=node.ServerStart(
+                server=ids.ServerId(urllib.parse.unquote(server)),
+                born=int(born),
+            ),
+            rate_limit_per_s=rate_per_s,
+        )
+    except ValueError:
+        return None
+
+
 def parse_run(text: str | None) -> node.RunState | None:
     """Parse the ``RUN`` header; return None if it is missing or invalid."""
     try:
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -178,6 +178,9 @@
                         request.headers.get(_headers.TARGET)
                     ),
                     config=self._read_config(request),
+                    status=_headers.parse_status(
+                        request.headers.get(_headers.SERVER)
+                    ),
                 )
             )
             command = await mailbox.get()
@@ -284,7 +287,7 @@
                 _headers.LOAD: _headers.format_load(
                     self._engine.state.gate.report(now)
                 ),
-                **self._build_config_header(request),
+                **self._build_node_headers(request),
             },
             closes_connection=False,
             remaining_s=command.deadline_at - now,
@@ -308,7 +311,7 @@
             run,
             load=self._engine.state.gate.report(self._engine.now()),
         )
-        response.headers.update(self._build_config_header(request))
+        response.headers.update(self._build_node_headers(request))
         if request.body_exists and not request.content.at_eof():
             response.force_close()
         return response
@@ -322,17 +325,23 @@
         )
         return None if known is None else known.ref
 
-    def _build_config_header(self, request: web.BaseRequest) -> dict[str, str]:
-        """Name this node's configuration version if the entry's is older."""
+    def _build_node_headers(self, request: web.BaseRequest) -> dict[str, str]:
+        """Build the headers with what the entry node may not know yet.
+
+        They name this node's configuration version if it is newer, and what
+        the backend server has said of itself.
+        """
+        headers = {}
+        state = self._engine.state
         ref = self._read_config(request)
-        versions = self._engine.state.versions
-        if ref is None or not versions.is_newer_than(ref):
-            return {}
-        return {
-            _headers.CONFIG: _headers.format_config(
-                versions.in_force, self._engine.now()
+        if ref is not None and state.versions.is_newer_than(ref):
+            headers[_headers.CONFIG] = _headers.format_config(
+                state.versions.in_force, self._engine.now()
             )
-        }
+        status = node.build_status(state)
+        if status is not None:
+            headers[_headers.SERVER] = _headers.format_status(status)
+        return headers
 
     def _report_work_ended(
         self,
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -87,8 +87,9 @@
 class AttemptFailure:
     """A request attempt that failed without a usable response.
 
-    ``config`` is the configuration version that a peer named, and
-    ``signals`` what a backend server said of itself when it refused.
+    ``config`` is the configuration version that a peer named, ``status`` what
+    it told about its backend server, and ``signals`` what a backend server
+    said of itself when it refused.
     """
 
     outcome: node.ServerOutcome
@@ -96,6 +97,7 @@
     reason: node.Reason
     load: node.LoadReport | None = None
     config: configuration.KnownVersion | None = None
+    status: node.ServerStatus | None = None
     signals: node.ServerSignals | None = None
 
 
@@ -107,7 +109,8 @@
     closed; awaiting it raises an error if the connection was reset.
     ``slowdown`` is the slowdown factor of the backend server's VM, if the
     server reports it, ``config`` the configuration version that a peer
-    named, and ``signals`` what a backend server says of itself.
+    named, ``status`` what it told about its backend server, and ``signals``
+    what a backend server says of itself.
     """
 
     response: aiohttp.ClientResponse
@@ -116,6 +119,7 @@
     connection_closed: asyncio.Future[None] | None = None
     slowdown: float | None = None
     config: configuration.KnownVersion | None = None
+    status: node.ServerStatus | None = None
     signals: node.ServerSignals | None = None
 
     @property
@@ -396,9 +400,14 @@
             answer.response.headers.get(_headers.CONFIG),
             asyncio.get_running_loop().time(),
         )
+        status = _headers.parse_status(
+            answer.response.headers.get(_headers.SERVER)
+        )
         run = _headers.parse_run(answer.response.headers.get(_headers.RUN))
         if run is None:
-            return result.Success(dataclasses.replace(answer, config=config))
+            return result.Success(
+                dataclasses.replace(answer, config=config, status=status)
+            )
         answer.response.release()
         return result.Failure(
             AttemptFailure(
@@ -409,6 +418,7 @@
                 ),
                 load=answer.load,
                 config=config,
+                status=status,
             )
         )
 
--- a/packages/standins/marjoramledge_standins/virtual_nodes.py
+++ b/packages/standins/marjoramledge_standins/virtual_nodes.py
@@ -322,6 +322,7 @@
                     prefers_queueing=command.prefers_queueing,
                     fingerprint=ids.Fingerprint(command.call),
                     target_s=target_s,
+                    status=command.status,
                 ),
             ),
         )
@@ -335,9 +336,12 @@
         call = attempt.rpartition(".")[0]
         entry = self._entry_of[call]
         load = self._states[gate].gate.report(self._world.now)
+        status = node.build_status(self._states[gate])
         self._world.after(
             self._world.delay_s(gate, entry),
-            lambda: self._deliver_answer(entry, call, attempt, end, load),
+            lambda: self._deliver_answer(
+                entry, call, attempt, end, load, status
+            ),
         )
 
     def _deliver_answer(
@@ -347,6 +351,7 @@
         attempt: ids.AttemptId,
         end: virtual_servers.JobEnd,
         load: node.LoadReport | None,
+        status: node.ServerStatus | None = None,
     ) -> None:
         if end is virtual_servers.JobEnd.ABORTED:
             self.submit(
@@ -358,6 +363,7 @@
                     reason=node.Reason.ANSWER_LOST,
                     load=load,
                     is_body_consumed=False,
+                    status=status,
                 ),
             )
             return
@@ -370,6 +376,7 @@
                 attempt=attempt,
                 is_error=is_error,
                 load=load,
+                status=status,
             ),
         )
         if before is not None and before.delivered is not None:
@@ -388,6 +395,7 @@
             reason=command.reason,
             load=load,
             is_body_consumed=False,
+            status=node.build_status(self._states[gate]),
         )
         self._world.after(
             self._world.delay_s(gate, entry),
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 from marjoramledge_core import ids
 from marjoramledge_core import node
+from marjoramledge_node import _headers
 from marjoramledge_standins import builders
 from marjoramledge_standins import driver
 from marjoramledge_standins import experiment
@@ -23,6 +24,7 @@
 BURST_S = 1.0
 OFFERS_PER_S = 20
 RUN_S = 0.1
+START = node.ServerStart(server=ids.ServerId("i-1"), born=7)
 
 
 def _count_most(starts: collections.abc.Sequence[float], since: float) -> int:
@@ -38,35 +40,62 @@
     return RATIO * WINDOW_S * rate_per_s + SLACK
 
 
+def _start_driver() -> builders.CoreDriver:
+    started = builders.CoreDriver()
+    started.configure()
+    server = dataclasses.replace(
+        builders.build_server(slots=12), start=START, cold_concurrency=12
+    )
+    started.submit(node.ServerAnnounced(server=server))
+    return started
+
+
 class _Gate:
     """A gate that is offered calls by its own entry and by peers."""
 
-    def __init__(self) -> None:
-        self.driver = builders.CoreDriver()
-        self.driver.configure()
-        self.driver.submit(
-            node.ServerAnnounced(server=builders.build_server(slots=12))
-        )
+    def __init__(self, *, run_s: float = RUN_S) -> None:
+        self._run_s = run_s
+        self.driver = _start_driver()
         self.starts: list[float] = []
         self.refused = 0
         self.signals = node.NO_SIGNALS
+        self.remembered: node.ServerStatus | None = None
         self._running: list[
             tuple[float, ids.AttemptId, ids.CallId | None]
         ] = []
         self._calls = 0
 
+    def restart(self) -> None:
+        """Replace the gate by one that knows nothing; its calls are lost."""
+        now = self.driver.now
+        self.driver = _start_driver()
+        self.driver.pass_time(now - self.driver.now)
+        self._running.clear()
+
     def run(self, seconds: float) -> None:
         """Offer calls at a steady rate, every second one from a peer."""
         for _ in range(round(seconds * OFFERS_PER_S)):
             self._calls += 1
             if self._calls % 2:
-                self._carry_out(
-                    self.driver.offer(f"p{self._calls}", target_s=0.4)
-                )
+                self._carry_out(self._offer(f"p{self._calls}"))
             else:
                 self._carry_out(self.driver.arrive(f"c{self._calls}"))
             self._pass_time(1.0 / OFFERS_PER_S)
 
+    def _offer(self, name: str) -> list[node.Command]:
+        return self.driver.submit(
+            node.WorkOffered(
+                attempt=ids.AttemptId(f"{name}.0"),
+                host="shop.example",
+                method="GET",
+                path="/pages/1",
+                deadline_s=5.0,
+                prefers_queueing=False,
+                fingerprint=ids.Fingerprint(name),
+                status=self.remembered,
+            )
+        )
+
     def _pass_time(self, seconds: float) -> None:
         until = self.driver.now + seconds
         while self._running and self._running[0][0] <= until:
@@ -85,7 +114,7 @@
                 call = getattr(command, "call", None)
                 self.starts.append(self.driver.now)
                 self._running.append(
-                    (self.driver.now + RUN_S, command.attempt, call)
+                    (self.driver.now + self._run_s, command.attempt, call)
                 )
             elif isinstance(command, node.RefuseWork | node.RefuseCall):
                 self.refused += 1
@@ -95,9 +124,7 @@
         if self.signals != node.NO_SIGNALS:
             self._carry_out(
                 submit(
-                    node.ServerSignalled(
-                        server=node.ANY_START, signals=self.signals
-                    )
+                    node.ServerSignalled(server=START, signals=self.signals)
                 )
             )
         if call is not None:
@@ -111,7 +138,7 @@
                 node.WorkEnded(
                     attempt=attempt,
                     outcome=node.ServerOutcome.ANSWERED,
-                    head_s=RUN_S,
+                    head_s=self._run_s,
                     signals=self.signals,
                 )
             )
@@ -209,3 +236,95 @@
     gate.run(5.0)
     starts = [at for at in gate.starts if at >= ended_at]
     assert len(starts) == 5.0 * OFFERS_PER_S
+
+
+# Guards against a gate that restarts beside a server in need, knows no limit
+# and starts a call in every slot before the first answer names it again.
+def test_a_restarted_gate_learns_the_limit_from_entries() -> None:
+    gate = _Gate(run_s=1.0)
+    gate.signals = _name(1.0)
+    gate.run(GRACE_S)
+    gate.remembered = node.build_status(gate.driver.state)
+    since = gate.driver.now
+    gate.run(WINDOW_S / 2)
+    gate.restart()
+    gate.run(WINDOW_S)
+    assert _count_most(gate.starts, since) <= _allow(1.0)
+
+
+# Guards against a limit that an entry remembers and the server has lifted.
+def test_a_remembered_limit_does_not_replace_what_the_server_says() -> None:
+    gate = _Gate()
+    gate.run(1.0)
+    gate.remembered = node.ServerStatus(start=START, rate_limit_per_s=1.0)
+    gate.run(1.0)
+    assert gate.driver.state.gate.rate_limit_per_s is None
+    gate.restart()
+    gate.run(1.0)
+    assert gate.driver.state.gate.rate_limit_per_s is None
+
+
+# Guards against a limit of one start that is applied to the next one.
+def test_a_remembered_limit_holds_for_its_start_only() -> None:
+    gate, other = _Gate(), _Gate()
+    gate.remembered = node.ServerStatus(
+        start=dataclasses.replace(START, born=6), rate_limit_per_s=0.0
+    )
+    gate.run(1.0)
+    other.run(1.0)
+    assert gate.starts == other.starts
+
+
+# Guards against an entry that forgets a limit since the gate, after a restart,
+# refuses a call before it knows its server.
+def test_an_entry_keeps_a_status_that_a_refusal_does_not_tell() -> None:
+    entry = builders.CoreDriver()
+    entry.configure()
+    entry.learn_peer("n1")
+    status = node.ServerStatus(start=START, rate_limit_per_s=1.0)
+    sent = []
+    for number, told in enumerate([status, None, None]):
+        (command,) = entry.arrive(f"c{number}")
+        assert isinstance(command, node.SendToPeer)
+        sent.append(command.status)
+        event: node.Event = node.AttemptFailed(
+            call=command.call,
+            attempt=command.attempt,
+            run=node.RunState.NOT_RUN,
+            reason=node.Reason.SERVER_LEAVING,
+            load=None,
+            is_body_consumed=False,
+            status=told,
+        )
+        if number == 2:
+            event = node.AttemptAnswered(
+                call=command.call,
+                attempt=command.attempt,
+                is_error=False,
+                load=None,
+            )
+        entry.submit(event)
+    (command,) = entry.arrive("last")
+    assert isinstance(command, node.SendToPeer)
+    assert [*sent, command.status] == [None, status, status, None]
+
+
+@pytest.mark.parametrize("server", ["i-1", "a;b c", ""])
+@pytest.mark.parametrize("rate_per_s", [None, 0.0, 6.5, 0.1])
+def test_a_status_survives_its_header(
+    server: str, rate_per_s: float | None
+) -> None:
+    status = node.ServerStatus(
+        start=node.ServerStart(server=ids.ServerId(server), born=7),
+        rate_limit_per_s=rate_per_s,
+    )
+    text = _headers.format_status(status)
+    assert _headers.parse_status(text) == status
+    assert _headers.parse_status(text + ";later") == status
+
+
+@pytest.mark.parametrize(
+    "text", [None, "", "x", ";;", "i;x;1", "i;1;x", "i;1;inf", "i;1;-1"]
+)
+def test_an_invalid_status_is_ignored(text: str | None) -> None:
+    assert _headers.parse_status(text) is None
