Pause offers to a server whose named limit leaves no room

A gate that refuses a call for the limit tells the entry for how long to pause, and gives each entry a later time, as if the calls had queued. A call that finds all servers paused is refused at once. No coordinator, and no message that is not an answer already.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -190,7 +190,7 @@
     if call is None or attempt is None or not attempt.is_open:
         return
     _observe_version(step, attempt.server, event.config)
-    attempt.server.note_refusal_status(event.status)
+    attempt.server.note_refusal_status(event.status, step.now)
     _note_report(step, attempt.server, event.load)
     if event.reason in _FAULT_REASONS:
         _note_fault(step, attempt.server)
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -99,10 +99,14 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RefuseWork:
-    """Reject a peer's request; it has not run here."""
+    """Reject a peer's request; it has not run here.
+
+    ``status`` is what the entry node is told about the server.
+    """
 
     attempt: _ids.AttemptId
     reason: _outcomes.Reason
+    status: _server_status.ServerStatus | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_dispatch.py
+++ b/packages/core/marjoramledge_core/_dispatch.py
@@ -62,6 +62,7 @@
     ):
         report = gate.report(step.now)
         local.note_report(report, step.now)
+        local.paused_until = step.now + gate.rate_wait_s(step.now)
         is_slow = report.service_s > SLOW_RATIO * gate.typical_service_s
         if (
             gate.has_capacity(step.now)
--- a/packages/core/marjoramledge_core/_gate_handlers.py
+++ b/packages/core/marjoramledge_core/_gate_handlers.py
@@ -7,6 +7,7 @@
 this node ``_calls`` chooses another server.
 """
 
+import dataclasses
 import typing
 
 from marjoramledge_core import _commands
@@ -518,4 +519,10 @@
     attempt: _ids.AttemptId,
     reason: _outcomes.Reason,
 ) -> None:
-    step.out.append(_commands.RefuseWork(attempt=attempt, reason=reason))
+    status = build_status(step.state)
+    if status is not None and reason is _outcomes.Reason.OVERLOADED:
+        pause_s = step.state.gate.draw_pause_s(step.now)
+        status = dataclasses.replace(status, pause_s=pause_s)
+    step.out.append(
+        _commands.RefuseWork(attempt=attempt, reason=reason, status=status)
+    )
--- a/packages/core/marjoramledge_core/_load.py
+++ b/packages/core/marjoramledge_core/_load.py
@@ -20,6 +20,10 @@
 REPORT_HALF_LIFE_S: typing.Final = 0.05
 INITIAL_LATENCY_S: typing.Final = 0.005
 
+# A call may be sent to a server whose rate limit leaves room this soon, since
+# it can be queued there.
+MAX_RATE_WAIT_S: typing.Final = 0.25
+
 # Consecutive failures after which a server is ejected.
 EJECT_AFTER_FAILURES: typing.Final = 3
 FIRST_EJECTION_S: typing.Final = 0.5
@@ -35,8 +39,9 @@
     ``entry_in_flight`` counts the calls of this entry at the server, and
     ``others_in_flight`` those of all other entries by the last report.
     ``zone_cost_s`` is added to the expected response time of a server outside
-    the entry's zone, ``ejections`` counts the ejections since the server last
-    recovered, and ``status`` is what its gate has told about it.
+    the entry's zone, and ``ejections`` counts the ejections since the server
+    last recovered.  ``status`` is what its gate has told about it, and until
+    ``paused_until`` its rate limit leaves no room for a call of this entry.
     """
 
     node: _ids.NodeId
@@ -55,6 +60,7 @@
     ejected_until: float = 0.0
     readmitted_at: float = -READMISSION_RAMP_S
     status: _server_status.ServerStatus | None = None
+    paused_until: float = 0.0
 
     def start_call(self) -> None:
         """Record that a call was sent to the server."""
@@ -82,7 +88,7 @@
         self.status = status
 
     def note_refusal_status(
-        self, status: _server_status.ServerStatus | None
+        self, status: _server_status.ServerStatus | None, now: float
     ) -> None:
         """Record what the gate tells when it refuses a call.
 
@@ -91,6 +97,11 @@
         """
         if status is not None:
             self.status = status
+            self.paused_until = now + status.pause_s
+
+    def is_paused(self, now: float) -> bool:
+        """Return whether a call would wait too long for the rate limit."""
+        return self.paused_until - now > MAX_RATE_WAIT_S
 
     def note_success(self, now: float) -> bool:
         """Record a successful answer; return whether the server recovered.
--- a/packages/core/marjoramledge_core/_named_limit.py
+++ b/packages/core/marjoramledge_core/_named_limit.py
@@ -96,12 +96,14 @@
     def draw_pause_s(self, now: float) -> float:
         """Return for how long the entry of a refused call should pause.
 
-        Each call of this method returns a later time, a call's share of the
-        rate apart, up to ``MAX_PAUSE_S``.
+        Zero if the refusal has another reason than the limit.  Each call of
+        this method returns a later time, a call's share of the rate apart, up
+        to ``MAX_PAUSE_S``.
         """
-        if self._named_per_s is None:
+        wait_s = self.wait_s(now)
+        if wait_s <= 0.0:
             return 0.0
-        free_at = now + self.wait_s(now)
+        free_at = now + wait_s
         self._paused_until = min(
             max(free_at, self._paused_until + 1.0 / self._rate_per_s),
             now + MAX_PAUSE_S,
--- a/packages/core/marjoramledge_core/_routing.py
+++ b/packages/core/marjoramledge_core/_routing.py
@@ -62,14 +62,16 @@
     Returns
     -------
     ServerLoad or None
-        None if no candidate remains.  If all remaining ones are ejected, the
-        one whose ejection ends first is chosen, since a likely failure is
-        better than a certain one.
+        None if no candidate remains, or the rate limits of all leave no room.
+        If all remaining ones are ejected, the one whose ejection ends first
+        is chosen, since a likely failure is better than a certain one.
     """
     best = _choose_sampled(servers, excluded, now, rng)
     if best is not None:
         return best
-    usable = [s for s in servers if s.node not in excluded]
+    usable = [
+        s for s in servers if s.node not in excluded and not s.is_paused(now)
+    ]
     if not usable:
         return None
     ready = [s for s in usable if not s.is_ejected(now)]
@@ -90,6 +92,8 @@
         server = servers[position]
         if now < server.ejected_until or server.node in excluded:
             continue
+        if server.is_paused(now):
+            continue
         score = expected_response_s(server, now)
         if best is None or score < best_score:
             best = server
--- a/packages/core/marjoramledge_core/_server_status.py
+++ b/packages/core/marjoramledge_core/_server_status.py
@@ -30,7 +30,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServerStatus:
-    """What one start of a backend server has said of itself in answers."""
+    """What one start of a backend server has said of itself in answers.
+
+    ``pause_s`` is set in a refusal that is due to the rate limit: the entry
+    should offer no other call for that long.
+    """
 
     start: ServerStart
     rate_limit_per_s: float | None = None
+    pause_s: float = 0.0
--- a/packages/node/marjoramledge_node/_headers.py
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -170,6 +170,7 @@
             urllib.parse.quote(status.start.server, safe=""),
             str(status.start.born),
             "" if limit is None else repr(limit),
+            str(round(1000 * status.pause_s)),
         )
     )
 
@@ -180,7 +181,7 @@
     Fields that a later build appends are ignored.
     """
     try:
-        server, born, limit = (text or "").split(";")[:3]
+        server, born, limit, pause_ms = (text or "").split(";")[:4]
         rate_per_s = float(limit) if limit else None
         if rate_per_s is not None and not 0.0 <= rate_per_s < math.inf:
             return None
@@ -190,6 +191,7 @@
                 born=int(born),
             ),
             rate_limit_per_s=rate_per_s,
+            pause_s=max(0, int(pause_ms)) / 1000,
         )
     except ValueError:
         return None
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -198,7 +198,12 @@
             return await self._run(request, command)
         if not isinstance(command, node.RefuseWork):
             raise AssertionError(f"unexpected command {command}")
-        return self._refuse(request, command.reason, node.RunState.NOT_RUN)
+        refusal = self._refuse(request, command.reason, node.RunState.NOT_RUN)
+        if command.status is not None:
+            refusal.headers[_headers.SERVER] = _headers.format_status(
+                command.status
+            )
+        return refusal
 
     async def _run(
         self, request: web.BaseRequest, command: node.StartWork
--- a/packages/standins/marjoramledge_standins/virtual_nodes.py
+++ b/packages/standins/marjoramledge_standins/virtual_nodes.py
@@ -395,7 +395,7 @@
             reason=command.reason,
             load=load,
             is_body_consumed=False,
-            status=node.build_status(self._states[gate]),
+            status=command.status,
         )
         self._world.after(
             self._world.delay_s(gate, entry),
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+from marjoramledge_core import _named_limit
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_node import _headers
@@ -200,6 +201,40 @@
     assert in_target >= 0.9 * without
 
 
+# Guards against a fleet that spends its time on offers to servers which their
+# limit keeps from taking a call, and on calls that no server can take.
+def test_entries_pause_while_a_limit_leaves_no_room() -> None:
+    base = dataclasses.replace(
+        experiment.build_scenario("noisy, told", 0.3, 1),
+        other_entry_zones=experiment.ZONES * 25 + ("north",),
+    )
+    all_limited = dataclasses.replace(
+        base,
+        named_limits=tuple(
+            scenarios.NamedLimit(
+                server=number,
+                rate_per_s=1.0,
+                from_s=scenarios.START_S,
+                until_s=100.0,
+            )
+            for number in range(len(base.server_zones))
+        ),
+    )
+    result = driver.run_scenario(all_limited, driver.Policy.OURS)
+    # Each entry learns each limit by one refusal, and tries again after the
+    # longest pause.
+    pairs = (len(base.server_zones) + len(base.other_entry_zones)) * len(
+        base.server_zones
+    )
+    tries = 1 + base.duration_s / _named_limit.MAX_PAUSE_S
+    assert result.offers <= pairs * tries + result.sent_to_servers
+    # The servers still get what they take, in the seconds after the grace.
+    seconds = base.duration_s - GRACE_S
+    for starts in result.starts:
+        late = [at for at in starts if at > scenarios.START_S + GRACE_S]
+        assert len(late) >= 0.7 * seconds
+
+
 # Guards against limits that change from answer to answer, end and come back:
 # each window gets at most what the largest limit in it allows.
 @hypothesis.given(
@@ -317,6 +352,7 @@
     status = node.ServerStatus(
         start=node.ServerStart(server=ids.ServerId(server), born=7),
         rate_limit_per_s=rate_per_s,
+        pause_s=1.25,
     )
     text = _headers.format_status(status)
     assert _headers.parse_status(text) == status
@@ -324,7 +360,8 @@
 
 
 @pytest.mark.parametrize(
-    "text", [None, "", "x", ";;", "i;x;1", "i;1;x", "i;1;inf", "i;1;-1"]
+    "text",
+    [None, "", "x", ";;;", "i;x;1;0", "i;1;x;0", "i;1;inf;0", "i;1;-1;0"],
 )
 def test_an_invalid_status_is_ignored(text: str | None) -> None:
     assert _headers.parse_status(text) is None
