Send no new work to a server that says in its answers that it leaves

DRAIN has a second form: a server that leaves says so in all its answers (Server-Leaving on the users' platform, Marjoramledge-Leaving of the product's own servers). Nothing read it, so that its gate went on until a heartbeat said so.

The gate drains at once; heartbeats of that start don't bring it back. The entries that passed such an answer on tell a gate that has restarted, for the start that they name; a new start gets work. A garbled value is logged and ignored. A probe's answer counts too.

--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -193,13 +193,15 @@
 
     It took ``elapsed_s``.  ``cold_left_s`` is how long the server will stay
     cold, and ``slowdown`` the slowdown factor of the VM, if the server
-    reports them.
+    reports them.  ``signals`` is None if there was no answer; without a rate
+    limit they do not end one, since a health page need not name it.
     """
 
     is_healthy: bool
     elapsed_s: float
     cold_left_s: float | None = None
     slowdown: float | None = None
+    signals: _signals.ServerSignals | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -135,6 +135,7 @@
         self._cold_rate_limiter = _rate_limiter.ColdRateLimiter()
         self._cold_until = 0.0
         self._named_limit = _named_limit.NamedLimit()
+        self._has_said_to_leave = False
         self._service: _settings.Service | None = None
         self._departed: dict[_ids.ServerId, int] = {}
         self._aborted: collections.deque[tuple[float, _ids.Fingerprint]] = (
@@ -247,6 +248,7 @@
         if is_repeat and self.accepts_work:
             return
         self._named_limit.forget()
+        self._has_said_to_leave = False
         self._estimates.set_slots(server.slots)
         self._limit = _limit.ConcurrencyLimit(
             slots=server.slots,
@@ -270,7 +272,8 @@
         """
         start = server.start
         if start == _server_status.ANY_START:
-            return True
+            # Only a new start is cold, and not leaving any more.
+            return server.is_cold or not self._has_said_to_leave
         if self._departed.get(start.server, -1) >= start.born:
             return False
         known = self._server
@@ -299,7 +302,7 @@
             return
         born = start.born
         if self._server is not None and self.matches_start(start):
-            born = self._server.start.born
+            born = max(born, self._server.start.born)
         known = self._departed.pop(start.server, -1)
         self._departed[start.server] = max(known, born)
         while len(self._departed) > MAX_DEPARTED:
@@ -345,6 +348,16 @@
         """
         return self._named_limit.recall(rate_per_s, now)
 
+    @property
+    def has_said_to_leave(self) -> bool:
+        """Whether the server has said in an answer that it leaves."""
+        return self._has_said_to_leave
+
+    def note_leaving(self, start: _server_status.ServerStart) -> None:
+        """Record that the server has said in an answer that it leaves."""
+        self.note_departure(start)
+        self._has_said_to_leave = True
+
     def rate_wait_s(self, now: float) -> float:
         """Return the seconds until the named limit permits another call.
 
@@ -387,6 +400,7 @@
         self._state = _members.ServerState.ABSENT
         self._server = None
         self._named_limit.forget()
+        self._has_said_to_leave = False
         return self.drop_waiting()
 
     def offer(self, work: _queue.Work, now: float) -> OfferResult:
--- a/packages/core/marjoramledge_core/_gate_handlers.py
+++ b/packages/core/marjoramledge_core/_gate_handlers.py
@@ -145,10 +145,16 @@
 
 def note_signals(step: _state.Step, event: _events.ServerSignalled) -> None:
     """Apply what the backend server says of itself in an answer."""
+    if step.state.gate.matches_start(event.server):
+        _apply_signals(step, event.server, event.signals)
+
+
+def _apply_signals(
+    step: _state.Step,
+    start: _server_status.ServerStart,
+    signals: _signals.ServerSignals,
+) -> None:
     gate = step.state.gate
-    if not gate.matches_start(event.server):
-        return
-    signals = event.signals
     if signals.invalid_rate_limit:
         # The last limit that could be read stays in force.
         step.record(
@@ -163,6 +169,14 @@
                 _records.RecordKind.RATE_LIMIT_NAMED,
                 detail=f"{gate.describe_rate_limit()}, before {before}",
             )
+    if signals.invalid_leaving:
+        step.record(
+            _records.RecordKind.LEAVING_INVALID,
+            detail=f"{signals.invalid_leaving!r}",
+        )
+    if signals.is_leaving:
+        gate.note_leaving(start)
+        _start_draining(step, "said in an answer")
 
 
 def build_status(
@@ -173,10 +187,13 @@
     None if the server has said nothing of itself.
     """
     gate = state.gate
-    if gate.server is None or gate.rate_limit_per_s is None:
+    has_signals = gate.has_said_to_leave or gate.rate_limit_per_s is not None
+    if gate.server is None or not has_signals:
         return None
     return _server_status.ServerStatus(
-        start=gate.server.start, rate_limit_per_s=gate.rate_limit_per_s
+        start=gate.server.start,
+        rate_limit_per_s=gate.rate_limit_per_s,
+        is_leaving=gate.has_said_to_leave,
     )
 
 
@@ -193,6 +210,10 @@
             _records.RecordKind.RATE_LIMIT_NAMED,
             detail=f"{gate.describe_rate_limit()}, recalled by an entry",
         )
+    # Without its identity, a new start can't be told from the one that left.
+    if status.is_leaving and status.start != _server_status.ANY_START:
+        gate.note_leaving(status.start)
+        _start_draining(step, "recalled by an entry")
 
 
 def _note_end_of_rate_limit(
@@ -350,12 +371,12 @@
         _start_draining(step)
 
 
-def _start_draining(step: _state.Step) -> None:
+def _start_draining(step: _state.Step, detail: str = "") -> None:
     if step.state.gate.state is _members.ServerState.DRAINING:
         return
     for work in step.state.gate.drain():
         return_work(step, work, _outcomes.Reason.SERVER_LEAVING)
-    step.record(_records.RecordKind.SERVER_DRAINING)
+    step.record(_records.RecordKind.SERVER_DRAINING, detail=detail)
     step.publish_server()
 
 
@@ -421,6 +442,9 @@
 def end_probe(step: _state.Step, event: _events.ProbeEnded) -> None:
     """Apply the outcome of a probe."""
     _note_slowdown(step, event.slowdown)
+    server = step.state.gate.server
+    if server is not None and event.signals is not None:
+        _apply_signals(step, server.start, event.signals)
     if event.is_healthy:
         _deaths.withdraw(step)
         start_waiting(step)
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -18,6 +18,8 @@
     it, and ``CONFIG_HEARD`` the first notice of a newer configuration.
     ``LIMIT_CHANGED`` concerns the gate's own limit of concurrent calls, and
     the ``RATE_LIMIT`` kinds the limit that the server names in its answers.
+    ``LEAVING_INVALID`` is an answer that says unreadably whether the server
+    leaves.
     """
 
     CALL_REFUSED = "call-refused"
@@ -35,6 +37,7 @@
     RATE_LIMIT_NAMED = "rate-limit-named"
     RATE_LIMIT_ENDED = "rate-limit-ended"
     RATE_LIMIT_INVALID = "rate-limit-invalid"
+    LEAVING_INVALID = "leaving-invalid"
     SERVER_DIED = "server-died"
     DEATH_WITHDRAWN = "death-withdrawn"
     REQUEST_QUARANTINED = "request-quarantined"
--- a/packages/core/marjoramledge_core/_server_status.py
+++ b/packages/core/marjoramledge_core/_server_status.py
@@ -38,4 +38,5 @@
 
     start: ServerStart
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
     pause_s: float = 0.0
--- a/packages/core/marjoramledge_core/_signals.py
+++ b/packages/core/marjoramledge_core/_signals.py
@@ -15,10 +15,17 @@
         None if it names no limit.
     invalid_rate_limit
         Text of a limit that cannot be read; empty if there is none.
+    is_leaving
+        Whether the server leaves and takes no new work.
+    invalid_leaving
+        Text that cannot be read in place of ``is_leaving``; empty if there is
+        none.
     """
 
     rate_limit_per_s: float | None = None
     invalid_rate_limit: str = ""
+    is_leaving: bool = False
+    invalid_leaving: str = ""
 
 
 NO_SIGNALS: typing.Final = ServerSignals()
--- a/packages/node/marjoramledge_node/_dialect.py
+++ b/packages/node/marjoramledge_node/_dialect.py
@@ -19,6 +19,8 @@
 _RATE_LIMIT_PATTERN: typing.Final = re.compile(
     r"[0-9]{1,9}(?:\.[0-9]{0,9})?|\.[0-9]{1,9}"
 )
+# Value of the header of a server that leaves.
+LEAVING: typing.Final = "1"
 # Characters of an invalid value that are logged.
 MAX_INVALID_CHARS: typing.Final = 64
 
@@ -85,19 +87,36 @@
     )
 
 
-def parse_signals(rate_limit: str | None) -> node.ServerSignals:
+def parse_signals(
+    rate_limit: str | None, leaving: str | None
+) -> node.ServerSignals:
     """Parse the signals of a response from the values of its headers.
 
-    ``rate_limit`` is a decimal number of requests per second, or None if the
-    server names no limit.
+    Parameters
+    ----------
+    rate_limit
+        Decimal number of requests per second; None if the server names no
+        limit.
+    leaving
+        ``1`` if the server leaves; None if it does not say so.
     """
-    if rate_limit is None:
+    if rate_limit is None and leaving is None:
         return node.NO_SIGNALS
-    if _RATE_LIMIT_PATTERN.fullmatch(rate_limit.strip()) is None:
-        return node.ServerSignals(
-            invalid_rate_limit=rate_limit[:MAX_INVALID_CHARS] or "empty"
-        )
-    return node.ServerSignals(rate_limit_per_s=float(rate_limit))
+    rate_per_s = None
+    invalid_rate_limit = invalid_leaving = ""
+    if rate_limit is not None:
+        if _RATE_LIMIT_PATTERN.fullmatch(rate_limit.strip()) is None:
+            invalid_rate_limit = rate_limit[:MAX_INVALID_CHARS] or "empty"
+        else:
+            rate_per_s = float(rate_limit)
+    if leaving is not None and leaving.strip() != LEAVING:
+        invalid_leaving = leaving[:MAX_INVALID_CHARS] or "empty"
+    return node.ServerSignals(
+        rate_limit_per_s=rate_per_s,
+        invalid_rate_limit=invalid_rate_limit,
+        is_leaving=leaving is not None and not invalid_leaving,
+        invalid_leaving=invalid_leaving,
+    )
 
 
 DEFAULT_DIALECT: typing.Final = Dialect(
@@ -112,7 +131,7 @@
     read_slots=lambda headers: None,
     read_slowdown=lambda headers: None,
     read_signals=lambda headers: parse_signals(
-        headers.get(_headers.RATE_LIMIT)
+        headers.get(_headers.RATE_LIMIT), headers.get(_headers.LEAVING)
     ),
     format_retry_after=lambda seconds: str(math.ceil(seconds)),
     map_status=lambda status, run: status,
--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -361,6 +361,8 @@
         probed = await self._upstream.probe(server, PROBE_TIMEOUT_S)
         if probed is None or not probed.is_healthy or probed.slots is None:
             return
+        if probed.signals is not None and probed.signals.is_leaving:
+            return
         if self._engine.state.gate.server is not None:
             return
         cold_left_s = probed.cold_left_s or 0.0
@@ -517,6 +519,7 @@
                 elapsed_s=elapsed_s,
                 cold_left_s=probed.cold_left_s,
                 slowdown=probed.slowdown,
+                signals=probed.signals,
             )
         )
 
--- a/packages/node/marjoramledge_node/_headers.py
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -22,8 +22,9 @@
 RUN: typing.Final = "Marjoramledge-Run"
 REASON: typing.Final = "Marjoramledge-Reason"
 CALL: typing.Final = "Marjoramledge-Call"
-# Header that backend servers send in their answers.
+# Headers that backend servers send in their answers.
 RATE_LIMIT: typing.Final = "Marjoramledge-Rate-Limit"
+LEAVING: typing.Final = "Marjoramledge-Leaving"
 # Headers that nodes exchange with each other.
 ATTEMPT: typing.Final = "Marjoramledge-Attempt"
 AUTH: typing.Final = "Marjoramledge-Auth"
@@ -171,6 +172,7 @@
             str(status.start.born),
             "" if limit is None else repr(limit),
             str(round(1000 * status.pause_s)),
+            "1" if status.is_leaving else "0",
         )
     )
 
@@ -181,7 +183,8 @@
     Fields that a later build appends are ignored.
     """
     try:
-        server, born, limit, pause_ms = (text or "").split(";")[:4]
+        fields = (text or "").split(";")
+        server, born, limit, pause_ms, is_leaving = fields[:5]
         rate_per_s = float(limit) if limit else None
         if rate_per_s is not None and not 0.0 <= rate_per_s < math.inf:
             return None
@@ -191,6 +194,7 @@
                 born=int(born),
             ),
             rate_limit_per_s=rate_per_s,
+            is_leaving=is_leaving == "1",
             pause_s=max(0, int(pause_ms)) / 1000,
         )
     except ValueError:
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -81,6 +81,7 @@
     slots: int | None = None
     cold_left_s: float | None = None
     slowdown: float | None = None
+    signals: node.ServerSignals | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -369,6 +370,7 @@
             slots=dialect.read_slots(response.headers),
             cold_left_s=cold_left_s,
             slowdown=dialect.read_slowdown(response.headers),
+            signals=dialect.read_signals(response.headers),
         )
 
     async def send_to_peer(
--- a/packages/standins/marjoramledge_standins/backend_server.py
+++ b/packages/standins/marjoramledge_standins/backend_server.py
@@ -46,13 +46,17 @@
     """Settings that may be changed while the stand-in runs.
 
     ``load_lag_s`` is the age of the load that the load page shows; ``lies``
-    makes the page always show an idle server.
+    makes the page always show an idle server.  ``rate_limit`` is the text
+    that answers name as the limit of requests a second, if any, and
+    ``is_leaving`` makes all answers say that the server leaves.
     """
 
     service_ms: float
     fail_fast: bool = False
     load_lag_s: float = 1.0
     lies: bool = False
+    rate_limit: str = ""
+    is_leaving: bool = False
 
 
 class BackendServer:
@@ -132,6 +136,20 @@
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request."""
+        response = await self._serve(request)
+        if not response.prepared:
+            response.headers.update(self._build_signals())
+        return response
+
+    def _build_signals(self) -> dict[str, str]:
+        headers = {}
+        if self._behaviour.rate_limit:
+            headers["Marjoramledge-Rate-Limit"] = self._behaviour.rate_limit
+        if self._behaviour.is_leaving:
+            headers["Marjoramledge-Leaving"] = "1"
+        return headers
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/health":
             return web.Response(text="ok")
         if request.path == "/load":
@@ -190,7 +208,9 @@
         size = int(request.query.get("bytes", "0"))
         if size:
             cut_at = int(request.headers.get("X-Cut-At", size))
-            return await _send_large(request, size, cut_at)
+            return await _send_large(
+                request, size, cut_at, self._build_signals()
+            )
         return _json(
             200,
             {
@@ -281,10 +301,15 @@
 
 
 async def _send_large(
-    request: web.BaseRequest, size: int, cut_at: int
+    request: web.BaseRequest,
+    size: int,
+    cut_at: int,
+    headers: dict[str, str],
 ) -> web.StreamResponse:
     """Send an answer of the given size, aborted after ``cut_at`` bytes."""
-    response = web.StreamResponse(headers={"Content-Length": str(size)})
+    response = web.StreamResponse(
+        headers={"Content-Length": str(size), **headers}
+    )
     await response.prepare(request)
     left = min(size, cut_at)
     while left > 0:
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -353,6 +353,7 @@
         start=node.ServerStart(server=ids.ServerId(server), born=7),
         rate_limit_per_s=rate_per_s,
         pause_s=1.25,
+        is_leaving=rate_per_s is None,
     )
     text = _headers.format_status(status)
     assert _headers.parse_status(text) == status
@@ -361,7 +362,16 @@
 
 @pytest.mark.parametrize(
     "text",
-    [None, "", "x", ";;;", "i;x;1;0", "i;1;x;0", "i;1;inf;0", "i;1;-1;0"],
+    [
+        None,
+        "",
+        "x",
+        ";;;;",
+        "i;x;1;0;0",
+        "i;1;x;0;0",
+        "i;1;inf;0;0",
+        "i;1;-1;0;0",
+    ],
 )
 def test_an_invalid_status_is_ignored(text: str | None) -> None:
     assert _headers.parse_status(text) is None
--- a/tests/test_server_signals.py
+++ b/tests/test_server_signals.py
@@ -15,6 +15,10 @@
     "own": (_dialect.DEFAULT_DIALECT, "Marjoramledge-Rate-Limit"),
     "platform": (platform_dialect.DIALECT, "Server-Limit"),
 }
+SERVER_LEAVING = {
+    "own": (_dialect.DEFAULT_DIALECT, "Marjoramledge-Leaving"),
+    "platform": (platform_dialect.DIALECT, "Server-Leaving"),
+}
 
 
 @pytest.mark.parametrize("name", SERVER_LIMIT)
@@ -47,9 +51,30 @@
     assert len(signals.invalid_rate_limit) <= _dialect.MAX_INVALID_CHARS
 
 
+@pytest.mark.parametrize("name", SERVER_LEAVING)
+@pytest.mark.parametrize(
+    ("text", "is_leaving", "is_invalid"),
+    [
+        ("1", True, False),
+        (" 1", True, False),
+        ("0", False, True),
+        ("", False, True),
+        ("yes" * 99, False, True),
+    ],
+)
+def test_a_leaving_server_is_recognised(
+    name: str, text: str, is_leaving: bool, is_invalid: bool
+) -> None:
+    dialect, header = SERVER_LEAVING[name]
+    signals = dialect.read_signals({header: text})
+    assert signals.is_leaving == is_leaving
+    assert bool(signals.invalid_leaving) == is_invalid
+    assert len(signals.invalid_leaving) <= _dialect.MAX_INVALID_CHARS
+
+
 @hypothesis.given(strategies.text())
 def test_any_text_is_a_finite_limit_or_invalid(text: str) -> None:
-    signals = _dialect.parse_signals(text)
+    signals = _dialect.parse_signals(text, None)
     rate_per_s = signals.rate_limit_per_s
     if rate_per_s is None:
         assert signals.invalid_rate_limit
