Soak: servers that name limits, and servers that leave

A series of its own, drawn apart so that the other series of a seed stay as they were; two checks, each shown to go red by planted evidence. The stand-in server names a limit and says that it leaves when told to.

--- a/packages/standins/marjoramledge_standins/soak.py
+++ b/packages/standins/marjoramledge_standins/soak.py
@@ -141,6 +141,7 @@
         self._reserved: set[tuple[str, int]] = set()
         self._operator = asyncio.Lock()
         self._done: list[soak_checks.ExecutedFault] = []
+        self._signals: list[soak_checks.ExecutedFault] = []
         self._zones_out: list[soak_checks.ZoneOut] = []
         self._cut_by_stops: list[str] = []
         self._failed_orders: list[str] = []
@@ -222,6 +223,7 @@
             results=[*self._callers.results, *self._connections.results],
             records=self._fleet.read_records(),
             done=self._done,
+            signals=self._signals,
             adoptions=soak_logs.read_adoptions(self._fleet),
             zones_out=self._zones_out,
             cut_by_stops=self._cut_by_stops,
@@ -370,6 +372,37 @@
                 await asyncio.sleep(fault.for_s)
                 await self._change_server(fault.vm, fail_fast=False)
 
+    async def _limit_server(self, fault: soak_plan.Fault) -> None:
+        async with self._reserve("server", fault.vm) as is_reserved:
+            if not is_reserved:
+                return
+            named_at = time.monotonic()
+            await self._change_server(
+                fault.vm, rate_limit=f"{fault.rate_per_s:g}"
+            )
+            await asyncio.sleep(fault.for_s)
+            self._note_signal(fault, named_at)
+            await self._change_server(fault.vm, rate_limit="")
+
+    async def _let_server_leave(self, fault: soak_plan.Fault) -> None:
+        vm = self._fleet.vms[fault.vm]
+        async with self._reserve("server", fault.vm) as is_reserved:
+            if not is_reserved or vm.server is None:
+                return
+            said_at = time.monotonic()
+            await self._change_server(fault.vm, is_leaving=True)
+            await asyncio.sleep(fault.for_s)
+            self._note_signal(fault, said_at)
+            await deployment.end_process(vm.server, signal.SIGTERM)
+            await self._fleet.start_server(vm)
+
+    def _note_signal(self, fault: soak_plan.Fault, began_at: float) -> None:
+        self._signals.append(
+            soak_checks.ExecutedFault(
+                fault=fault, began_at=began_at, ended_at=time.monotonic()
+            )
+        )
+
     async def _change_server(self, vm: int, **behaviour: object) -> None:
         url = f"{self._fleet.vms[vm].server_url}/standin"
         async with aiohttp.ClientSession() as session:
@@ -481,6 +514,8 @@
     _Kind.CHANGE: Soak._change,
     _Kind.DRAIN_ORDER: Soak._order_drain,
     _Kind.CALLERS_LEAVE: Soak._let_callers_leave,
+    _Kind.SERVER_LIMIT: Soak._limit_server,
+    _Kind.SERVER_LEAVES: Soak._let_server_leave,
 }
 
 
--- a/packages/standins/marjoramledge_standins/soak_checks.py
+++ b/packages/standins/marjoramledge_standins/soak_checks.py
@@ -29,6 +29,12 @@
 REPEAT_RATIO: typing.Final = 0.1
 REPEATS_AN_ENTRY: typing.Final = 10
 MAX_RSS_MB: typing.Final = 128.0
+# A server's limit and departure are known to its gate within this time: an
+# answer or a probe shows them.
+SIGNAL_KNOWN_S: typing.Final = 2.0
+# A server may get this many times the limit that it named, and some more.
+LIMIT_RATIO: typing.Final = 1.5
+LIMIT_SLACK: typing.Final = 5
 _NO_ANSWER: typing.Final = frozenset(
     {
         traffic.Ending.LOST,
@@ -78,7 +84,8 @@
     """Everything that a soak recorded.
 
     ``failed_orders`` are operator commands that failed, as they may while
-    the store is unavailable; they violate no guarantee.
+    the store is unavailable; they violate no guarantee.  ``signals`` are the
+    periods in which servers named a limit or said that they leave.
     """
 
     vms: collections.abc.Sequence[deployment.Vm]
@@ -92,6 +99,7 @@
     quiet_from: float
     ended_at: float
     failed_orders: collections.abc.Sequence[str] = ()
+    signals: collections.abc.Sequence[ExecutedFault] = ()
     seen: soak_watch.Observations = dataclasses.field(
         default_factory=soak_watch.Observations
     )
@@ -200,6 +208,69 @@
     ]
 
 
+def check_named_limits(evidence: Evidence) -> list[str]:
+    """Find servers that got more calls than the limit that they named.
+
+    Calls of an entry that a fault has hit meanwhile do not count.
+    """
+    found = []
+    for signal in evidence.signals:
+        if signal.fault.kind is not soak_plan.FaultKind.SERVER_LIMIT:
+            continue
+        from_s = signal.began_at + SIGNAL_KNOWN_S
+        runs = _find_runs(evidence, signal, from_s)
+        window_s = max(0.0, signal.ended_at - from_s)
+        allowed = LIMIT_RATIO * signal.fault.rate_per_s * window_s
+        if len(runs) > allowed + LIMIT_SLACK:
+            found.append(
+                f"VM {signal.fault.vm} ran {len(runs)} calls in "
+                f"{window_s:.1f} s, named {signal.fault.rate_per_s:g} a second"
+            )
+    return found
+
+
+def check_leaving_servers(evidence: Evidence) -> list[str]:
+    """Find calls that a server got although it said that it leaves.
+
+    Nothing counts while a fault hits the VM: a gate that restarts learns of
+    it from the next answer only.
+    """
+    return [
+        f"{record.call} ran at {record.server} "
+        f"{record.at - signal.began_at:.1f} s after it said that it leaves"
+        for signal in evidence.signals
+        if signal.fault.kind is soak_plan.FaultKind.SERVER_LEAVES
+        and not evidence.is_disturbed(
+            signal.fault.vm, signal.began_at, signal.ended_at
+        )
+        for record in _find_runs(
+            evidence, signal, signal.began_at + SIGNAL_KNOWN_S
+        )
+    ]
+
+
+def _find_runs(
+    evidence: Evidence, signal: ExecutedFault, from_s: float
+) -> list[deployment.RunRecord]:
+    """Find the runs at a server during a signal, from undisturbed entries."""
+    vm_of = {vm.caller_url: n for n, vm in enumerate(evidence.vms)}
+    entry_of = {
+        result.call: vm_of[result.entry] for result in evidence.results
+    }
+    server = evidence.vms[signal.fault.vm].plan.name
+    return [
+        record
+        for record in evidence.records
+        if record.event == "run"
+        and record.server == server
+        and from_s <= record.at < signal.ended_at
+        and record.call in entry_of
+        and not evidence.is_disturbed(
+            entry_of[record.call], signal.began_at, record.at
+        )
+    ]
+
+
 def check_versions(evidence: Evidence) -> list[str]:
     """Find nodes that reverted to an older version or ended outdated."""
     found = []
@@ -280,6 +351,8 @@
     "planned work cuts nothing": check_nothing_cut,
     "a stop cuts no new connection": check_new_connections,
     "a zone that is out gets no work": check_zones_out,
+    "a named limit is kept": check_named_limits,
+    "a leaving server gets no work": check_leaving_servers,
     "versions never go back": check_versions,
     "cold servers are spared": check_cold_servers,
     "repeats keep to the budget": check_repeats,
--- a/packages/standins/marjoramledge_standins/soak_plan.py
+++ b/packages/standins/marjoramledge_standins/soak_plan.py
@@ -21,6 +21,10 @@
 # Range of the share of callers that disconnect during a CALLERS_LEAVE event.
 LEAVE_SHARES: typing.Final = (0.3, 0.8)
 CALLERS_SERIES: typing.Final = 2
+# Ranges of the time for which a server names a limit or says that it leaves,
+# and of the limit in requests per second.
+SIGNAL_S: typing.Final = (4.0, 8.0)
+RATE_LIMITS_PER_S: typing.Final = (0.5, 1.0, 4.0)
 
 
 class FaultKind(enum.Enum):
@@ -42,6 +46,8 @@
     CHANGE = "change"
     DRAIN_ORDER = "drain-order"
     CALLERS_LEAVE = "callers-leave"
+    SERVER_LIMIT = "server-limit"
+    SERVER_LEAVES = "server-leaves"
 
 
 # Orders of operators; they must not abort any call.
@@ -63,7 +69,11 @@
 )
 # Behaviour of callers is no fault; it must not abort other calls either.
 CALLER_EVENTS: typing.Final = frozenset({FaultKind.CALLERS_LEAVE})
-NON_FAULTS: typing.Final = PLANNED | CALLER_EVENTS
+# Backend servers that name a limit or that leave must not abort calls either.
+SERVER_SIGNALS: typing.Final = frozenset(
+    {FaultKind.SERVER_LIMIT, FaultKind.SERVER_LEAVES}
+)
+NON_FAULTS: typing.Final = PLANNED | CALLER_EVENTS | SERVER_SIGNALS
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -72,7 +82,8 @@
 
     Times are seconds from the start of traffic.  ``vm`` is the number of the
     VM that it hits, or whose zone it concerns; ``link_mode`` is set for link
-    faults; ``share`` is the share of callers that disconnect.
+    faults; ``share`` is the share of callers that disconnect; ``rate_per_s``
+    is the limit that a server names.
     """
 
     kind: FaultKind
@@ -81,6 +92,7 @@
     for_s: float
     link_mode: str = ""
     share: float = 0.0
+    rate_per_s: float = 0.0
 
     @property
     def until(self) -> float:
@@ -104,8 +116,9 @@
     """Draw the faults of a soak, ordered by start time.
 
     One series consists of orders, which one operator gives one by one; two
-    consist of periods in which callers disconnect early; the others consist
-    of faults, one of them of store faults.
+    consist of periods in which callers disconnect early; one of servers that
+    name limits or leave; the others consist of faults, one of them of store
+    faults.
     """
     rng = random.Random(seed)
     end = duration_s - quiet_end_s
@@ -143,4 +156,30 @@
                 )
             )
             at += for_s + rng.uniform(0.0, MAX_PAUSE_S)
+    faults.extend(_draw_signals(seed, end, vms))
     return tuple(sorted(faults, key=lambda fault: fault.at))
+
+
+def _draw_signals(seed: int, end: float, vms: int) -> list[Fault]:
+    """Draw the series of servers that name limits or leave.
+
+    It has a generator of its own, so that the other series of a seed stay as
+    they were before there was this one.
+    """
+    rng = random.Random(f"signals {seed}")
+    kinds = sorted(SERVER_SIGNALS, key=lambda kind: kind.value)
+    signals = []
+    at = QUIET_START_S + rng.uniform(0.0, MAX_PAUSE_S)
+    while at < end - MIN_FAULT_S:
+        for_s = min(end - at, rng.uniform(*SIGNAL_S))
+        signals.append(
+            Fault(
+                kind=rng.choice(kinds),
+                vm=rng.randrange(vms),
+                at=at,
+                for_s=for_s,
+                rate_per_s=rng.choice(RATE_LIMITS_PER_S),
+            )
+        )
+        at += for_s + rng.uniform(0.0, MAX_PAUSE_S)
+    return signals
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -115,6 +115,26 @@
     )
 
 
+def _build_signal(kind: soak_plan.FaultKind) -> Change:
+    """Build a signal during which a server runs many calls."""
+    fault = soak_plan.Fault(kind=kind, vm=0, at=9.0, for_s=8.0, rate_per_s=1.0)
+    signal = soak_checks.ExecutedFault(
+        fault=fault, began_at=20.0, ended_at=28.0
+    )
+    calls = [f"s{number}" for number in range(20)]
+    return {
+        "signals": [signal],
+        "results": [
+            *_build_evidence().results,
+            *[_build_result(call, started_at=25.0) for call in calls],
+        ],
+        "records": [
+            *_build_evidence().records,
+            *[_build_record(call, at=25.0) for call in calls],
+        ],
+    }
+
+
 _LOST = _build_result("b", ending=traffic.Ending.LOST)
 _NOT_TAKEN = _build_result("b", ending=traffic.Ending.NOT_TAKEN)
 _CUT_NEW = _build_result("b", ending=traffic.Ending.CUT_NEW)
@@ -166,6 +186,14 @@
                 ],
             },
         ),
+        (
+            "a named limit is kept",
+            _build_signal(soak_plan.FaultKind.SERVER_LIMIT),
+        ),
+        (
+            "a leaving server gets no work",
+            _build_signal(soak_plan.FaultKind.SERVER_LEAVES),
+        ),
         (
             "versions never go back",
             {
