Ignore odd entries of other writers one by one

Reported by other operators: one entry that is nested too deeply, or has a number too large or a port out of range, ended nodes or the reading.

Each row is parsed alone, bounded, and reported by a log line; the others hold. Heartbeats, durations and figures of servers are bounded too.

--- a/packages/node/marjoramledge_node/_announcements.py
+++ b/packages/node/marjoramledge_node/_announcements.py
@@ -41,7 +41,7 @@
         return result.Success(node.ServerWithdrawn())
     try:
         fields = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return result.Failure(("the body must be JSON",))
     if not isinstance(fields, dict):
         return result.Failure(("the body must be a JSON object",))
--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -42,6 +42,7 @@
 # How long a starting node waits for the store's list of departed servers
 # before it announces the backend server that already runs.
 STORE_READ_WAIT_S: typing.Final = 0.3
+MAX_INVALID_ROWS_LOGGED: typing.Final = 10
 # Number of members that a starting node reads from the store.  In a larger
 # fleet it learns of the others from these.
 MAX_STORED_MEMBERS: typing.Final = 128
@@ -406,6 +407,12 @@
         if isinstance(found, result.Failure):
             return None
         fleet = found.unwrap()
+        for description in fleet.invalid_rows[:MAX_INVALID_ROWS_LOGGED]:
+            loguru.logger.bind(event="row-ignored").warning(
+                "a row of the store can't be read: {}; {} in all",
+                description,
+                len(fleet.invalid_rows),
+            )
         self._fleet_loaded.set()
         self._engine.submit(node.DeparturesRead(servers=fleet.departures))
         self._engine.submit(node.StoredMembersRead(members=fleet.members))
--- a/packages/node/marjoramledge_node/_headers.py
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -70,6 +70,14 @@
     return copied
 
 
+def parse_count(text: str) -> int | None:
+    """Parse a number of up to nine decimal digits; None if it is none."""
+    digits = text.strip()
+    if not digits.isascii() or not digits.isdigit() or len(digits) > 9:
+        return None
+    return int(digits)
+
+
 def format_kind(
     service: ids.ServiceName, kind: configuration.RequestKind
 ) -> str:
--- a/packages/node/marjoramledge_node/_options.py
+++ b/packages/node/marjoramledge_node/_options.py
@@ -78,7 +78,8 @@
 def parse_address(text: str) -> result.Result[node.Address, str]:
     """Parse an address of the form ``IP:PORT``."""
     host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdigit():
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if not separator or not host or not is_number:
         return result.Failure("must be IP:PORT, such as 10.0.0.7:8080")
     if not 0 < int(port) < 65536:
         return result.Failure("the port must be from 1 to 65535")
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -361,8 +361,11 @@
                 return ProbeResult(is_alive=False)
         cold_left_s = None
         if dialect.cold_left is not None:
-            text = response.headers.get(dialect.cold_left, "0")
-            cold_left_s = int(text) / 1000 if text.isdecimal() else None
+            cold_left_ms = _headers.parse_count(
+                response.headers.get(dialect.cold_left, "0")
+            )
+            if cold_left_ms is not None:
+                cold_left_s = cold_left_ms / 1000
         return ProbeResult(
             is_alive=True,
             is_healthy=response.status == 200,
--- a/packages/node/marjoramledge_node/process.py
+++ b/packages/node/marjoramledge_node/process.py
@@ -4,6 +4,7 @@
 from marjoramledge_node import _dialect
 from marjoramledge_node import _environment
 from marjoramledge_node import _event_loop
+from marjoramledge_node import _headers
 from marjoramledge_node import _options
 from marjoramledge_node import _process
 
@@ -18,6 +19,7 @@
 
 new_event_loop = _event_loop.new_event_loop
 parse_address = _options.parse_address
+parse_count = _headers.parse_count
 parse_signals = _dialect.parse_signals
 parse_keys = _auth.parse_keys
 run_node = _process.run_node
--- a/packages/store/marjoramledge_store/_change_feed.py
+++ b/packages/store/marjoramledge_store/_change_feed.py
@@ -120,12 +120,7 @@
         )
         if isinstance(read, result.Failure):
             return read
-        try:
-            return result.Success(
-                _decode_fleet(read.unwrap().rows, reader, count)
-            )
-        except (ValueError, KeyError, TypeError):
-            return result.Failure(_errors.StoreError.REJECTED)
+        return result.Success(_decode_fleet(read.unwrap().rows, reader, count))
 
     async def _read_table(self) -> _ports.Outcome[_ports.Rows]:
         return await _limit_time(
@@ -198,25 +193,40 @@
 def _decode_fleet(
     rows: typing.Mapping[str, bytes], reader: ids.NodeId, count: int
 ) -> _ports.FleetRows:
-    members = []
-    departures = []
-    for key, value in rows.items():
-        fields = json.loads(value)
-        if key.startswith(_MEMBER_PREFIX):
-            name = ids.NodeId(key.removeprefix(_MEMBER_PREFIX))
-            members.append(_member_rows.parse_member(name, **fields))
-        elif key.startswith(_DEPARTURE_PREFIX):
-            server = ids.ServerId(key.removeprefix(_DEPARTURE_PREFIX))
-            departures.append(
-                node.ServerStart(server=server, born=int(fields["born"]))
-            )
+    found, invalid = _member_rows.parse_rows(rows.items(), _decode_row)
+    members = [row for row in found if isinstance(row, node.Member)]
     random.shuffle(members)
     members.sort(key=lambda member: member.node != reader)
     return _ports.FleetRows(
-        members=tuple(members[:count]), departures=tuple(departures)
+        members=tuple(members[:count]),
+        departures=tuple(
+            row for row in found if isinstance(row, node.ServerStart)
+        ),
+        invalid_rows=invalid,
     )
 
 
+def _decode_row(
+    key: str, value: bytes
+) -> node.Member | node.ServerStart | None:
+    if key.startswith(_MEMBER_PREFIX):
+        fields = json.loads(value)
+        return _member_rows.parse_member(
+            ids.NodeId(key.removeprefix(_MEMBER_PREFIX)),
+            host=fields["host"],
+            port=fields["port"],
+            zone=fields["zone"],
+            service=fields.get("service", ""),
+            slots=fields.get("slots", 0),
+        )
+    if key.startswith(_DEPARTURE_PREFIX):
+        return _member_rows.parse_departure(
+            ids.ServerId(key.removeprefix(_DEPARTURE_PREFIX)),
+            born=json.loads(value)["born"],
+        )
+    return None
+
+
 def _encode_rows(rows: typing.Mapping[str, bytes]) -> bytes:
     texts = {
         key: value.decode("utf-8", "replace") for key, value in rows.items()
--- a/packages/store/marjoramledge_store/_member_rows.py
+++ b/packages/store/marjoramledge_store/_member_rows.py
@@ -1,21 +1,67 @@
-"""Parser for the row that describes a node.
+"""Parsers of the rows that describe nodes and departed servers.
 
-Both kinds of store keep the same fields of a node, but encode rows
-differently.
+Both kinds of store keep the same fields, but encode rows differently.  Other
+writers may leave rows of their own in the tables, so each row is parsed alone:
+an invalid one is reported, and the others hold.
 """
 
+import collections.abc
+import ipaddress
+import typing
+
 from marjoramledge_core import ids
 from marjoramledge_core import node
 
+RowT = typing.TypeVar("RowT")
+ParsedT = typing.TypeVar("ParsedT")
+
+# Far more than any server has; membership messages carry 32 bits.
+MAX_SLOTS: typing.Final = 100_000
+MAX_BORN: typing.Final = 2**63 - 1
+# Characters of an error message that are kept.
+MAX_ERROR_CHARS: typing.Final = 120
+
+# What parsing a row raises if it is nested too deeply, has a number that is
+# too large, lacks a field, or has one of another type.
+_ROW_ERRORS: typing.Final = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+
+def parse_rows(
+    rows: collections.abc.Iterable[tuple[str, RowT]],
+    parse: collections.abc.Callable[[str, RowT], ParsedT],
+) -> tuple[tuple[ParsedT, ...], tuple[str, ...]]:
+    """Parse rows, each with its key.
+
+    Returns
+    -------
+    tuple
+        The parsed rows, and a description of each invalid one.
+    """
+    parsed = []
+    invalid = []
+    for key, row in rows:
+        try:
+            parsed.append(parse(key, row))
+        except _ROW_ERRORS as error:
+            invalid.append(f"{key}: {repr(error)[:MAX_ERROR_CHARS]}")
+    return tuple(parsed), tuple(invalid)
+
 
 def parse_member(
     name: ids.NodeId,
     *,
     host: object,
-    port: int | str,
+    port: object,
     zone: object,
     service: object = "",
-    slots: int | str = 0,
+    slots: object = 0,
 ) -> node.Member:
     """Build a member from the fields of its row.
 
@@ -23,13 +69,39 @@
 
     Raises
     ------
-    ValueError, TypeError
+    ValueError, TypeError, OverflowError
         A field has the wrong type or an invalid value.
     """
     return node.build_stored_member(
         node=name,
-        address=node.Address(host=str(host), port=int(port)),
+        address=node.Address(
+            host=str(ipaddress.ip_address(str(host))),
+            port=_parse_count(port, 1, 65535),
+        ),
         zone=ids.ZoneName(str(zone)),
         service=ids.ServiceName(str(service)),
-        slots=int(slots),
+        slots=_parse_count(slots, 0, MAX_SLOTS),
+    )
+
+
+def parse_departure(server: ids.ServerId, *, born: object) -> node.ServerStart:
+    """Build the start of a departed server from the fields of its row.
+
+    Raises
+    ------
+    ValueError, TypeError, OverflowError
+        A field has the wrong type or an invalid value.
+    """
+    return node.ServerStart(
+        server=server, born=_parse_count(born, 0, MAX_BORN)
     )
+
+
+def _parse_count(value: object, minimum: int, maximum: int) -> int:
+    """Parse an integer, which some stores return as text."""
+    if not isinstance(value, int | str):
+        raise TypeError(f"not an integer: {type(value).__name__}")
+    number = int(value)
+    if not minimum <= number <= maximum:
+        raise ValueError(f"not from {minimum} to {maximum}")
+    return number
--- a/packages/store/marjoramledge_store/_ports.py
+++ b/packages/store/marjoramledge_store/_ports.py
@@ -33,11 +33,12 @@
 
     ``members`` are nodes as they last registered and may be out of date.
     ``departures`` are starts of backend servers whose leaving was
-    acknowledged.
+    acknowledged, and ``invalid_rows`` describes rows that can't be read.
     """
 
     members: tuple[node.Member, ...]
     departures: tuple[node.ServerStart, ...]
+    invalid_rows: tuple[str, ...] = ()
 
 
 class NodeStore(typing.Protocol):
