Keep no connection whose refusal could be repeated unnoticed

Reported by other operators: a server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran. On the users' platform it can't happen: answers name their request, and what may run once gets a new connection (two of the new tests, which passed before). The product's own servers name none, so that an idempotent request on a kept connection was taken for refused although it ran: that test failed.

After a refusal such a connection is not used again.

--- a/packages/node/marjoramledge_node/_connections.py
+++ b/packages/node/marjoramledge_node/_connections.py
@@ -102,6 +102,11 @@
 ] = contextvars.ContextVar("closing", default=None)
 
 
+_current_protocol: typing.Final[
+    contextvars.ContextVar[client_proto.ResponseHandler | None]
+] = contextvars.ContextVar("protocol", default=None)
+
+
 class Connector(aiohttp.TCPConnector):
     """Connection pool that discards connections with unexpected bytes.
 
@@ -146,6 +151,7 @@
             close_future = self._get_close_future(protocol)
             if not protocol.should_close and not _is_readable(protocol):
                 _current_close_future.set(close_future)
+                _current_protocol.set(protocol)
                 return connection
             connection.close()
         raise NoUsableConnectionError(
@@ -214,6 +220,13 @@
     return _current_close_future.get()
 
 
+def discard_current_connection() -> None:
+    """Reuse this task's most recent connection for no other request."""
+    protocol = _current_protocol.get()
+    if protocol is not None:
+        protocol.force_close()
+
+
 def _open_socket(
     address: tuple[
         int | socket.AddressFamily,
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -299,6 +299,9 @@
         if dialect.indicates_not_run(
             answer.response.status, answer.response.headers
         ):
+            if dialect.request_id is None:
+                # A repetition could not be told from the next answer.
+                _connections.discard_current_connection()
             answer.response.release()
             return result.Failure(
                 dataclasses.replace(_REFUSED, signals=signals)
