--- a/tools/check_platform_names.py
+++ b/tools/check_platform_names.py
@@ -12,8 +12,9 @@
 
 NAMES: typing.Final = re.compile(
     r"Request-Id|(?<![-\w])Deadline-Ms|Target-Instance|Caller-Service"
-    r"|Response-Seal|Not-Executed|Server-Load|(?-i:Server-(?:Limit|Leaving))|Cold-Ms"
-    r"|Instance-Id"
+    r"|Response-Seal|Not-Executed|Server-Load|Cold-Ms|Instance-Id"
+    # In lower case these are names of the product.
+    r"|(?-i:Server-(?:Limit|Leaving))"
     r"|MARJORAMLEDGE_BOOT|rows-(?:tx|get|feed|parts)"
     r"|blob-(?:put|get|drop|list)|heartbeatAddr|trafficSplit|pathPrefix"
     r"|coldPerS|coldLeft|targetLatency|appAddr|op/(?:config|evacuate)",
