Sign what a gate reports about its node and its server

Versions in gossip are signed; those that the answers between nodes name since were not, and neither were limits and departures of servers. Whoever can change a response on the network could have made an entry fetch a configuration of his own, refuse all calls, or tell a gate that its server leaves. Reports are signed for their attempt now, and an offer's signature covers the status that it carries; what is not signed is ignored. A gate of an older build that rejects such an offer is told no status again.

Two tests with real programs: a server gets no more than the limit that it names, and no call once it says that it leaves.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -191,6 +191,9 @@
         return
     _observe_version(step, attempt.server, event.config)
     attempt.server.note_refusal_status(event.status, step.now)
+    if event.reason is _outcomes.Reason.NOT_A_MEMBER:
+        # A gate of an older build rejects an offer that is signed with it.
+        attempt.server.note_answer_status(None)
     _note_report(step, attempt.server, event.load)
     if event.reason in _FAULT_REASONS:
         _note_fault(step, attempt.server)
--- a/packages/node/marjoramledge_node/_auth.py
+++ b/packages/node/marjoramledge_node/_auth.py
@@ -162,5 +162,24 @@
     )
 
 
+def signed_offer_subject(attempt: str, kind: str, status: str | None) -> str:
+    """Return the header values to sign for an offer.
+
+    Builds that know no status of a server neither send nor check it.
+    """
+    return (
+        f"{attempt} {kind}"
+        if status is None
+        else (f"{attempt} {kind} {status}")
+    )
+
+
+def signed_report_content(
+    attempt: str, config: str | None, status: str | None
+) -> bytes:
+    """Return the bytes to sign for what a gate reports with a response."""
+    return f"{attempt}\n{config or ''}\n{status or ''}".encode()
+
+
 def _compute_mac(key: Key, content: bytes) -> bytes:
     return hmac.digest(key.secret, content, "sha256")[:_MAC_BYTES]
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -273,13 +273,16 @@
         attempt = command.attempt
         stamp = self._stamper.stamp()
         kind = _headers.format_kind(command.service, command.kind)
+        status = None
+        if command.status is not None:
+            status = _headers.format_status(command.status)
         signed = _auth.signed_message_content(
             stamp,
             command.address,
             _auth.signed_request_content(
                 exchange.request.method,
                 exchange.target,
-                f"{attempt} {kind}",
+                _auth.signed_offer_subject(attempt, kind, status),
                 b"",
             ),
         )
@@ -300,10 +303,8 @@
             outgoing.headers[_headers.TARGET] = _headers.format_target(
                 command.target_at - self._engine.now()
             )
-        if command.status is not None:
-            outgoing.headers[_headers.SERVER] = _headers.format_status(
-                command.status
-            )
+        if status is not None:
+            outgoing.headers[_headers.SERVER] = status
         if command.prefers_queueing:
             outgoing.headers[_headers.PATIENT] = "1"
         outcome = await _cancellation.run_cancellable(
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -129,7 +129,11 @@
         content = _auth.signed_request_content(
             request.method,
             request.raw_path,
-            f"{attempt} {request.headers.get(_headers.KIND, '')}",
+            _auth.signed_offer_subject(
+                attempt,
+                request.headers.get(_headers.KIND, ""),
+                request.headers.get(_headers.SERVER),
+            ),
             b"",
         )
         signed = _auth.signed_message_content(stamp, self._address, content)
@@ -198,12 +202,12 @@
             return await self._run(request, command)
         if not isinstance(command, node.RefuseWork):
             raise AssertionError(f"unexpected command {command}")
-        refusal = self._refuse(request, command.reason, node.RunState.NOT_RUN)
-        if command.status is not None:
-            refusal.headers[_headers.SERVER] = _headers.format_status(
-                command.status
-            )
-        return refusal
+        return self._refuse(
+            request,
+            command.reason,
+            node.RunState.NOT_RUN,
+            status=command.status,
+        )
 
     async def _run(
         self, request: web.BaseRequest, command: node.StartWork
@@ -292,7 +296,7 @@
                 _headers.LOAD: _headers.format_load(
                     self._engine.state.gate.report(now)
                 ),
-                **self._build_node_headers(request),
+                **self._build_report(request),
             },
             closes_connection=False,
             remaining_s=command.deadline_at - now,
@@ -310,13 +314,15 @@
         request: web.BaseRequest,
         reason: node.Reason,
         run: node.RunState,
+        *,
+        status: node.ServerStatus | None = None,
     ) -> web.Response:
         response = _refusals.build_refusal(
             reason,
             run,
             load=self._engine.state.gate.report(self._engine.now()),
         )
-        response.headers.update(self._build_node_headers(request))
+        response.headers.update(self._build_report(request, status))
         if request.body_exists and not request.content.at_eof():
             response.force_close()
         return response
@@ -330,11 +336,16 @@
         )
         return None if known is None else known.ref
 
-    def _build_node_headers(self, request: web.BaseRequest) -> dict[str, str]:
+    def _build_report(
+        self,
+        request: web.BaseRequest,
+        status: node.ServerStatus | None = None,
+    ) -> dict[str, str]:
         """Build the headers with what the entry node may not know yet.
 
         They name this node's configuration version if it is newer, and what
-        the backend server has said of itself.
+        the backend server has said of itself: ``status``, or the current one.
+        They are signed, since the entry acts on them in later calls too.
         """
         headers = {}
         state = self._engine.state
@@ -343,9 +354,16 @@
             headers[_headers.CONFIG] = _headers.format_config(
                 state.versions.in_force, self._engine.now()
             )
-        status = node.build_status(state)
+        status = status or node.build_status(state)
         if status is not None:
             headers[_headers.SERVER] = _headers.format_status(status)
+        if headers:
+            content = _auth.signed_report_content(
+                request.headers.get(_headers.ATTEMPT, ""),
+                headers.get(_headers.CONFIG),
+                headers.get(_headers.SERVER),
+            )
+            headers[_headers.AUTH] = self._keys.sign_header(content)
         return headers
 
     def _report_work_ended(
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -100,6 +100,7 @@
         self._upstream = _upstream.Upstream(
             dialect=environment.dialect,
             idle_connection_s=options.idle_connection_s,
+            keys=options.keys,
         )
         self._store = environment.open_store()
         self._document_exchange = _document_exchange.DocumentExchange(
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -20,6 +20,7 @@
 from returns import result
 import yarl
 
+from marjoramledge_node import _auth
 from marjoramledge_node import _bodies
 from marjoramledge_node import _connections
 from marjoramledge_node import _dialect
@@ -250,12 +251,19 @@
     idle_connection_s
         Seconds for which an idle connection is kept for reuse; shorter than
         the idle timeout of backend servers.
+    keys
+        Keys that verify what peers report; without them, it is ignored.
     """
 
     def __init__(
-        self, *, dialect: _dialect.Dialect, idle_connection_s: float
+        self,
+        *,
+        dialect: _dialect.Dialect,
+        idle_connection_s: float,
+        keys: _auth.KeyRing | None = None,
     ) -> None:
         self._dialect = dialect
+        self._keys = keys
         self._session = _open_session(
             _connections.Connector(keepalive_timeout=idle_connection_s)
         )
@@ -404,18 +412,10 @@
             # The response, even a refusal, belongs to another attempt.
             answer.response.close()
             return result.Failure(_OUTCOME_UNKNOWN)
-        config = _headers.parse_config(
-            answer.response.headers.get(_headers.CONFIG),
-            asyncio.get_running_loop().time(),
-        )
-        status = _headers.parse_status(
-            answer.response.headers.get(_headers.SERVER)
-        )
+        answer = self._add_report(answer, expected_attempt)
         run = _headers.parse_run(answer.response.headers.get(_headers.RUN))
         if run is None:
-            return result.Success(
-                dataclasses.replace(answer, config=config, status=status)
-            )
+            return result.Success(answer)
         answer.response.release()
         return result.Failure(
             AttemptFailure(
@@ -425,9 +425,34 @@
                     answer.response.headers.get(_headers.REASON)
                 ),
                 load=answer.load,
-                config=config,
-                status=status,
+                config=answer.config,
+                status=answer.status,
+            )
+        )
+
+    def _add_report(self, answer: Answer, attempt: str) -> Answer:
+        """Add what a peer reports with its response, if it is signed."""
+        headers = answer.response.headers
+        content = _auth.signed_report_content(
+            attempt,
+            headers.get(_headers.CONFIG),
+            headers.get(_headers.SERVER),
+        )
+        has_report = _headers.CONFIG in headers or _headers.SERVER in headers
+        if self._keys is None or not has_report:
+            return answer
+        if not self._keys.verify_header(headers.get(_headers.AUTH), content):
+            loguru.logger.bind(event="report-refused").warning(
+                "a peer's report about its node has no valid signature"
             )
+            return answer
+        return dataclasses.replace(
+            answer,
+            config=_headers.parse_config(
+                headers.get(_headers.CONFIG),
+                asyncio.get_running_loop().time(),
+            ),
+            status=_headers.parse_status(headers.get(_headers.SERVER)),
         )
 
     async def fetch(
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -9,6 +9,7 @@
 import pathlib
 import signal
 import socket
+import time
 import typing
 
 import aiohttp
@@ -34,6 +35,10 @@
     for number, zone in enumerate(ZONES)
 )
 
+# A server may get this many times the limit that it named, and some more.
+LIMIT_RATIO = 1.5
+LIMIT_SLACK = 5
+
 Answer = tuple[int, collections.abc.Mapping[str, str], bytes]
 Run = collections.abc.Callable[
     [collections.abc.Coroutine[None, None, typing.Any]], typing.Any
@@ -80,6 +85,34 @@
             if (record.call, record.event) == (call, event)
         ]
 
+    async def change_server(self, vm: int, **behaviour: object) -> None:
+        """Change the behaviour of a stand-in server."""
+        url = f"{self.running.vms[vm].server_url}/standin"
+        async with self.session.put(url, json=behaviour) as response:
+            await response.read()
+
+    async def call_all(self, name: str, rounds: int) -> set[int]:
+        """Make calls at all nodes at once, some rounds; return statuses."""
+        statuses: set[int] = set()
+        for number in range(rounds):
+            answers = await asyncio.gather(
+                *(
+                    self.call("/kits/1", vm=vm, X_Call_Id=f"{name}{number}")
+                    for vm in range(len(self.running.vms))
+                )
+            )
+            statuses.update(status for status, _, _ in answers)
+        return statuses
+
+    def count_runs(self, server: str, name: str) -> int:
+        """Count the runs at a server of calls whose id begins so."""
+        return sum(
+            record.event == "run"
+            and record.server == server
+            and record.call.startswith(name)
+            for record in self.running.read_records()
+        )
+
 
 @contextlib.asynccontextmanager
 async def _running_fleet(
@@ -497,6 +530,39 @@
     asyncio.run(drain_and_end())
 
 
+# Guards against the limit of a real server that its gate, or the gate of
+# another node, does not keep to; the calls are served elsewhere.
+def test_a_real_server_gets_no_more_than_the_limit_that_it_names() -> None:
+    async def limit_server() -> None:
+        async with _running_fleet() as fleet:
+            assert await fleet.call_all("before-", 20) == {200}
+            await fleet.change_server(0, rate_limit="1")
+            await fleet.call_all("named-", 5)
+            began_at = time.monotonic()
+            assert await fleet.call_all("limited-", 60) == {200}
+            elapsed_s = time.monotonic() - began_at
+            runs = fleet.count_runs("shop-0", "limited-")
+            assert runs <= LIMIT_RATIO * elapsed_s + LIMIT_SLACK
+            await fleet.change_server(0, rate_limit="garbled")
+            assert await fleet.call_all("garbled-", 10) == {200}
+
+    asyncio.run(limit_server())
+
+
+# Guards against new work for a real server that says in its answers only that
+# it leaves.
+def test_a_real_server_that_says_that_it_leaves_gets_no_call() -> None:
+    async def leave() -> None:
+        async with _running_fleet() as fleet:
+            await fleet.change_server(0, is_leaving=True)
+            await fleet.call_all("said-", 10)
+            assert await fleet.call_all("after-", 30) == {200}
+            assert fleet.count_runs("shop-0", "after-") == 0
+            assert fleet.count_runs("shop-1", "after-") > 0
+
+    asyncio.run(leave())
+
+
 def test_a_planned_stop_finishes_calls_and_sends_new_ones_elsewhere() -> None:
     async def stop_under_calls() -> None:
         async with _running_fleet() as fleet:
