Keep the named limit when the same start announces other values

What callers saw: nothing; found by reading. A heartbeat that says that the server is warm now, or that names the start time of a server which a probe had found, made the gate forget the limit and start a call in each slot before the next answer named it again. The new test fails when each announcement forgets it. Only another start forgets a limit or a departure now.

The bounds of a queue's wait and of slots stand once.

--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -39,7 +39,7 @@
 class AttemptAnswered:
     """The status line and headers of an answer arrived.
 
-    ``is_error`` marks an answer that reports a fault of the server, and
+    ``is_error`` marks an answer that reports a fault of the server,
     ``config`` is the version of the gate's node if it is newer, and
     ``status`` what the gate tells about the server.
     """
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -25,8 +25,6 @@
 from marjoramledge_core import _settings
 from marjoramledge_core import _statistics
 
-# Longest time that any call may be queued.
-MAX_QUEUE_WAIT_S: typing.Final = 0.25
 # Limits for calls that can be sent to another server instead: they wait for
 # about one mean service time, and only behind a short queue.  A slowdown by a
 # noisy neighbour lasts longer than that, so waiting it out does not pay.
@@ -242,13 +240,14 @@
             and self._server.slots == server.slots
             and self._server.is_cold == server.is_cold
         )
+        if self._is_new_start(server):
+            self._named_limit.forget()
+            self._has_said_to_leave = False
         self._server = server
         self._last_seen_at = now
         self._cold_until = now + server.cold_left_s
         if is_repeat and self.accepts_work:
             return
-        self._named_limit.forget()
-        self._has_said_to_leave = False
         self._estimates.set_slots(server.slots)
         self._limit = _limit.ConcurrencyLimit(
             slots=server.slots,
@@ -293,6 +292,12 @@
         # 0 means that whoever named the start did not know its start time.
         return start.born == known or 0 in (start.born, known)
 
+    def _is_new_start(self, server: Server) -> bool:
+        """Return whether an announcement is that of another start."""
+        if server.start == _server_status.ANY_START:
+            return server.is_cold
+        return not self.matches_start(server.start)
+
     def note_departure(self, start: _server_status.ServerStart) -> None:
         """Record that a backend server, identified by its start, leaves.
 
@@ -441,10 +446,10 @@
         if spare_s < math.inf:
             spare_s = max(0.0, spare_s - self._estimates.baseline_s(work))
         if work.prefers_queueing:
-            return min(MAX_QUEUE_WAIT_S, spare_s)
+            return min(_queue.MAX_QUEUE_WAIT_S, spare_s)
         short_wait_s = SHORT_WAIT_SERVICE_TIMES * self._estimates.mean_s
         short_wait_s = min(
-            MAX_QUEUE_WAIT_S, max(MIN_QUEUE_WAIT_S, short_wait_s)
+            _queue.MAX_QUEUE_WAIT_S, max(MIN_QUEUE_WAIT_S, short_wait_s)
         )
         return min(short_wait_s, spare_s)
 
--- a/packages/core/marjoramledge_core/_load.py
+++ b/packages/core/marjoramledge_core/_load.py
@@ -12,6 +12,7 @@
 
 from marjoramledge_core import _ids
 from marjoramledge_core import _members
+from marjoramledge_core import _queue
 from marjoramledge_core import _reports
 from marjoramledge_core import _server_status
 
@@ -20,10 +21,6 @@
 REPORT_HALF_LIFE_S: typing.Final = 0.05
 INITIAL_LATENCY_S: typing.Final = 0.005
 
-# A call may be sent to a server whose rate limit leaves room this soon, since
-# it can be queued there.
-MAX_RATE_WAIT_S: typing.Final = 0.25
-
 # Consecutive failures after which a server is ejected.
 EJECT_AFTER_FAILURES: typing.Final = 3
 FIRST_EJECTION_S: typing.Final = 0.5
@@ -100,8 +97,11 @@
             self.paused_until = now + status.pause_s
 
     def is_paused(self, now: float) -> bool:
-        """Return whether a call would wait too long for the rate limit."""
-        return self.paused_until - now > MAX_RATE_WAIT_S
+        """Return whether a call would wait too long for the rate limit.
+
+        It may be sent somewhat earlier, since it can be queued.
+        """
+        return self.paused_until - now > _queue.MAX_QUEUE_WAIT_S
 
     def note_success(self, now: float) -> bool:
         """Record a successful answer; return whether the server recovered.
--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -53,6 +53,8 @@
         return f"{self.host}:{self.port}"
 
 
+# Most slots that a server can have; messages carry 32 bits.
+MAX_SLOTS: typing.Final = 100_000
 # Incarnation of records read from the store.  Nodes count theirs from 1,
 # so the record that a node publishes supersedes its stored record.
 STORED_INCARNATION: typing.Final = 0
--- a/packages/core/marjoramledge_core/_queue.py
+++ b/packages/core/marjoramledge_core/_queue.py
@@ -16,6 +16,8 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _settings
 
+# Longest time that any call may be queued.
+MAX_QUEUE_WAIT_S: typing.Final = 0.25
 OLDEST_FIRST_INTERVAL: typing.Final = 20
 
 
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -30,6 +30,7 @@
 Address = _members.Address
 LoadReport = _reports.LoadReport
 Member = _members.Member
+MAX_SLOTS = _members.MAX_SLOTS
 MemberStatus = _members.MemberStatus
 Message = _members.Message
 MessageKind = _members.MessageKind
--- a/packages/store/marjoramledge_store/_member_rows.py
+++ b/packages/store/marjoramledge_store/_member_rows.py
@@ -15,8 +15,6 @@
 RowT = typing.TypeVar("RowT")
 ParsedT = typing.TypeVar("ParsedT")
 
-# Far more than any server has; membership messages carry 32 bits.
-MAX_SLOTS: typing.Final = 100_000
 MAX_BORN: typing.Final = 2**63 - 1
 # Characters of an error message that are kept.
 MAX_ERROR_CHARS: typing.Final = 120
@@ -80,7 +78,7 @@
         ),
         zone=ids.ZoneName(str(zone)),
         service=ids.ServiceName(str(service)),
-        slots=_parse_count(slots, 0, MAX_SLOTS),
+        slots=_parse_count(slots, 0, node.MAX_SLOTS),
     )
 
 
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -310,6 +310,26 @@
     assert gate.starts == other.starts
 
 
+# Guards against a limit that is forgotten when the heartbeat of the same start
+# says that the server is warm now, or names its start time at last.
+def test_a_heartbeat_of_the_same_start_keeps_the_limit() -> None:
+    started = builders.CoreDriver()
+    started.configure()
+    found = dataclasses.replace(START, born=0)
+    for start, is_cold in ((found, True), (START, True), (START, False)):
+        server = dataclasses.replace(
+            builders.build_server(is_cold=is_cold),
+            start=start,
+            sequence=is_cold + 2 * (start == START),
+        )
+        started.submit(node.ServerAnnounced(server=server))
+        if start == found:
+            started.submit(
+                node.ServerSignalled(server=found, signals=_name(1.0))
+            )
+        assert started.state.gate.rate_limit_per_s == 1.0
+
+
 # Guards against an entry that forgets a limit since the gate, after a restart,
 # refuses a call before it knows its server.
 def test_an_entry_keeps_a_status_that_a_refusal_does_not_tell() -> None:
