--- a/packages/standins/marjoramledge_standins/builders.py
+++ b/packages/standins/marjoramledge_standins/builders.py
@@ -1,5 +1,6 @@
 """Builders of common test values, and a driver for one node's core."""
 
+import math
 import random
 
 from marjoramledge_core import configuration
@@ -189,9 +190,11 @@
         self,
         name: str,
         *,
-        target_s: float,
+        target_s: float = math.inf,
         prefers_queueing: bool = False,
         deadline_s: float = 5.0,
+        config: configuration.VersionRef | None = None,
+        status: node.ServerStatus | None = None,
     ) -> list[node.Command]:
         """Submit the first attempt of a call, sent by a peer to the gate."""
         return self.submit(
@@ -204,6 +207,8 @@
                 prefers_queueing=prefers_queueing,
                 fingerprint=ids.Fingerprint(name),
                 target_s=target_s,
+                config=config,
+                status=status,
             )
         )
 
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -3,7 +3,6 @@
 import random
 
 from marjoramledge_core import configuration
-from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_standins import builders
 from marjoramledge_standins import virtual_links
@@ -44,18 +43,7 @@
 ) -> node.Command:
     """Offer a call to the gate; end it if it starts."""
     ref = None if config is None else builders.build_ref(config)
-    (command,) = driver.submit(
-        node.WorkOffered(
-            attempt=ids.AttemptId(f"{name}.0"),
-            host="shop.example",
-            method="GET",
-            path="/pages/1",
-            deadline_s=5.0,
-            prefers_queueing=False,
-            fingerprint=ids.Fingerprint(name),
-            config=ref,
-        )
-    )
+    (command,) = driver.offer(name, config=ref)
     if isinstance(command, node.StartWork):
         driver.submit(
             node.WorkEnded(
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -41,18 +41,7 @@
     status: node.ServerStatus | None = None,
 ) -> bool:
     """Offer a call to the gate; end it if it starts."""
-    commands = driver.submit(
-        node.WorkOffered(
-            attempt=ids.AttemptId(f"{name}.0"),
-            host="shop.example",
-            method="GET",
-            path="/pages/1",
-            deadline_s=5.0,
-            prefers_queueing=False,
-            fingerprint=ids.Fingerprint(name),
-            status=status,
-        )
-    )
+    commands = driver.offer(name, status=status)
     starts = [c for c in commands if isinstance(c, node.StartWork)]
     for start in starts:
         driver.submit(
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -78,25 +78,15 @@
         for _ in range(round(seconds * OFFERS_PER_S)):
             self._calls += 1
             if self._calls % 2:
-                self._carry_out(self._offer(f"p{self._calls}"))
+                self._carry_out(
+                    self.driver.offer(
+                        f"p{self._calls}", status=self.remembered
+                    )
+                )
             else:
                 self._carry_out(self.driver.arrive(f"c{self._calls}"))
             self._pass_time(1.0 / OFFERS_PER_S)
 
-    def _offer(self, name: str) -> list[node.Command]:
-        return self.driver.submit(
-            node.WorkOffered(
-                attempt=ids.AttemptId(f"{name}.0"),
-                host="shop.example",
-                method="GET",
-                path="/pages/1",
-                deadline_s=5.0,
-                prefers_queueing=False,
-                fingerprint=ids.Fingerprint(name),
-                status=self.remembered,
-            )
-        )
-
     def _pass_time(self, seconds: float) -> None:
         until = self.driver.now + seconds
         while self._running and self._running[0][0] <= until:
