--- a/packages/standins/marjoramledge_standins/virtual_links.py
+++ b/packages/standins/marjoramledge_standins/virtual_links.py
@@ -15,6 +15,7 @@
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_node import peers
+from marjoramledge_store import followed
 
 from marjoramledge_standins import builders
 from marjoramledge_standins import virtual_network
@@ -102,6 +103,26 @@
         narrow = self._narrow.get(address)
         return self._bytes_per_s if narrow is None else narrow[0]
 
+    def fall_silent(self, left_s: float) -> None:
+        """Let the store answer nothing any more.
+
+        The reads that wait for a change are lost; they began together, at the
+        last change, and would have waited for ``left_s`` more.
+        """
+        self.store.is_up = False
+        waiting, self._waiting = self._waiting, {}
+        for address in waiting:
+            self._lose_read(address, left_s)
+
+    def _lose_read(self, address: node.Address, wait_s: float) -> None:
+        """End a read that gets no answer at its time limit."""
+        self._push(
+            wait_s + followed.CALL_TIMEOUT_S,
+            lambda: self.submit(
+                address, node.VersionReadEnded(is_success=False)
+            ),
+        )
+
     def renumber(self, version: int) -> None:
         """Give the current content a later version number."""
         self.store.ref = dataclasses.replace(
@@ -134,6 +155,9 @@
         state: node.NodeState,
         command: node.ReadVersion,
     ) -> None:
+        if not self.store.is_up:
+            self._lose_read(address, command.wait_s)
+            return
         if self.store.ref.version > state.versions.ref.version:
             self._send_rows(address)
             return
--- a/packages/store/marjoramledge_store/followed.py
+++ b/packages/store/marjoramledge_store/followed.py
@@ -3,6 +3,7 @@
 from marjoramledge_store import _change_feed
 from marjoramledge_store import _ports
 
+CALL_TIMEOUT_S = _change_feed.CALL_TIMEOUT_S
 ChangeFeedStore = _change_feed.ChangeFeedStore
 Rows = _ports.Rows
 RowTables = _ports.RowTables
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -19,6 +19,9 @@
 NARROW_LOSS = 0.5
 NARROW_NODES = range(20, 60)
 SETTLED_S = 25.0
+# A change may come this soon after the store's return.
+CONTACT_S = 2.0
+OUTAGE_S = 4.5
 # As large as the compressed configuration of 1,200 routes.
 CONTENT = random.Random(1).randbytes(20_000)
 
@@ -192,6 +195,27 @@
     assert served_by_old == []
 
 
+# Guards against a node that waits for a change in a read which a silent store
+# has lost, and so hears of the next change seconds after the store's return.
+@pytest.mark.parametrize("left_s", [0.0, 0.5, 1.0, 1.6, 2.0, 2.5, 3.0, 4.0])
+def test_a_change_after_a_silent_outage_is_in_force_in_time(
+    left_s: float,
+) -> None:
+    network = virtual_links.LinkedNetwork(
+        count=10, seed=1, zones=4, bytes_per_s=LINK_BYTES_PER_S
+    )
+    network.accept(1, b"small")
+    # The reads of nodes that do not follow the store are not due meanwhile.
+    network.run(1.5 * SETTLED_S)
+    network.fall_silent(left_s)
+    network.run(OUTAGE_S)
+    network.store.is_up = True
+    network.run(CONTACT_S)
+    network.accept(2, b"small too")
+    network.run(IN_FORCE_S)
+    assert network.versions() == {2}
+
+
 # Guards against a download that is begun anew before it can end, so that a
 # node on a full link never gets a new version.
 @pytest.mark.parametrize("seed", range(1, 4))
