Let a read of the store after a failed one wait for no change

Cause: a read that waits for a change is lost in a silent outage and given up after its wait and 1.5 s. All reads begin together, at the last change, so that they fail together, and the next ones are lost together where the outage goes on: 5.5 s, of which up to five lie after the store's return.

After a failed read the next one asks without waiting, and shows within 1.5 s whether the store is back. Class: a wait that assumes that the other side heard the question.

--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -95,6 +95,7 @@
         self._newer: list[_NewerVersion] = []
         self._read_at = 0.0
         self._read_retry_s = READ_RETRY_S
+        self._has_read_failed = False
 
     @property
     def configuration(self) -> _settings.Configuration | None:
@@ -176,6 +177,10 @@
         wait_s = min(
             MAX_WAIT_S, max(MIN_WAIT_S, WAIT_PER_MEMBER_S * member_count)
         )
+        if self._has_read_failed:
+            # The store may lose this read too; it must not take long to
+            # notice that, and the store's return.
+            wait_s = 0.0
         out.append(_commands.ReadVersion(wait_s=wait_s))
         if self._waits_for_change:
             return
@@ -192,6 +197,7 @@
         if not self._waits_for_change:
             return
         delay_s = 0.0
+        self._has_read_failed = not is_success
         if is_success:
             self._read_retry_s = READ_RETRY_S
         else:
