Keep a version unreadable when peers name it again

A version that a node could not read was forgotten, and noted anew with the next message that named it, so that the node refused all calls after the limit, which must not happen for such a version. The extended test fails without this change.

--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -60,12 +60,14 @@
     """A version newer than the one in force.
 
     ``is_at_peers`` is true if another node has it in force, so that its
-    content can be fetched.
+    content can be fetched, and ``is_unreadable`` if this node has fetched it
+    and cannot read it.
     """
 
     ref: _manifest.VersionRef
     known_at: float
     is_at_peers: bool
+    is_unreadable: bool = False
 
 
 class VersionTracker:
@@ -133,7 +135,9 @@
         has its content, refusing calls would serve nobody.
         """
         return any(
-            newer.is_at_peers and now - newer.known_at >= limit_s
+            newer.is_at_peers
+            and not newer.is_unreadable
+            and now - newer.known_at >= limit_s
             for newer in self._newer
         )
 
@@ -278,9 +282,9 @@
         The node must go on serving by the version in force, since no retry
         will help.
         """
-        self._newer = [
-            newer for newer in self._newer if newer.ref.digest != ref.digest
-        ]
+        for newer in self._newer:
+            if newer.ref.digest == ref.digest:
+                newer.is_unreadable = True
 
     def fetch_failed(
         self, ref: _manifest.VersionRef, now: float, rng: random.Random
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -115,6 +115,10 @@
     )
     driver.pass_time(10 * OUTDATED_LIMIT_S)
     assert _serves_call(driver, "c1")
+    if is_unreadable:
+        # Its peers go on naming it.
+        driver.hear_version(2, "n1", age_s=10 * OUTDATED_LIMIT_S)
+        assert _serves_call(driver, "c2")
 
 
 # Guards against an entry that misses all gossip and sends calls that it routes
