Give a suspected member its whole time again after a pause

Cause: the timers of suspicions that ran out during a pause were due in the same step in which the probe noticed the pause. New timers were set, but the old ones stayed, and the pause no longer showed when they fired. Ruled out: timers that fire before the probe; these see the pause themselves. A member now has one suspicion timer, and setting it cancels the earlier one. Before: suspected at 3 s, paused for 3.5, 19.5 or 60 s, failed at once (three tests red); now it has its whole time.

--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -119,6 +119,7 @@
         self._probed_at: float | None = None
         self._sync_period_s = FIRST_SYNC_PERIOD_S
         self._sync_timer: _timers.Timer | None = None
+        self._suspicion_timers: dict[_ids.NodeId, _timers.Timer] = {}
         self._register_period_s = ALONE_REGISTER_PERIOD_S
         self._has_registered = False
         self._started_at = 0.0
@@ -439,6 +440,7 @@
         out: list[_commands.Command],
     ) -> None:
         """Mark a member as failed if it has not refuted the suspicion."""
+        self._suspicion_timers.pop(node, None)
         member = self._roster.members.get(node)
         if (
             member is None
@@ -584,7 +586,11 @@
     def _set_suspicion_timer(
         self, member: _members.Member, now: float
     ) -> None:
-        self._timers.set(
+        """Start the time for refutation; an earlier timer no longer counts."""
+        earlier = self._suspicion_timers.get(member.node)
+        if earlier is not None:
+            earlier.is_cancelled = True
+        self._suspicion_timers[member.node] = self._timers.set(
             now + self.suspicion_s,
             _timers.TimerKind.SUSPICION,
             subject=member.node,
@@ -593,7 +599,7 @@
 
     def _restart_suspicion_timers(self, now: float) -> None:
         # During a pause no refutation was received, and the old timers are all
-        # due at once.  They must not count, so new ones are set.
+        # due at once, so they are replaced.
         self._probes.clear()
         for member in self._roster.members.values():
             if member.status is _members.MemberStatus.SUSPECT:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,6 @@
 """Membership and configuration of several nodes, under virtual time."""
 
+import dataclasses
 import itertools
 import random
 
@@ -91,6 +92,31 @@
     assert not reported_by_paused
 
 
+# Guards against a verdict of a timer that ran out during a pause: no
+# refutation could arrive meanwhile, so the whole time must begin again.
+@pytest.mark.parametrize("pause_s", [3.5, 19.5, 60.0])
+def test_a_suspicion_from_before_a_pause_gets_its_time_again(
+    pause_s: float,
+) -> None:
+    driver = builders.CoreDriver()
+    driver.learn_peer("n1")
+    driver.learn_peer("n2")
+    driver.pass_time(3.0)
+    suspect = dataclasses.replace(
+        driver.state.membership.members[ids.NodeId("n1")],
+        status=node.MemberStatus.SUSPECT,
+    )
+    driver.submit(node.MembersReceived(members=(suspect,)))
+    driver.pass_time(0.5)
+    driver.now += pause_s
+    driver.submit(node.TimePassed())
+    driver.pass_time(driver.state.membership.suspicion_s - 0.1)
+    members = driver.state.membership.members
+    assert members[ids.NodeId("n1")].status is node.MemberStatus.SUSPECT
+    driver.pass_time(0.2)
+    assert members[ids.NodeId("n1")].status is node.MemberStatus.FAILED
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_a_partition_of_several_minutes_heals(seed: int) -> None:
     network = virtual_network.Network(count=10, seed=seed)
