Serve the connections that wait at a port that closes

Cause: closing a listening socket resets what the kernel has accepted and the node has not; uvloop accepts a connection an iteration later at the earliest. Ruled out: the time between the last accept and the close, which is left, is microseconds, and nothing in user space removes it.

--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -25,6 +25,7 @@
 from marjoramledge_node import _event_loop
 from marjoramledge_node import _faults
 from marjoramledge_node import _gossip_port
+from marjoramledge_node import _listeners
 from marjoramledge_node import _local_port
 from marjoramledge_node import _logs
 from marjoramledge_node import _metrics_port
@@ -41,7 +42,6 @@
 GC_THRESHOLDS: typing.Final = (50_000, 20, 100)
 # Time for request handlers that are cancelled at the end of a stop.
 SHUTDOWN_TIMEOUT_S: typing.Final = 0.1
-LISTEN_BACKLOG: typing.Final = 1024
 # How long connections without a first request stay open at a stop.  Must be
 # shorter than the time that the node takes to stop.
 UNUSED_CONNECTION_S: typing.Final = 0.1
@@ -173,7 +173,7 @@
                 options=options,
                 read=environment.read_options,
             )
-        self._listeners: list[asyncio.Server] = []
+        self._listeners: list[_listeners.Listener] = []
         self._stopped: asyncio.Future[int] = loop.create_future()
         self._configured: asyncio.Future[None] = loop.create_future()
         self._has_stopped_accepting = False
@@ -224,15 +224,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
 
     async def _listen(self, server: web.Server, address: node.Address) -> None:
-        loop = asyncio.get_running_loop()
-        self._listeners.append(
-            await loop.create_server(
-                server,
-                address.host,
-                address.port,
-                backlog=LISTEN_BACKLOG,
-            )
-        )
+        self._listeners.append(await _listeners.listen(server, address))
 
     def _start_metrics(self) -> asyncio.Task[None] | None:
         if self._options.statsd_address is None:
