Act on nothing that ran out while the node was paused

Cause: the first event after a pause is an answer or a message, not a timer. The end of one request started a queued one whose deadline had passed, and the gate sent requests with no time left, with a deadline of 1 ms. A suspended VM did not show at all, since the event loop's clock does not count it.

--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -32,6 +32,9 @@
 
 # Interval at which a stopping node checks whether calls still run.
 STOP_CHECK_S: typing.Final = 0.05
+# A node whose timers are due for longer than this was paused.  What ran out
+# meanwhile must end before the event is handled that ends the pause.
+PAUSE_S: typing.Final = 0.5
 # Time that a stopping node stays up after each of its last steps, so that
 # its final messages are still sent.
 STOP_LINGER_S: typing.Final = 0.2
@@ -137,6 +140,9 @@
         Commands that the environment must execute, in this order.
     """
     step = _state.Step(state=state, now=now, rng=rng, out=[], returned_work=[])
+    wakeup = next_wakeup(state)
+    if wakeup is not None and now - wakeup > PAUSE_S:
+        _run_due_timers(step, _events.TimePassed())
     _HANDLERS[type(event)](step, event)
     while step.returned_work:
         work, reason = step.returned_work.pop()
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -18,6 +18,7 @@
 
 from marjoramledge_node import _auth
 from marjoramledge_node import _caller_port
+from marjoramledge_node import _clock
 from marjoramledge_node import _counts
 from marjoramledge_node import _document_exchange
 from marjoramledge_node import _engine
@@ -89,10 +90,10 @@
                 ),
                 seeds=options.seeds,
                 options=options.core_options,
-                now=loop.time(),
+                now=_clock.read_clock(),
             ),
             rng=self._rng,
-            clock=loop.time,
+            clock=_clock.read_clock,
         )
         self._engine.connect(node.WriteRecord, self._write_record)
         self._engine.connect(node.StopAccepting, self._stop_accepting)
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -22,6 +22,7 @@
 
 from marjoramledge_node import _auth
 from marjoramledge_node import _bodies
+from marjoramledge_node import _clock
 from marjoramledge_node import _connections
 from marjoramledge_node import _dialect
 from marjoramledge_node import _faults
@@ -192,6 +193,12 @@
     run=node.RunState.NOT_RUN,
     reason=node.Reason.NODE_FAULT,
 )
+# The deadline had passed before anything was sent.
+_TOO_LATE: typing.Final = AttemptFailure(
+    outcome=node.ServerOutcome.CANCELLED,
+    run=node.RunState.NOT_RUN,
+    reason=node.Reason.DEADLINE_PASSED,
+)
 # An error in this process ended the attempt, perhaps after it was sent.
 _LOCAL_ERROR: typing.Final = AttemptFailure(
     outcome=node.ServerOutcome.CANCELLED,
@@ -285,7 +292,12 @@
         server: node.Server,
         remaining_s: float,
     ) -> SendResult:
-        """Send a request to the backend server on this VM."""
+        """Send a request to the backend server on this VM.
+
+        Nothing is sent once no time is left, as after a pause.
+        """
+        if remaining_s <= 0.0:
+            return result.Failure(_TOO_LATE)
         dialect = self._dialect
         outgoing.headers[dialect.deadline] = _format_ms(remaining_s)
         if dialect.expected_server is not None and server.start.server:
@@ -449,8 +461,7 @@
         return dataclasses.replace(
             answer,
             config=_headers.parse_config(
-                headers.get(_headers.CONFIG),
-                asyncio.get_running_loop().time(),
+                headers.get(_headers.CONFIG), _clock.read_clock()
             ),
             status=_headers.parse_status(headers.get(_headers.SERVER)),
         )
