Blame no request for a server's death that the server had answered

Cause: two servers were killed within 0.11 s while both ran the request that most callers make. Found while looking: a suspect that a server sheds counted as answered, so that poison could reach a third server. Ruled out: deaths that are reported twice; answers that come after the deaths. A gate remembers what its server has answered since its start and blames only the rest; an entry that infers the death of a server with its node leaves out what it has seen answered within a minute. Only answers and error answers clear. Four tests, red before.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -165,6 +165,7 @@
     _note_answer(step, attempt.server, event.load, event.is_error)
     if event.is_error and _retry_error(step, call, attempt):
         return
+    step.state.answered_calls.note(call.fingerprint, step.now)
     step.latency_of(call.kind).note(step.now - attempt.sent_at)
     call.advance(_state.CallPhase.ANSWERED)
     if event.is_error or _should_record_answer(step, call):
--- a/packages/core/marjoramledge_core/_deaths.py
+++ b/packages/core/marjoramledge_core/_deaths.py
@@ -33,7 +33,9 @@
         return
     presumed = _state.PresumedDeath(
         death=_create_death_id(step),
-        fingerprints=(aborted, *gate.running_fingerprints()),
+        fingerprints=_find_unproven(
+            step, [aborted, *gate.running_fingerprints()]
+        ),
         is_published=step.now - state.death_withdrawn_at >= PROBE_FIRST_S,
     )
     state.presumed_death = presumed
@@ -44,10 +46,17 @@
 
 def confirm(step: _state.Step) -> None:
     """Handle the confirmed death of the backend server."""
-    fingerprints = step.state.gate.pop_aborted(step.now)
+    fingerprints = _find_unproven(
+        step,
+        [
+            *step.state.gate.pop_aborted(step.now),
+            *step.state.gate.running_fingerprints(),
+        ],
+    )
+    # The next start of the server has not answered anything yet.
+    step.state.answered_by_server.forget()
     presumed = step.state.presumed_death
     if presumed is None:
-        fingerprints.extend(step.state.gate.running_fingerprints())
         record_death(step, _create_death_id(step), fingerprints)
         return
     step.state.presumed_death = None
@@ -92,6 +101,19 @@
     step.publish_suspicions(suspicions)
 
 
+def _find_unproven(
+    step: _state.Step,
+    fingerprints: collections.abc.Iterable[_ids.Fingerprint],
+) -> tuple[_ids.Fingerprint, ...]:
+    """Return the requests that the server has not answered since its start."""
+    answered = step.state.answered_by_server
+    return tuple(
+        fingerprint
+        for fingerprint in fingerprints
+        if not answered.has(fingerprint, step.now)
+    )
+
+
 def _create_death_id(step: _state.Step) -> _ids.DeathId:
     myself = step.state.membership.myself
     step.state.deaths += 1
--- a/packages/core/marjoramledge_core/_gate_handlers.py
+++ b/packages/core/marjoramledge_core/_gate_handlers.py
@@ -25,12 +25,10 @@
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
 
+# Outcomes which show that a server has survived a request.  One that it has
+# shed was not run.
 _ANSWERS: typing.Final = frozenset(
-    {
-        _outcomes.ServerOutcome.ANSWERED,
-        _outcomes.ServerOutcome.ERRORED,
-        _outcomes.ServerOutcome.SHED,
-    }
+    {_outcomes.ServerOutcome.ANSWERED, _outcomes.ServerOutcome.ERRORED}
 )
 
 
@@ -114,6 +112,7 @@
     if ended is not None:
         _note_end_of_rate_limit(step, ended, event.signals)
     if ended is not None and event.outcome in _ANSWERS:
+        step.state.answered_by_server.note(ended.fingerprint, step.now)
         step.publish_suspicions(
             step.state.quarantine.clear_answered(ended.fingerprint, step.now)
         )
@@ -296,6 +295,8 @@
     if not gate.is_newer(event.server):
         return
     before = _published_fields(gate)
+    if not gate.matches_start(event.server.start):
+        step.state.answered_by_server.forget()
     if event.server.is_cold and gate.state is _members.ServerState.WARM:
         # The process was replaced by a new one before its death was noticed.
         _deaths.confirm(step)
--- a/packages/core/marjoramledge_core/_lost_nodes.py
+++ b/packages/core/marjoramledge_core/_lost_nodes.py
@@ -55,6 +55,7 @@
         loss.fingerprint
         for loss in lost_requests
         if step.now - loss.at <= LOST_NODE_WINDOW_S
+        and not step.state.answered_calls.has(loss.fingerprint, step.now)
     ]
     # All entries that infer this death derive the same identifier for it.
     death = _ids.DeathId(f"{peer}@{member.incarnation}")
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -12,6 +12,7 @@
 import random
 import typing
 
+from marjoramledge_core import _answered_requests
 from marjoramledge_core import _calls
 from marjoramledge_core import _commands
 from marjoramledge_core import _directory
@@ -105,6 +106,8 @@
         ),
         calls={},
         quarantine=_quarantine.Quarantine(),
+        answered_by_server=_answered_requests.AnsweredRequests(),
+        answered_calls=_answered_requests.AnsweredRequests(),
         lost_requests={},
         latencies={},
         budgets={},
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -6,6 +6,7 @@
 import random
 import typing
 
+from marjoramledge_core import _answered_requests
 from marjoramledge_core import _budget
 from marjoramledge_core import _commands
 from marjoramledge_core import _directory
@@ -187,6 +188,9 @@
     ``directory`` was built from.  ``deaths`` counts the deaths of the local
     backend server, and ``ordinary_answers`` the calls that were answered in
     time at the first attempt; only a sample of these is recorded.
+    ``answered_by_server`` holds the requests that the current start of the
+    local server has answered, and ``answered_calls`` those of this entry that
+    any server has answered.
     """
 
     node: _ids.NodeId
@@ -200,6 +204,8 @@
     directory_revision: tuple[int, int] = (-1, -1)
     calls: dict[_ids.CallId, Call]
     quarantine: _quarantine.Quarantine
+    answered_by_server: _answered_requests.AnsweredRequests
+    answered_calls: _answered_requests.AnsweredRequests
     lost_requests: dict[_ids.NodeId, list[LostRequest]]
     latencies: dict[
         tuple[_ids.ServiceName, _ids.KindName], _latency.QuantileEstimate
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -182,6 +182,74 @@
     _serve(cluster, 0, "b.3", BYSTANDER)
 
 
+# Guards against a good request that is refused everywhere: two servers are
+# killed at about the same time, and both run the request that most callers
+# make.  Each had answered it before, so it was not what ended them.
+def test_a_request_that_the_dead_servers_had_answered_is_not_blamed() -> None:
+    cluster = _Cluster()
+    for number in range(2):
+        _serve(cluster, number, f"before.{number}", "frequent")
+        assert cluster.offer(number, f"lost.{number}", "frequent")
+    for number in range(2):
+        cluster.crash_server(number, f"lost.{number}")
+    _serve(cluster, 2, "after.0", "frequent")
+
+
+# A restarted server may run other software, so answers of the one before it
+# prove nothing.
+def test_answers_of_an_earlier_start_do_not_clear_a_request() -> None:
+    cluster = _Cluster()
+    for number in range(2):
+        _serve(cluster, number, f"before.{number}", POISON)
+    for number in range(2):
+        cluster.crash_server(number)
+        assert cluster.offer(number, f"lost.{number}", POISON)
+        cluster.crash_server(number, f"lost.{number}")
+    assert not cluster.offer(2, "after.0", POISON)
+
+
+# Guards against a third crash: a server that sheds a suspect has not run it.
+def test_a_suspect_that_is_shed_stays_suspected() -> None:
+    cluster = _Cluster()
+    assert cluster.offer(0, "p.0", POISON)
+    cluster.crash_server(0, "p.0")
+    assert cluster.offer(1, "p.1", POISON)
+    cluster.end(1, "p.1", node.ServerOutcome.SHED)
+    assert cluster.offer(1, "p.2", POISON)
+    cluster.crash_server(1, "p.2")
+    assert not cluster.offer(2, "p.3", POISON)
+
+
+def test_the_entry_blames_no_request_that_was_answered_just_before() -> None:
+    driver = builders.CoreDriver()
+    driver.configure()
+    driver.learn_peer("n1")
+    (answered,) = _arrive(driver, "before", "frequent")
+    assert isinstance(answered, node.SendToPeer)
+    driver.submit(
+        node.AttemptAnswered(
+            call=answered.call,
+            attempt=answered.attempt,
+            is_error=False,
+            load=None,
+        )
+    )
+    (lost,) = _arrive(driver, "lost", "frequent")
+    (unreachable,) = _arrive(driver, "found", "another")
+    _fail_attempt(
+        driver, lost, node.RunState.MAY_HAVE_RUN, node.Reason.ANSWER_LOST
+    )
+    _fail_attempt(
+        driver,
+        unreachable,
+        node.RunState.NOT_RUN,
+        node.Reason.PEER_UNREACHABLE,
+    )
+    assert not driver.state.quarantine.is_suspect(
+        ids.Fingerprint("frequent"), driver.now
+    )
+
+
 def test_the_entry_reports_a_server_that_died_with_its_node() -> None:
     driver = builders.CoreDriver()
     driver.configure()
