Take all stored members at a start, in fleets of any size

Cause: a starting node took 128 of the rows that it had read and left the rest to gossip, which is busy while all start. Ruled out: the reading itself, the whole table is read in any case. Not run at 1,400 members.

--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -43,9 +43,10 @@
 # before it announces the backend server that already runs.
 STORE_READ_WAIT_S: typing.Final = 0.3
 MAX_INVALID_ROWS_LOGGED: typing.Final = 10
-# Number of members that a starting node reads from the store.  In a larger
-# fleet it learns of the others from these.
-MAX_STORED_MEMBERS: typing.Final = 128
+# Bounds the members that a starting node takes from the store; more than any
+# fleet has.  Nodes that start together learn of those beyond it by gossip
+# only, which takes seconds.
+MAX_STORED_MEMBERS: typing.Final = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/standins/marjoramledge_standins/virtual_network.py
+++ b/packages/standins/marjoramledge_standins/virtual_network.py
@@ -10,6 +10,7 @@
 import functools
 import heapq
 import random
+import sys
 import typing
 
 from marjoramledge_core import configuration
@@ -63,16 +64,24 @@
     uses_store
         Whether nodes discover each other through the table; if not, through
         one seed address.
+    max_rows
+        Rows of other nodes that a node takes from the table at most.
     """
 
     def __init__(
-        self, *, count: int, seed: int, uses_store: bool = True
+        self,
+        *,
+        count: int,
+        seed: int,
+        uses_store: bool = True,
+        max_rows: int = sys.maxsize,
     ) -> None:
         self.now = 100.0
         self.rng = random.Random(seed)
         self.link = Link()
         self.store = Store()
         self.uses_store = uses_store
+        self.max_rows = max_rows
         self.nodes: dict[node.Address, node.NodeState] = {}
         self.paused: set[node.Address] = set()
         self.cut: set[frozenset[node.Address]] = set()
@@ -264,8 +273,10 @@
             service=myself.service,
             slots=myself.slots,
         )
-        rows = tuple(self.store.members.values())
-        self._reply(address, node.StoredMembersRead(members=rows))
+        rows = list(self.store.members.values())
+        self.rng.shuffle(rows)
+        read = tuple(rows[: self.max_rows])
+        self._reply(address, node.StoredMembersRead(members=read))
 
     def _fetch(
         self, address: node.Address, command: node.FetchManifest
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,6 +9,7 @@
 from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
+from marjoramledge_node import _document_exchange
 from marjoramledge_standins import builders
 from marjoramledge_standins import virtual_network
 import pytest
@@ -312,6 +313,27 @@
     )
 
 
+# Guards against a fleet that is known in part for seconds after a start: a
+# limit on the rows that a node takes left the rest to gossip, which is slow
+# while all nodes start at once (large fleets, and half of one killed).
+def test_a_large_fleet_knows_itself_soon_after_starts() -> None:
+    count = 195
+    network = virtual_network.Network(
+        count=count, seed=1, max_rows=_document_exchange.MAX_STORED_MEMBERS
+    )
+    assert _run_until_agreed(network, 3.0) <= 3.0
+    killed = random.Random(2).sample(range(count), round(0.55 * count))
+    for number in killed:
+        network.kill(number)
+    network.run(1.0)
+    for number in killed:
+        network.start(number, incarnation=2)
+    network.run(1.0)
+    running = {state.node for state in network.nodes.values()}
+    for state in network.nodes.values():
+        assert running <= state.membership.members.keys()
+
+
 def test_stored_members_that_are_gone_are_dropped() -> None:
     network = virtual_network.Network(count=12, seed=1)
     _run_until_agreed(network, 15.0)
