Leave the last slots of an unmeasured server unused

Cause: after a common start all servers are cold, calls of cold servers are not measured, and a gate whose limit is not measured used all slots. Servers with a knee then take 1.7 times as long on top of being cold, and most of what they answer is late.

--- a/packages/core/marjoramledge_core/_contention.py
+++ b/packages/core/marjoramledge_core/_contention.py
@@ -24,9 +24,18 @@
 PRIOR_CALLS: typing.Final = 4.0
 # Minimum number of calls, after decay, for a concurrency to be judged.
 MIN_CALLS: typing.Final = 3.0
+# A concurrency below the best one is measured until it has so many calls: the
+# mean of fewer is often wrong by the gain that it could show, and is then
+# believed until it has decayed.
+SETTLED_CALLS: typing.Final = 9.0
 # Lower bound of the limit, as a share of the slots: a server that is slow with
 # half of its slots in use has another problem than being nearly full.
 MIN_LIMIT_SHARE: typing.Final = 0.5
+# Share of the slots that is used until calls have been measured.  Servers that
+# slow down when nearly full typically do so above four fifths of their slots.
+# Cold servers are not measured, and all are cold after a common start, when
+# calls that take longer are most likely to come too late.
+UNMEASURED_SHARE: typing.Final = 0.8
 # Gain in throughput, as a logarithm, that justifies a lower limit; a smaller
 # one may be noise.
 MIN_GAIN: typing.Final = 0.05
@@ -56,6 +65,11 @@
         """Announced slots of the backend server."""
         return len(self._times)
 
+    @property
+    def unmeasured_limit(self) -> int:
+        """Concurrency limit until enough calls have been measured."""
+        return max(1, round(UNMEASURED_SHARE * self.slots))
+
     def describe(self, now: float) -> str:
         """Describe the number and mean time of calls per concurrency."""
         return ", ".join(
@@ -83,19 +97,19 @@
     def choose_limit(self, now: float) -> int:
         """Choose the concurrency limit with the highest throughput.
 
-        If concurrencies below the best one have too few calls to be judged,
+        If concurrencies below the best one have too few calls to be settled,
         the highest of them is chosen, so that it is measured.
         """
         counts = [times.count(now) for times in self._times]
         totals = [times.total(now) for times in self._times]
         if sum(counts) < MIN_CALLS:
-            return self.slots
+            return self.unmeasured_limit
         lowest = max(1, round(MIN_LIMIT_SHARE * self.slots))
         best = _find_best(counts, totals, lowest)
         if counts[best - 1] < 2.0 * MIN_CALLS:
             return best
         for running in range(best - 1, lowest - 1, -1):
-            if counts[running - 1] < MIN_CALLS:
+            if counts[running - 1] < SETTLED_CALLS:
                 return running
         return best
 
--- a/packages/core/marjoramledge_core/_estimates.py
+++ b/packages/core/marjoramledge_core/_estimates.py
@@ -121,7 +121,7 @@
         """Set the announced slots; a change discards contention data."""
         if self._contention.slots != slots:
             self._contention = _contention.ContentionEstimate(slots=slots)
-            self._limit = slots
+            self._limit = self._contention.unmeasured_limit
 
     def set_expected(self, expected_s: float | None) -> None:
         """Set the service time to assume until a call has been measured."""
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -1,11 +1,14 @@
 """The limit that a gate learns from the contention of concurrent calls."""
 
+import dataclasses
 import math
 import random
 
 import hypothesis
 from hypothesis import strategies
 from marjoramledge_core import _contention
+from marjoramledge_core import node
+from marjoramledge_standins import builders
 import pytest
 
 SLOTS = 9
@@ -34,26 +37,61 @@
 
 
 # Guards against late calls at servers that slow down when nearly full.
+@pytest.mark.parametrize("seed", range(1, 9))
 @pytest.mark.parametrize("is_full", [False, True])
 @pytest.mark.parametrize(("slots", "knee"), [(4, 3), (9, 7), (12, 9)])
 def test_the_limit_settles_where_a_server_slows_down(
-    slots: int, knee: int, is_full: bool
+    slots: int, knee: int, is_full: bool, seed: int
 ) -> None:
-    limits = _learn_limits(1, slots, knee, is_full=is_full)
+    limits = _learn_limits(seed, slots, knee, is_full=is_full)
     assert sum(limit <= knee for limit in limits) >= 0.8 * len(limits)
     assert sum(limit >= knee - 1 for limit in limits) >= 0.8 * len(limits)
 
 
 # Guards against limits below the slots of servers that serve best when full.
+@pytest.mark.parametrize("seed", range(1, 5))
 @pytest.mark.parametrize("is_full", [False, True])
 @pytest.mark.parametrize("slots", [1, 2, 4, 9, 12])
 def test_the_limit_stays_at_the_slots_without_contention(
-    slots: int, is_full: bool
+    slots: int, is_full: bool, seed: int
 ) -> None:
-    limits = _learn_limits(1, slots, slots, is_full=is_full)
+    limits = _learn_limits(seed, slots, slots, is_full=is_full)
     assert sum(limits) >= 0.9 * slots * len(limits)
 
 
+# Guards against late calls after a common start: no server has been measured,
+# and those that are cold are not measured until they are warm.
+@pytest.mark.parametrize(
+    ("slots", "expected"), [(1, 1), (2, 2), (4, 3), (9, 7), (11, 9), (12, 10)]
+)
+def test_an_unmeasured_server_is_not_filled(
+    slots: int, expected: int
+) -> None:
+    estimate = _contention.ContentionEstimate(slots=slots)
+    assert estimate.choose_limit(100.0) == expected
+    for number in range(4):
+        estimate.note(expected, 1.0, 100.0 + CALL_S * number)
+    assert estimate.choose_limit(101.0) == slots
+
+
+def test_a_cold_gate_leaves_the_last_slots_unused() -> None:
+    driver = builders.CoreDriver()
+    driver.configure()
+    server = builders.build_server(slots=9)
+    driver.submit(
+        node.ServerAnnounced(
+            server=dataclasses.replace(server, cold_concurrency=9)
+        )
+    )
+    started = [
+        command
+        for number in range(9)
+        for command in driver.offer(f"c{number}")
+        if isinstance(command, node.StartWork)
+    ]
+    assert len(started) == KNEE
+
+
 class _Reference:
     """Keeps every call and recomputes all weights for each choice."""
 
@@ -69,7 +107,7 @@
             weights[running - 1] += weight
             sums[running - 1] += weight * math.log(ratio)
         if sum(weights) < _contention.MIN_CALLS:
-            return self.slots
+            return max(1, round(_contention.UNMEASURED_SHARE * self.slots))
         min_limit = max(1, round(_contention.MIN_LIMIT_SHARE * self.slots))
         mean = sum(sums) / sum(weights)
         rates = []
@@ -88,7 +126,7 @@
         undersampled = [
             running
             for running in range(min_limit, best)
-            if weights[running - 1] < _contention.MIN_CALLS
+            if weights[running - 1] < _contention.SETTLED_CALLS
         ]
         return max(undersampled, default=best)
 
