--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -64,9 +64,7 @@
 @pytest.mark.parametrize(
     ("slots", "expected"), [(1, 1), (2, 2), (4, 3), (9, 7), (11, 9), (12, 10)]
 )
-def test_an_unmeasured_server_is_not_filled(
-    slots: int, expected: int
-) -> None:
+def test_an_unmeasured_server_is_not_filled(slots: int, expected: int) -> None:
     estimate = _contention.ContentionEstimate(slots=slots)
     assert estimate.choose_limit(100.0) == expected
     for number in range(4):
