Weigh a call's way to another zone by how long it takes

Cause: a call accepted the same extra wait of 0.08 s to stay in its zone whether it takes 0.1 s or 1 s.

--- a/packages/core/marjoramledge_core/_directory.py
+++ b/packages/core/marjoramledge_core/_directory.py
@@ -36,6 +36,9 @@
     other_zone_cost_s
         Additional expected time in seconds that is accepted in order to stay
         in the zone.
+    other_zone_cost_share
+        Lower bound of that time, relative to the service time of the server
+        in the other zone.
     """
 
     def __init__(
@@ -44,7 +47,9 @@
         node: _ids.NodeId,
         zone: _ids.ZoneName,
         other_zone_cost_s: float,
+        other_zone_cost_share: float = 0.0,
     ) -> None:
+        self._other_zone_cost_share = other_zone_cost_share
         self._other_zone_cost_s = other_zone_cost_s
         self._node = node
         self._zone = zone
@@ -151,8 +156,9 @@
             load.latency_s = (
                 configuration.expected_s(member.service) or load.latency_s
             )
+        load.zone_cost_share = self._other_zone_cost_share
         if member.zone == self._zone:
-            load.zone_cost_s = 0.0
+            load.zone_cost_s = load.zone_cost_share = 0.0
         elif _region_of(member.zone, configuration) == region:
             load.zone_cost_s = self._other_zone_cost_s
         else:
--- a/packages/core/marjoramledge_core/_load.py
+++ b/packages/core/marjoramledge_core/_load.py
@@ -35,8 +35,9 @@
 
     ``entry_in_flight`` counts the calls of this entry at the server, and
     ``others_in_flight`` those of all other entries by the last report.
-    ``zone_cost_s`` is added to the expected response time of a server outside
-    the entry's zone, and ``ejections`` counts the ejections since the server
+    ``zone_cost_s``, or ``zone_cost_share`` times the latency if that is more,
+    is added to the expected response time of a server outside the entry's
+    zone, and ``ejections`` counts the ejections since the server
     last recovered.  ``status`` is what its gate has told about it, and until
     ``paused_until`` its rate limit leaves no room for a call of this entry.
     """
@@ -45,6 +46,7 @@
     address: _members.Address
     zone: _ids.ZoneName
     zone_cost_s: float
+    zone_cost_share: float = 0.0
     slots: int
     is_local: bool = False
     entry_in_flight: int = 0
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -103,6 +103,7 @@
             node=identity.node,
             zone=identity.zone,
             other_zone_cost_s=options.other_zone_cost_s,
+            other_zone_cost_share=options.other_zone_cost_share,
         ),
         calls={},
         quarantine=_quarantine.Quarantine(),
--- a/packages/core/marjoramledge_core/_options.py
+++ b/packages/core/marjoramledge_core/_options.py
@@ -31,8 +31,9 @@
     new version.  ``repeats`` is the retry budget of the whole fleet; without
     it each entry node has the default budget.  ``other_zone_cost_s`` is the
     extra wait that a call accepts before it is sent to another zone of the
-    region.  A node refuses calls while the fleet has known a newer
-    configuration than its own for ``outdated_limit_s``.
+    region; it accepts at least ``other_zone_cost_share`` times the service
+    time of the other server.  A node refuses calls while the fleet has known
+    a newer configuration than its own for ``outdated_limit_s``.
     """
 
     stop_limit_s: float
@@ -42,4 +43,5 @@
     repeats: _budget.FleetRetryBudget | None = None
     waits_for_version: bool = False
     other_zone_cost_s: float = DEFAULT_OTHER_ZONE_COST_S
+    other_zone_cost_share: float = 0.0
     outdated_limit_s: float = DEFAULT_OUTDATED_LIMIT_S
--- a/packages/core/marjoramledge_core/_routing.py
+++ b/packages/core/marjoramledge_core/_routing.py
@@ -33,7 +33,10 @@
     """
     load = (server.estimate_in_flight(now) + 1.0) / server.limit
     wait_s = server.latency_s * load * load * load
-    score = server.latency_s + wait_s + server.zone_cost_s
+    zone_cost_s = max(
+        server.zone_cost_s, server.zone_cost_share * server.latency_s
+    )
+    score = server.latency_s + wait_s + zone_cost_s
     since_s = now - server.readmitted_at
     if since_s < _load.READMISSION_RAMP_S:
         score *= 1.0 + 4.0 * (1.0 - since_s / _load.READMISSION_RAMP_S)
