Bound the safety reads of the whole fleet

Cause: each node that does not follow the store read the version every 30 s, 6.5 reads a second at 195 nodes and 47 at 1,400. Ruled out: followers, whose number depends on the zones. The fleet makes two such reads a second now; the test fails without the change at 195 and at 1,400 members.

--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -45,8 +45,10 @@
 WAIT_PER_MEMBER_S: typing.Final = 0.4
 # How often a node checks whether it has become a follower of the store.
 FOLLOWER_CHECK_S: typing.Final = 0.5
-# How often a node that is not a follower reads the version row.
-NON_FOLLOWER_READ_PERIOD_S: typing.Final = 30.0
+# How often a node that is not a follower reads the version row, in case that
+# gossip fails, and how many such reads the whole fleet makes per second.
+MIN_SAFETY_READ_PERIOD_S: typing.Final = 30.0
+FLEET_SAFETY_READS_PER_S: typing.Final = 2.0
 # Newer versions that a node keeps track of until one is in force.
 MAX_NEWER_VERSIONS: typing.Final = 16
 # Delays after failed reads: a change made after an outage must be read within
@@ -167,11 +169,15 @@
     ) -> None:
         """Read the version in force from the store.
 
-        Where reads wait for a change, a node that is not a follower skips
-        them, except for one per ``NON_FOLLOWER_READ_PERIOD_S``.
+        Where reads wait for a change, a node that is not a follower makes
+        only safety reads.
         """
         if self._waits_for_change:
-            is_due = now - self._read_at >= NON_FOLLOWER_READ_PERIOD_S
+            period_s = max(
+                MIN_SAFETY_READ_PERIOD_S,
+                member_count / FLEET_SAFETY_READS_PER_S,
+            )
+            is_due = now - self._read_at >= period_s
             if not is_follower and self._configuration and not is_due:
                 self._timers.set(
                     now + FOLLOWER_CHECK_S, _timers.TimerKind.CONFIG_READ
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -10,6 +10,7 @@
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_standins import builders
+import pytest
 
 CONTENTS = "xyz"
 DECLARED = builders.build_configuration()
@@ -105,3 +106,26 @@
             fetcher.end(True)
         fetcher.wait()
     assert fetcher.versions.ref == fetcher.newest
+
+
+# Guards against a load on the store that grows with the fleet: each node reads
+# the version from time to time in case that gossip fails.
+@pytest.mark.parametrize("member_count", [9, 195, 1400])
+def test_safety_reads_of_a_fleet_are_bounded(member_count: int) -> None:
+    timers = _timers.TimerQueue()
+    tracker = _versions.VersionTracker(timers=timers, waits_for_change=True)
+    tracker.adopt(builders.build_ref(1), builders.build_configuration(), 0.0)
+    rng = random.Random(1)
+    hour_s = 3600.0
+    reads: list[node.Command] = []
+    tracker.start(0.0)
+    while (at := timers.next_at) is not None and at < hour_s:
+        timers.pop_due(at)
+        out: list[node.Command] = []
+        tracker.read_version(member_count, False, at, rng, out)
+        if out:
+            tracker.read_ended(True, at, rng)
+        reads += out
+    assert member_count * len(reads) / hour_s <= 2.1
+    # A node whose gossip fails must not stay outdated for long.
+    assert len(reads) >= hour_s / max(31.0, member_count)
