Leave it to others to follow the store after a common start

Cause: a node that had just started had heard of nobody, so that it waited at the store for a change like an isolated one, and read the list of nodes a second time if the version came first. Ruled out: the registration itself, one read and one write.

--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -157,11 +157,13 @@
 
         Followers wait at the store for configuration changes and gossip what
         they read.  All nodes choose the same ``FOLLOWERS_PER_ZONE`` nodes of a
-        zone; a node that is isolated follows the store itself.
+        zone; a node that is isolated follows the store itself.  One that has
+        just started counts on the nodes that the store names.
         """
         if now - self._received_at > ISOLATION_TIMEOUT_S:
             return True
-        nodes = self._roster.list_confirmed_in_zone()
+        has_just_started = now - self._started_at <= ISOLATION_TIMEOUT_S
+        nodes = self._roster.list_in_zone(confirmed_only=not has_just_started)
         return self._roster.myself.node in nodes[:FOLLOWERS_PER_ZONE]
 
     @property
@@ -173,7 +175,7 @@
 
     def start(self, now: float) -> None:
         """Schedule registration, sync and probes when the node starts."""
-        self._started_at = now
+        self._started_at = self._received_at = now
         self._timers.set(now, _timers.TimerKind.MEMBER_REGISTER)
         self._schedule_sync(now)
         self._timers.set(now + PROBE_PERIOD_S, _timers.TimerKind.MEMBER_PROBE)
--- a/packages/core/marjoramledge_core/_roster.py
+++ b/packages/core/marjoramledge_core/_roster.py
@@ -122,17 +122,18 @@
             and member.node != self._myself.node
         ]
 
-    def list_confirmed_in_zone(self) -> list[_ids.NodeId]:
+    def list_in_zone(self, *, confirmed_only: bool) -> list[_ids.NodeId]:
         """Return the live nodes of the local zone, sorted.
 
-        Members known from the store alone are left out: they may be gone.
+        Members known from the store alone are not confirmed: they may be
+        gone.
         """
         return sorted(
             member.node
             for member in self._members.values()
             if member.zone == self._myself.zone
             and member.status is _members.MemberStatus.ALIVE
-            and member.is_confirmed
+            and (member.is_confirmed or not confirmed_only)
         )
 
     def pick_present(
--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -161,6 +161,7 @@
         self._compressed_config = b""
         self._is_store_up = True
         self._fleet_loaded = asyncio.Event()
+        self._fleet_reading = asyncio.Lock()
         self._stored_departure: node.ServerStart | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._connect(node.SyncMembers, self._sync_members)
@@ -305,7 +306,8 @@
         """
         if self._store is None:
             return
-        stored = await self._read_fleet(self._store)
+        async with self._fleet_reading:
+            stored = await self._read_fleet(self._store)
         if stored is None:
             return
         myself = self._build_stored_member()
@@ -397,6 +399,12 @@
         self._stored_departure = server
         return True
 
+    async def _read_fleet_once(self, store: client.NodeStore) -> None:
+        """Read the fleet from the store unless that has been done."""
+        async with self._fleet_reading:
+            if not self._fleet_loaded.is_set():
+                await self._read_fleet(store)
+
     async def _read_fleet(
         self, store: client.NodeStore
     ) -> client.FleetRows | None:
@@ -433,8 +441,9 @@
             if row is not None:
                 self._engine.submit(node.VersionRead(ref=row.ref))
             if not self._fleet_loaded.is_set():
-                # The store was unavailable when this node started.
-                await self._read_fleet(self._store)
+                # The store was unavailable when this node started, or the
+                # first read has not ended yet.
+                await self._read_fleet_once(self._store)
         self._engine.submit(node.VersionReadEnded(is_success=is_success))
 
     async def _fetch_manifest(self, command: node.FetchManifest) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -215,6 +215,57 @@
     assert membership.is_follower(network.now + 2.0)
 
 
+def _answer_version_read(
+    driver: builders.CoreDriver, commands: list[node.Command]
+) -> int:
+    """Answer the reads of the version; return how many there are."""
+    reads = [c for c in commands if isinstance(c, node.ReadVersion)]
+    for _ in reads:
+        driver.submit(node.VersionRead(ref=builders.build_ref(1)))
+        driver.configure()
+        driver.submit(node.VersionReadEnded(is_success=True))
+    return len(reads)
+
+
+# Guards against a load on the store by nodes that start together: each of
+# them waited there for a change, as an isolated node does, because it had not
+# heard of any other yet.
+def test_a_started_node_leaves_it_to_others_to_follow_the_store() -> None:
+    driver = builders.CoreDriver(name="n9")
+    driver.state = node.create_state(
+        identity=node.Identity(
+            node=ids.NodeId("n9"),
+            address=node.Address(host="127.0.0.1", port=7009),
+            zone=ids.ZoneName("north"),
+            incarnation=1,
+        ),
+        seeds=(),
+        options=node.Options(stop_limit_s=30.0, waits_for_version=True),
+        now=driver.now,
+    )
+    commands = driver.submit(node.TimePassed())
+    stored = tuple(
+        node.build_stored_member(
+            node=ids.NodeId(f"n{number}"),
+            address=node.Address(host="127.0.0.1", port=7000 + number),
+            zone=ids.ZoneName("north"),
+            service=ids.ServiceName("shop"),
+            slots=4,
+        )
+        for number in range(4)
+    )
+    driver.submit(node.StoredMembersRead(members=stored))
+    assert _answer_version_read(driver, commands) == 1
+    assert _answer_version_read(driver, driver.pass_time(1.0)) == 0
+    for number in range(4):
+        driver.learn_peer(f"n{number}", zone="north")
+    for _ in range(5):
+        driver.hear_version(1, "n1")
+        assert _answer_version_read(driver, driver.pass_time(1.0)) == 0
+    # Nobody is heard any more.
+    assert _answer_version_read(driver, driver.pass_time(2.5)) > 0
+
+
 def _abort_call(network: virtual_network.Network, number: int) -> None:
     """Abort a call at a node; the call may have crashed its server."""
     address = network.address(number)
