Retry few error answers of nested calls without a fleet budget

Ruled out: retries of calls that were broken off, of which only the level next to the fault has any.

--- a/packages/core/marjoramledge_core/_budget.py
+++ b/packages/core/marjoramledge_core/_budget.py
@@ -36,7 +36,10 @@
     """Tokens for further attempts at one service by one entry.
 
     ``tokens`` pay for hedges and for retries after an attempt that may have
-    run or that the backend server itself refused.  ``reroute_tokens`` pay for
+    run or that the backend server itself refused.  A retry of an error answer
+    also takes one of ``error_tokens``, which are fewer: where calls are
+    nested, the error may be that of a call which another level has retried
+    already, and each level would multiply it.  ``reroute_tokens`` pay for
     attempts after one that a gate refused.  A reroute token is spent before
     an attempt that may be refused, and refunded if the attempt is not
     refused, so that a refused call can always be sent to another server.
@@ -45,6 +48,9 @@
     earned_per_call: float = 0.1
     capacity: float = 10.0
     tokens: float = 10.0
+    errors_per_call: float = 0.01
+    error_capacity: float = 3.0
+    error_tokens: float = 3.0
     reroutes_per_call: float = 1.0
     reroute_capacity: float = 50.0
     reroute_tokens: float = 50.0
@@ -61,14 +67,28 @@
             1.0, SLACK_FRACTION * fleet.slack / max(1, node_count)
         )
         self.tokens = min(self.tokens, self.capacity)
+        # The fleet's budget says how many retries its services bear.
+        self.errors_per_call = self.earned_per_call
+        self.error_capacity = self.capacity
+        self.error_tokens = min(self.error_tokens, self.error_capacity)
 
     def earn(self) -> None:
         """Credit the tokens that the first attempt of a call earns."""
         self.tokens = min(self.capacity, self.tokens + self.earned_per_call)
+        self.error_tokens = min(
+            self.error_capacity, self.error_tokens + self.errors_per_call
+        )
         self.reroute_tokens = min(
             self.reroute_capacity, self.reroute_tokens + self.reroutes_per_call
         )
 
+    def spend_on_error(self) -> bool:
+        """Spend tokens on the retry of an error answer, if there are any."""
+        if self.error_tokens < 1.0 or not self.spend():
+            return False
+        self.error_tokens -= 1.0
+        return True
+
     def spend(self) -> bool:
         """Spend a token on a retry or hedge; return False if none is left."""
         if self.tokens < 1.0:
--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -336,7 +336,7 @@
         not has_time
         or not _may_retry(step, call, attempt)
         or _dispatch.select_server(step, call) is None
-        or not step.budget_of(call.service).spend()
+        or not step.budget_of(call.service).spend_on_error()
     ):
         return False
     _record(
