Count on the starts of the gate before at a cold server

Cause: a gate that takes over from one that was killed knows none of its starts, so that a cold server could get twice its rate within a second (operators' report of a hand-over). Ruled out: a server that started together with its node, which nobody used before. A server that was cold for more than 1.5 s before its node started gets its first call a second after that. Test red without it.

--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -48,6 +48,10 @@
 # Slowdowns of a VM last some tenths of a second, so an older measurement of
 # the slowdown is of no use.
 SLOWDOWN_PROBE_INTERVAL_S: typing.Final = 0.1
+# A server that became cold longer than this before its node started may have
+# run calls of a node before it.  Longer than a node takes to start, since
+# servers start together with their nodes.
+NODE_START_S: typing.Final = 1.5
 # Shorter timers would be lost to the clock's resolution.
 MIN_START_WAIT_S: typing.Final = 0.001
 
@@ -114,9 +118,16 @@
 
 
 class Gate:
-    """Admission control for the local backend server."""
+    """Admission control for the local backend server.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    started_at
+        Monotonic time in seconds at which the node started.
+    """
+
+    def __init__(self, *, started_at: float = -math.inf) -> None:
+        self._started_at = started_at
         self._server: Server | None = None
         self._state = _members.ServerState.ABSENT
         self._limit = _limit.ConcurrencyLimit(
@@ -660,6 +671,12 @@
         if now >= self._cold_until:
             return 0.0
         wait_s = self._cold_rate_limiter.wait_s(service.cold_rate_per_s, now)
+        cold_since = self._cold_until - service.cold_s
+        if cold_since < self._started_at - NODE_START_S:
+            # The node before this one may have used the rate of the last
+            # second, which nobody has counted here.
+            handover_at = self._started_at + _rate_limiter.WINDOW_S
+            wait_s = max(wait_s, handover_at - now)
         return min(wait_s, self._cold_until - now)
 
     def _is_over_share(self, work: _queue.Work) -> bool:
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -92,7 +92,7 @@
         zone=identity.zone,
         options=options,
         timers=timers,
-        gate=_gate.Gate(),
+        gate=_gate.Gate(started_at=now),
         membership=_membership.Membership(
             myself=myself, seeds=seeds, timers=timers
         ),
--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -143,6 +143,37 @@
     assert 5 <= started <= 2 * 6
 
 
+def _count_starts_after_restart(cold_left_s: float) -> int:
+    """Count calls that a new gate starts in its first half second."""
+    driver = _build_driver()
+    driver.now += 0.2
+    _announce(driver, "s", born=10, cold_left_s=cold_left_s)
+    gate = driver.state.gate
+    gate.set_service(
+        dataclasses.replace(
+            next(iter(builders.build_configuration().services.values())),
+            cold_rate_per_s=2.0,
+            cold_s=30.0,
+        )
+    )
+    started = 0
+    for number in range(5):
+        commands = driver.arrive(f"c{number}") + driver.pass_time(0.1)
+        started += sum(isinstance(c, node.RunOnServer) for c in commands)
+    return started
+
+
+# Guards against twice the rate that a cold server bears: the node that was
+# killed beside it and the one that replaces it within a second each use it.
+def test_a_restarted_gate_counts_on_starts_of_the_one_before() -> None:
+    assert _count_starts_after_restart(cold_left_s=20.0) == 0
+
+
+# After a power failure both start together, and a wait would be in vain.
+def test_a_gate_that_started_with_its_server_waits_for_nobody() -> None:
+    assert _count_starts_after_restart(cold_left_s=29.5) >= 1
+
+
 def test_requests_for_another_service_are_refused() -> None:
     driver = _build_driver()
     _announce(driver, "s", born=10)
