Tell a late second answer by the call that it names

Cause: on the product's own interface an answer names nothing, so that a copy which comes after the next request was written is taken for its answer (operators' report). Ruled out: the users' platform, whose servers repeat the request's id, and copies that come before the next request. A server may repeat Marjoramledge-Call; an answer that names another call proves nothing and ends its connection. Red without the change.

--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -331,10 +331,15 @@
     def _has_other_request_id(
         self, outgoing: OutgoingRequest, answer: Answer
     ) -> bool:
+        """Return whether an answer names another request as its own."""
+        answered = answer.response.headers
+        call = answered.get(_headers.CALL)
+        if call is not None and call != outgoing.headers.get(_headers.CALL):
+            return True
         name = self._dialect.request_id
         if name is None or name not in outgoing.headers:
             return False
-        return answer.response.headers.get(name) != outgoing.headers[name]
+        return answered.get(name) != outgoing.headers[name]
 
     async def probe(
         self, server: node.Server, timeout_s: float
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -9,6 +9,7 @@
 
 from marjoramledge_node import _bodies
 from marjoramledge_node import _dialect
+from marjoramledge_node import _headers
 from marjoramledge_node import _relay
 from marjoramledge_node import _upstream
 from marjoramledge_platform import _dialect as platform_dialect
@@ -60,7 +61,9 @@
         _upstream.OutgoingRequest(
             method="GET",
             target="/",
-            headers=multidict.CIMultiDict({REQUEST_ID: name}),
+            headers=multidict.CIMultiDict(
+                {REQUEST_ID: name, _headers.CALL: name}
+            ),
             body=_bodies.Body(),
         ),
         builders.build_server(port=port),
@@ -90,6 +93,64 @@
         await upstream.close()
 
 
+class _LateServer:
+    """Answers the second request on a connection with the first answer.
+
+    The copy comes after the second request was written, so that nothing on
+    the connection shows it before.
+    """
+
+    def __init__(self, *, names_calls: bool) -> None:
+        self._listener = socket.create_server((HOST, 0))
+        self.port: int = self._listener.getsockname()[1]
+        self._names_calls = names_calls
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def _serve(self) -> None:
+        accepted, _ = self._listener.accept()
+        accepted.settimeout(TIMEOUT_S)
+        answer = _encode_answer(FIRST)
+        if self._names_calls:
+            name = f"\r\n{_headers.CALL}: {FIRST}\r\n".encode()
+            answer = answer.replace(b"\r\n", name, 1)
+        with accepted, self._listener:
+            for _ in range(2):
+                accepted.recv(65536)
+                accepted.sendall(answer)
+
+
+async def _request_after_answer(
+    dialect: _dialect.Dialect, *, names_calls: bool
+) -> tuple[bytes | None, bytes | None]:
+    upstream = _upstream.Upstream(dialect=dialect, idle_connection_s=15.0)
+    server = _LateServer(names_calls=names_calls)
+    try:
+        first = await _request(upstream, server.port, FIRST)
+        return first, await _request(upstream, server.port, SECOND)
+    finally:
+        await upstream.close()
+
+
+# Guards against a second answer that comes late, on a connection that is in
+# use again, and reaches the next caller.
+@pytest.mark.parametrize(
+    ("dialect", "names_calls"),
+    [
+        pytest.param(_dialect.DEFAULT_DIALECT, True, id="own"),
+        pytest.param(platform_dialect.DIALECT, False, id="platform"),
+    ],
+)
+def test_a_late_second_answer_is_told_by_its_name(
+    dialect: _dialect.Dialect, names_calls: bool
+) -> None:
+    first, second = uvloop.run(
+        _request_after_answer(dialect, names_calls=names_calls)
+    )
+    assert first == FIRST.encode()
+    assert second is None
+
+
 # Guards against an answer that reaches another request's caller.
 @pytest.mark.parametrize(
     "dialect",
