Store a departure that only answers told

Ruled out: announced departures, which are stored before they are acknowledged. The gate stores it once, and again for 20 s while the store is away. Two tests, red without the change.

--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -136,6 +136,13 @@
     """Write this node to the store and read some other members from it."""
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class StoreDeparture:
+    """Store that a start of the backend server on this VM is leaving."""
+
+    server: _server_status.ServerStart
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ReadVersion:
     """Read the current configuration version from the store.
@@ -194,6 +201,7 @@
     | SendMessage
     | SyncMembers
     | RegisterMember
+    | StoreDeparture
     | ReadVersion
     | FetchManifest
     | StopAccepting
--- a/packages/core/marjoramledge_core/_gate_handlers.py
+++ b/packages/core/marjoramledge_core/_gate_handlers.py
@@ -174,6 +174,8 @@
             detail=f"{signals.invalid_leaving!r}",
         )
     if signals.is_leaving:
+        if start != _server_status.ANY_START and not gate.has_said_to_leave:
+            step.out.append(_commands.StoreDeparture(server=start))
         gate.note_leaving(start)
         _start_draining(step, "said in an answer")
 
--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -42,6 +42,10 @@
 # How long a starting node waits for the store's list of departed servers
 # before it announces the backend server that already runs.
 STORE_READ_WAIT_S: typing.Final = 0.3
+# A departure that only answers told is written until the store accepts it, or
+# for longer than a leaving server runs.
+DEPARTURE_WRITES: typing.Final = 20
+DEPARTURE_WRITE_PAUSE_S: typing.Final = 1.0
 MAX_INVALID_ROWS_LOGGED: typing.Final = 10
 # Bounds the members that a starting node takes from the store; more than any
 # fleet has.  Nodes that start together learn of those beyond it by gossip
@@ -166,6 +170,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._connect(node.SyncMembers, self._sync_members)
         self._connect(node.RegisterMember, self._register)
+        self._connect(node.StoreDeparture, self._keep_departure)
         self._connect(
             node.ProbeServer,
             self._probe_server,
@@ -383,6 +388,16 @@
             )
         )
 
+    async def _keep_departure(self, command: node.StoreDeparture) -> None:
+        """Store a departure, again after each failure."""
+        for _ in range(DEPARTURE_WRITES):
+            if await self.store_departure(command.server):
+                return
+            await asyncio.sleep(DEPARTURE_WRITE_PAUSE_S)
+        loguru.logger.bind(event="departure-not-kept").warning(
+            "the departure of {} could not be stored", command.server.server
+        )
+
     async def store_departure(self, server: node.ServerStart) -> bool:
         """Store that a backend server leaves and will not return.
 
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -70,6 +70,21 @@
     assert isinstance(sent, node.SendToPeer)
 
 
+# Guards against a departure that only the gate's process knows: once it and
+# the entries that it told have restarted, the server would be used again.
+def test_a_departure_that_answers_tell_is_stored_once() -> None:
+    driver = _start_gate()
+    signalled = node.ServerSignalled(server=START, signals=LEAVING)
+    commands = driver.submit(signalled)
+    stored = [c for c in commands if isinstance(c, node.StoreDeparture)]
+    assert [command.server for command in stored] == [START]
+    repeated = driver.submit(signalled)
+    assert not [c for c in repeated if isinstance(c, node.StoreDeparture)]
+    restarted = _start_gate(dataclasses.replace(START, born=0))
+    restarted.submit(node.DeparturesRead(servers=(START,)))
+    assert not _takes_work(restarted, "a")
+
+
 # Guards against a probe that shows the same, and is ignored.
 def test_a_probe_may_show_that_a_server_leaves() -> None:
     driver = _start_gate()
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -169,6 +169,52 @@
     assert [event for event in engine.events if isinstance(event, awaited)]
 
 
+class _BusyStore:
+    """Fails to store a departure a few times."""
+
+    def __init__(self, failures: int) -> None:
+        self.writes = 0
+        self._failures = failures
+
+    async def put_departure(
+        self, _server: node.ServerStart
+    ) -> result.Result[None, client.StoreError]:
+        self.writes += 1
+        if self.writes <= self._failures:
+            return result.Failure(client.StoreError.NO_ANSWER)
+        return result.Success(None)
+
+
+# Guards against a departure that is lost because the store was away.
+def test_a_departure_is_stored_once_the_store_takes_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_document_exchange, "DEPARTURE_WRITE_PAUSE_S", 0.0)
+    store = _BusyStore(failures=3)
+
+    async def run() -> None:
+        engine = _Engine()
+        exchange = _document_exchange.DocumentExchange(
+            engine=engine.typed(),
+            upstream=typing.cast(_upstream.Upstream, _Failing()),
+            store=typing.cast(client.NodeStore, store),
+            options=typing.cast(_options.Options, types.SimpleNamespace()),
+            timeline=_timeline.Timeline(),
+            environment=_environment.Environment(),
+            counts=_counts.Counts(),
+        )
+        start = node.ServerStart(server=ids.ServerId("i-1"), born=7)
+        engine.consumers[node.StoreDeparture](
+            node.StoreDeparture(server=start)
+        )
+        for _ in range(32):
+            await asyncio.sleep(0)
+        await exchange.close()
+
+    asyncio.run(run())
+    assert store.writes == 4
+
+
 async def _read_after_cancelled_trial() -> client.StoreError | None:
     """Cancel the breaker's trial operation; return the error of the next."""
     store = client.StoreClient(base_url="http://store.example")
