--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -84,6 +84,19 @@
     assert not _is_accepted(content, HERE, other)
 
 
+# Guards against a withdrawn key that is accepted again after a restart: a node
+# has no keys but those of its settings.
+def test_a_withdrawn_key_is_rejected_by_a_restarted_node() -> None:
+    withdrawn = _auth.parse_keys("a:a-secret-of-sixteen").unwrap()
+    restarted = _auth.parse_keys("b:b-secret-of-sixteen").unwrap()
+    content = b"offer"
+    header = withdrawn.sign_header(content)
+    assert withdrawn.verify_header(header, content)
+    assert not restarted.verify_header(header, content)
+    reused = _auth.parse_keys("a:c-secret-of-sixteen").unwrap()
+    assert not reused.verify_header(header, content)
+
+
 def test_no_message_is_rejected_while_keys_are_rotated() -> None:
     old = _auth.parse_keys("a:a-secret-of-sixteen").unwrap()
     both = _auth.parse_keys(KEYS).unwrap()
