Emulator: draw no random numbers for a list that is taken whole

A test of reads at the store relied on members that answer no probes and stay unsuspected; it ends before the first is suspected.

--- a/packages/standins/marjoramledge_standins/virtual_network.py
+++ b/packages/standins/marjoramledge_standins/virtual_network.py
@@ -274,8 +274,9 @@
             slots=myself.slots,
         )
         rows = list(self.store.members.values())
-        self.rng.shuffle(rows)
-        read = tuple(rows[: self.max_rows])
+        if len(rows) > self.max_rows:
+            rows = self.rng.sample(rows, self.max_rows)
+        read = tuple(rows)
         self._reply(address, node.StoredMembersRead(members=read))
 
     def _fetch(
