Count on the expected time until a call has been measured

Cause: before its first call a gate took a call's time as 0 whatever its VM's slowdown, and reported the expected time without it. At the start of traffic, and after each restart, slow VMs were met by calls that ran into their timeout (an order of 0.5 s ran for all of 2.5 s). Ruled out: the reported slowdown, which is known from the health page before any call. Prediction, waiting time and load report use the expected time; learning uses measured times only, as before. Test red without the change.

--- a/packages/core/marjoramledge_core/_estimates.py
+++ b/packages/core/marjoramledge_core/_estimates.py
@@ -136,7 +136,7 @@
             service_s = self._service_time.service_s(running, now)
         else:
             # The reported slowdown is more recent than any finished call.
-            service_s = self._service_time.mean_s * self._slowdown_factor(now)
+            service_s = self.typical_service_s * self._slowdown_factor(now)
         service_s *= self._error_rate.penalty(
             now
         ) * self._latency_ratio.factor(now)
@@ -145,8 +145,13 @@
     def baseline_s(self, work: _queue.Work) -> float:
         """Return the mean time of a call's kind on an unloaded VM, in seconds.
 
-        Until a call of that kind has finished, the mean of all calls.
+        Until a call of that kind has finished, the mean of all calls, and
+        before that the expected one.
         """
+        return self._measured_s(work) or self._expected_s
+
+    def _measured_s(self, work: _queue.Work) -> float:
+        """Return the measured part of ``baseline_s``; 0 if there is none."""
         known = self._kind_service_times.get(work.kind.name)
         return self._service_time.mean_s if known is None else known.mean_s
 
@@ -160,8 +165,6 @@
     def note_slowdown(self, slowdown: float, running: int, now: float) -> bool:
         """Record a reported slowdown; return whether to publish the load."""
         self._slowdown.note_reported(slowdown, now)
-        if not self._service_time.mean_s:
-            return False
         service_s = self.reported_s(running, now)
         published_s = self._published_service_s
         if (
@@ -216,14 +219,14 @@
         self, work: _queue.Work, outcome: _outcomes.ServerOutcome, now: float
     ) -> bool:
         if outcome is _outcomes.ServerOutcome.CANCELLED:
-            typical_s = self.baseline_s(work)
+            typical_s = self._measured_s(work)
             return now - work.started_at > HANG_RATIO * typical_s > 0.0
         return outcome in _FAULTS
 
     def _learn_censored(
         self, work: _queue.Work, now: float, *, was_cold: bool
     ) -> None:
-        typical_s = self.baseline_s(work)
+        typical_s = self._measured_s(work)
         elapsed_s = now - work.started_at
         time_factor = self._slowdown.slowdown_factor(work.slowdown, now)
         if elapsed_s > time_factor * typical_s > 0.0:
@@ -236,7 +239,7 @@
     def _learn_slowdown(
         self, work: _queue.Work, elapsed_s: float, now: float
     ) -> None:
-        typical_s = self.baseline_s(work)
+        typical_s = self._measured_s(work)
         if typical_s > 0.0:
             self._slowdown.learn(work.slowdown, elapsed_s / typical_s, now)
 
@@ -248,7 +251,7 @@
         *,
         was_cold: bool,
     ) -> None:
-        typical_s = self.baseline_s(work)
+        typical_s = self._measured_s(work)
         if was_cold or min(typical_s, elapsed_s) <= 0.0:
             return
         self._contention.note(work.running, elapsed_s / typical_s, now)
--- a/tests/test_slowed_vm.py
+++ b/tests/test_slowed_vm.py
@@ -52,6 +52,26 @@
     assert driver.state.gate.running == 0
 
 
+# Guards against calls that run into their deadline at the start of traffic: no
+# call has been measured, and a slow VM looked as fast as any other.
+def test_an_unmeasured_gate_counts_on_the_expected_time() -> None:
+    driver = builders.CoreDriver()
+    driver.configure()
+    driver.submit(node.ServerAnnounced(server=builders.build_server()))
+    declared = builders.build_configuration()
+    (service,) = declared.services.values()
+    driver.state.gate.set_service(service, TYPICAL_S)
+    _report_slowdown(driver, 1.0)
+    _report_slowdown(driver, SLOWDOWN)
+    reported_s = driver.state.gate.report(driver.now).service_s
+    assert reported_s == pytest.approx(SLOWDOWN * TYPICAL_S)
+    (answer,) = driver.offer("c", target_s=TARGET_S)
+    assert isinstance(answer, node.RefuseWork)
+    _report_slowdown(driver, 1.0)
+    (answer,) = driver.offer("d", target_s=TARGET_S)
+    assert isinstance(answer, node.StartWork)
+
+
 # Guards against calls that stay queued after the slowdown has ended.
 def test_a_queued_call_starts_when_the_vm_is_no_longer_slow() -> None:
     driver = _build_driver()
