Let a departure without start time cover all earlier starts

The departure was kept with the start time 0, so that a heartbeat of before, 2.3 s late, was taken for a new start (operators' report of servers that come back after a restart). Ruled out: the probe that a starting node makes (it was refused), the stored departure (the store was away, and had held the same 0). The time at which it was said stands for the start time; the store gets it too. Three tests, red before.

--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -167,17 +167,23 @@
     """The backend server on this VM asked for no new work.
 
     ``server`` names the start of the server that asked; ``ANY_START`` stands
-    for the current one.
+    for the current one.  ``said_at_ms`` is the time of day in milliseconds at
+    which it asked, on the clock that the start times are of.
     """
 
     server: _server_status.ServerStart = _server_status.ANY_START
+    said_at_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ServerWithdrawn:
-    """The backend server on this VM deregistered from the node."""
+    """The backend server on this VM deregistered from the node.
+
+    The fields are those of ``ServerDraining``.
+    """
 
     server: _server_status.ServerStart = _server_status.ANY_START
+    said_at_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -309,21 +309,32 @@
             return server.is_cold
         return not self.matches_start(server.start)
 
-    def note_departure(self, start: _server_status.ServerStart) -> None:
+    def note_departure(
+        self, start: _server_status.ServerStart, said_at_ms: int = 0
+    ) -> None:
         """Record that a backend server, identified by its start, leaves.
 
-        Later announcements of that start are ignored.
+        Later announcements of that start are ignored.  If nobody knows its
+        start time, those of all starts before ``said_at_ms`` are.
         """
         if start == _server_status.ANY_START:
             return
         born = start.born
         if self._server is not None and self.matches_start(start):
             born = max(born, self._server.start.born)
+        born = born or said_at_ms
         known = self._departed.pop(start.server, -1)
         self._departed[start.server] = max(known, born)
         while len(self._departed) > MAX_DEPARTED:
             del self._departed[next(iter(self._departed))]
 
+    def resolve_departure(
+        self, start: _server_status.ServerStart
+    ) -> _server_status.ServerStart:
+        """Return a departed start with the start time that it covers."""
+        born = self._departed.get(start.server, start.born)
+        return dataclasses.replace(start, born=max(born, start.born))
+
     def set_service(
         self, service: _settings.Service, expected_s: float | None = None
     ) -> None:
--- a/packages/core/marjoramledge_core/_gate_handlers.py
+++ b/packages/core/marjoramledge_core/_gate_handlers.py
@@ -369,7 +369,7 @@
 
 def drain_server(step: _state.Step, event: _events.ServerDraining) -> None:
     """Stop accepting calls for the backend server; running calls finish."""
-    step.state.gate.note_departure(event.server)
+    step.state.gate.note_departure(event.server, event.said_at_ms)
     if step.state.gate.matches_start(event.server):
         _start_draining(step)
 
@@ -385,7 +385,7 @@
 
 def withdraw_server(step: _state.Step, event: _events.ServerWithdrawn) -> None:
     """Remove the backend server and return its queued calls."""
-    step.state.gate.note_departure(event.server)
+    step.state.gate.note_departure(event.server, event.said_at_ms)
     if not step.state.gate.matches_start(event.server):
         return
     for work in step.state.gate.withdraw():
--- a/packages/node/marjoramledge_node/_local_port.py
+++ b/packages/node/marjoramledge_node/_local_port.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections.abc
 import json
+import time
 import typing
 
 from aiohttp import web
@@ -24,6 +25,8 @@
 # Backend servers wait 1 s for an acknowledgement.
 STORE_TIMEOUT_S: typing.Final = 0.6
 
+NS_PER_MS: typing.Final = 1_000_000
+
 DepartureWriter = collections.abc.Callable[
     [node.ServerStart], collections.abc.Awaitable[bool]
 ]
@@ -75,9 +78,13 @@
             )
             return _json_response(400, {"problems": problems})
         event = parsed.unwrap()
+        if not isinstance(event, node.ServerDraining | node.ServerWithdrawn):
+            self._engine.submit(event)
+            return web.Response(status=204)
+        event.said_at_ms = time.time_ns() // NS_PER_MS
         self._engine.submit(event)
-        if isinstance(event, node.ServerDraining | node.ServerWithdrawn):
-            await self._store_or_warn(event.server)
+        gate = self._engine.state.gate
+        await self._store_or_warn(gate.resolve_departure(event.server))
         return web.Response(status=204)
 
     async def _store_or_warn(self, server: node.ServerStart) -> None:
--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -9,6 +9,7 @@
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_standins import builders
+import pytest
 
 
 def _announce(
@@ -70,6 +71,35 @@
     assert driver.state.gate.state is node.ServerState.WARM
 
 
+# Guards against a server that has left and is in use again: its node has
+# restarted and knows no server when it deregisters without its start time, and
+# a heartbeat of before comes late (hunt e9fe, day 39: 13 calls).
+@pytest.mark.parametrize("event", [node.ServerDraining, node.ServerWithdrawn])
+def test_a_departure_without_start_time_covers_earlier_starts(
+    event: type[node.ServerDraining | node.ServerWithdrawn],
+) -> None:
+    driver = _build_driver()
+    start = node.ServerStart(server=ids.ServerId("s"))
+    driver.submit(event(server=start, said_at_ms=100))
+    _announce(driver, "s", born=90, sequence=21)
+    assert driver.state.gate.server is None
+    assert driver.state.gate.resolve_departure(start).born == 100
+    _announce(driver, "s", born=110)
+    assert driver.state.gate.state is node.ServerState.WARM
+
+
+# The start time of a known server is more exact than the time of its word.
+def test_a_departure_of_a_known_server_covers_its_start_only() -> None:
+    driver = _build_driver()
+    _announce(driver, "s", born=90)
+    start = node.ServerStart(server=ids.ServerId("s"))
+    driver.submit(node.ServerWithdrawn(server=start, said_at_ms=500))
+    assert driver.state.gate.server is None
+    assert driver.state.gate.resolve_departure(start).born == 90
+    _announce(driver, "s", born=400)
+    assert driver.state.gate.state is node.ServerState.WARM
+
+
 def test_a_departure_of_another_server_is_ignored() -> None:
     driver = _build_driver()
     _announce(driver, "s", born=10)
