--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -118,17 +118,38 @@
             step, event, _outcomes.Reason.NODE_STOPPING, kind=kind.name
         )
         return
-    call = _state.Call(
+    call = _build_call(step, event, kind, deadline_s)
+    step.state.calls[call.call] = call
+    step.budget_of(call.service).earn()
+    _set_timer(step, call, call.deadline_at, _timers.TimerKind.CALL_DEADLINE)
+    if kind.hedging:
+        hedge_s = _hedge_delay_s(step, kind)
+        if kind.target_s is not None:
+            hedge_s = min(hedge_s, FIRST_HEDGE_CHECK_FRACTION * kind.target_s)
+        _set_timer(
+            step, call, step.now + hedge_s, _timers.TimerKind.CALL_HEDGE
+        )
+    if not _dispatch.dispatch(step, call):
+        _refuse(step, call, call.last_reason)
+
+
+def _build_call(
+    step: _state.Step,
+    event: _events.CallArrived,
+    kind: _settings.RequestKind,
+    deadline_s: float,
+) -> _state.Call:
+    """Build the record of a call that is accepted."""
+    target_at = math.inf
+    if kind.target_s is not None:
+        target_at = step.now + min(kind.target_s, deadline_s)
+    return _state.Call(
         call=event.call,
         kind=kind,
         service=kind.pick_service(step.rng.random()),
         arrived_at=step.now,
         deadline_at=step.now + deadline_s,
-        target_at=(
-            math.inf
-            if kind.target_s is None
-            else step.now + min(kind.target_s, deadline_s)
-        ),
+        target_at=target_at,
         is_body_buffered=event.is_body_buffered,
         attempts={},
         tried=set(),
@@ -137,18 +158,6 @@
         fingerprint=event.fingerprint,
         request=event.request,
     )
-    step.state.calls[call.call] = call
-    step.budget_of(call.service).earn()
-    _set_timer(step, call, call.deadline_at, _timers.TimerKind.CALL_DEADLINE)
-    if kind.hedging:
-        hedge_s = _hedge_delay_s(step, kind)
-        if kind.target_s is not None:
-            hedge_s = min(hedge_s, FIRST_HEDGE_CHECK_FRACTION * kind.target_s)
-        _set_timer(
-            step, call, step.now + hedge_s, _timers.TimerKind.CALL_HEDGE
-        )
-    if not _dispatch.dispatch(step, call):
-        _refuse(step, call, call.last_reason)
 
 
 def attempt_answered(
