--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -130,16 +130,23 @@
     assert released == [ATTEMPT]
 
 
-async def _run_failing_command(engine: _Engine, command: node.Command) -> None:
-    fleet = _document_exchange.DocumentExchange(
+def _build_exchange(
+    engine: _Engine, store: object
+) -> _document_exchange.DocumentExchange:
+    """Build an exchange whose requests to peers fail."""
+    return _document_exchange.DocumentExchange(
         engine=engine.typed(),
         upstream=typing.cast(_upstream.Upstream, _Failing()),
-        store=typing.cast(client.NodeStore, _Failing()),
+        store=typing.cast(client.NodeStore, store),
         options=typing.cast(_options.Options, types.SimpleNamespace()),
         timeline=_timeline.Timeline(),
         environment=_environment.Environment(),
         counts=_counts.Counts(),
     )
+
+
+async def _run_failing_command(engine: _Engine, command: node.Command) -> None:
+    fleet = _build_exchange(engine, _Failing())
     engine.consumers[type(command)](command)
     for _ in range(8):
         await asyncio.sleep(0)
@@ -194,15 +201,7 @@
 
     async def run() -> None:
         engine = _Engine()
-        exchange = _document_exchange.DocumentExchange(
-            engine=engine.typed(),
-            upstream=typing.cast(_upstream.Upstream, _Failing()),
-            store=typing.cast(client.NodeStore, store),
-            options=typing.cast(_options.Options, types.SimpleNamespace()),
-            timeline=_timeline.Timeline(),
-            environment=_environment.Environment(),
-            counts=_counts.Counts(),
-        )
+        exchange = _build_exchange(engine, store)
         start = node.ServerStart(server=ids.ServerId("i-1"), born=7)
         engine.consumers[node.StoreDeparture](
             node.StoreDeparture(server=start)
