Apply a departure to the current server whatever its start time

Cause: the gate drained only if the departure named the start that it held, by id and start time; the acknowledgement did not depend on that. It held another one because an announcement with a lower start time was ignored for ever (a clock set back between two starts), or because the departure was the first that it heard of a start.

Ruled out: the order of start times as the only cause.

Change: _server_starts, split from the gate, decides which start is current. A departure applies whenever it names the current server's id. A start whose time does not show that it is the newest must announce itself twice, so that one late heartbeat of an earlier start ends no departure, and a server whose clock was set back is in use again.

--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -21,6 +21,7 @@
 from marjoramledge_core import _queue
 from marjoramledge_core import _rate_limiter
 from marjoramledge_core import _reports
+from marjoramledge_core import _server_starts
 from marjoramledge_core import _server_status
 from marjoramledge_core import _settings
 from marjoramledge_core import _statistics
@@ -42,9 +43,6 @@
 # found dead count as running at its death.
 DEATH_WINDOW_S: typing.Final = 2.0
 MAX_ABORTED: typing.Final = 256
-# Departures that are remembered in order to ignore announcements that arrive
-# after them; such announcements are few.
-MAX_DEPARTED: typing.Final = 256
 # Slowdowns of a VM last some tenths of a second, so an older measurement of
 # the slowdown is of no use.
 SLOWDOWN_PROBE_INTERVAL_S: typing.Final = 0.1
@@ -146,7 +144,7 @@
         self._named_limit = _named_limit.NamedLimit()
         self._has_said_to_leave = False
         self._service: _settings.Service | None = None
-        self._departed: dict[_ids.ServerId, int] = {}
+        self._starts = _server_starts.ServerStarts()
         self._aborted: collections.deque[tuple[float, _ids.Fingerprint]] = (
             collections.deque(maxlen=MAX_ABORTED)
         )
@@ -239,8 +237,13 @@
             service_s=self._estimates.reported_s(len(self._running), now),
         )
 
-    def announce(self, server: Server, now: float) -> None:
-        """Apply an announcement of the backend server.
+    @property
+    def starts(self) -> _server_starts.ServerStarts:
+        """Starts of the backend server, and their departures."""
+        return self._starts
+
+    def announce(self, server: Server, now: float) -> bool:
+        """Apply an announcement; return False if it is outdated.
 
         Running and queued calls are kept.  The limit restarts from the cold
         level, unless the announcement merely repeats the known values.
@@ -251,14 +254,17 @@
             and self._server.slots == server.slots
             and self._server.is_cold == server.is_cold
         )
-        if self._is_new_start(server):
+        is_new_start = self._is_new_start(server)
+        if not self._accept_start(server, now):
+            return False
+        if is_new_start:
             self._named_limit.forget()
             self._has_said_to_leave = False
         self._server = server
         self._last_seen_at = now
         self._cold_until = now + server.cold_left_s
         if is_repeat and self.accepts_work:
-            return
+            return True
         self._estimates.set_slots(server.slots)
         self._limit = _limit.ConcurrencyLimit(
             slots=server.slots,
@@ -273,67 +279,22 @@
         self._queue.resize(
             max(MIN_QUEUE_CAPACITY, QUEUE_CAPACITY_PER_SLOT * server.slots)
         )
+        return True
 
-    def is_newer(self, server: Server) -> bool:
-        """Return whether an announcement is newer than the known state.
-
-        A delayed announcement may belong to an earlier start, or to a start
-        whose departure has been acknowledged since.
-        """
-        start = server.start
-        if start == _server_status.ANY_START:
+    def _accept_start(self, server: Server, now: float) -> bool:
+        if server.start == _server_status.ANY_START:
             # Only a new start is cold, and not leaving any more.
-            return server.is_cold or not self._has_said_to_leave
-        if self._departed.get(start.server, -1) >= start.born:
-            return False
-        known = self._server
-        if known is None or start.server != known.start.server:
-            return known is None or start.born >= known.start.born
-        if start.born != known.start.born:
-            return start.born > known.start.born
-        return server.sequence > known.sequence
-
-    def matches_start(self, start: _server_status.ServerStart) -> bool:
-        """Return whether ``start`` identifies the current backend server."""
-        if start == _server_status.ANY_START:
-            return True
-        if self._server is None or self._server.start.server != start.server:
-            return False
-        known = self._server.start.born
-        # 0 means that whoever named the start did not know its start time.
-        return start.born == known or 0 in (start.born, known)
+            is_accepted = server.is_cold or not self._has_said_to_leave
+            if is_accepted:
+                self._starts.remove()
+            return is_accepted
+        return self._starts.accept(server.start, server.sequence, now)
 
     def _is_new_start(self, server: Server) -> bool:
         """Return whether an announcement is that of another start."""
         if server.start == _server_status.ANY_START:
             return server.is_cold
-        return not self.matches_start(server.start)
-
-    def note_departure(
-        self, start: _server_status.ServerStart, said_at_ms: int = 0
-    ) -> None:
-        """Record that a backend server, identified by its start, leaves.
-
-        Later announcements of that start are ignored.  If nobody knows its
-        start time, those of all starts before ``said_at_ms`` are.
-        """
-        if start == _server_status.ANY_START:
-            return
-        born = start.born
-        if self._server is not None and self.matches_start(start):
-            born = max(born, self._server.start.born)
-        born = born or said_at_ms
-        known = self._departed.pop(start.server, -1)
-        self._departed[start.server] = max(known, born)
-        while len(self._departed) > MAX_DEPARTED:
-            del self._departed[next(iter(self._departed))]
-
-    def resolve_departure(
-        self, start: _server_status.ServerStart
-    ) -> _server_status.ServerStart:
-        """Return a departed start with the start time that it covers."""
-        born = self._departed.get(start.server, start.born)
-        return dataclasses.replace(start, born=max(born, start.born))
+        return not self._starts.matches(server.start)
 
     def set_service(
         self, service: _settings.Service, expected_s: float | None = None
@@ -382,7 +343,7 @@
 
     def note_leaving(self, start: _server_status.ServerStart) -> None:
         """Record that the server has said in an answer that it leaves."""
-        self.note_departure(start)
+        self._starts.depart(start)
         self._has_said_to_leave = True
 
     def rate_wait_s(self, now: float) -> float:
@@ -426,6 +387,7 @@
         """Remove the backend server; return the calls that were queued."""
         self._state = _members.ServerState.ABSENT
         self._server = None
+        self._starts.remove()
         self._named_limit.forget()
         self._has_said_to_leave = False
         return self.drop_waiting()
--- a/packages/core/marjoramledge_core/_gate_handlers.py
+++ b/packages/core/marjoramledge_core/_gate_handlers.py
@@ -144,7 +144,7 @@
 
 def note_signals(step: _state.Step, event: _events.ServerSignalled) -> None:
     """Apply what the backend server says of itself in an answer."""
-    if step.state.gate.matches_start(event.server):
+    if step.state.gate.starts.matches(event.server):
         _apply_signals(step, event.server, event.signals)
 
 
@@ -203,7 +203,7 @@
 ) -> None:
     """Apply what an entry remembers about the local backend server."""
     gate = step.state.gate
-    if status is None or not gate.matches_start(status.start):
+    if status is None or not gate.starts.matches(status.start):
         return
     rate_per_s = status.rate_limit_per_s
     if rate_per_s is not None and gate.recall_rate_limit(rate_per_s, step.now):
@@ -294,15 +294,17 @@
 def announce_server(step: _state.Step, event: _events.ServerAnnounced) -> None:
     """Apply an announcement of the local backend server."""
     gate = step.state.gate
-    if not gate.is_newer(event.server):
-        return
     before = _published_fields(gate)
-    if not gate.matches_start(event.server.start):
+    was_warm = gate.state is _members.ServerState.WARM
+    is_known = gate.starts.matches(event.server.start)
+    if not gate.announce(event.server, step.now):
+        _record_unconfirmed(step, event.server.start)
+        return
+    if not is_known:
         step.state.answered_by_server.forget()
-    if event.server.is_cold and gate.state is _members.ServerState.WARM:
+    if event.server.is_cold and was_warm:
         # The process was replaced by a new one before its death was noticed.
         _deaths.confirm(step)
-    gate.announce(event.server, step.now)
     apply_service(step)
     if before == _published_fields(gate):
         return
@@ -314,6 +316,17 @@
     step.publish_server()
 
 
+def _record_unconfirmed(
+    step: _state.Step, start: _server_status.ServerStart
+) -> None:
+    starts = step.state.gate.starts
+    if starts.unconfirmed == start:
+        step.record(
+            _records.RecordKind.SERVER_UNCONFIRMED,
+            detail=f"announced {start}, known {starts.current}",
+        )
+
+
 def _published_fields(gate: _gate.Gate) -> tuple[object, ...]:
     """Return the values whose change is published to other nodes.
 
@@ -361,17 +374,35 @@
 
 def note_departures(step: _state.Step, event: _events.DeparturesRead) -> None:
     """Apply the stored departures of backend servers."""
+    starts = step.state.gate.starts
     for server in event.servers:
-        step.state.gate.note_departure(server)
-        if step.state.gate.matches_start(server):
-            _start_draining(step)
+        starts.restore_departure(server)
+    if starts.is_departed:
+        _start_draining(step, "departure read from the store")
 
 
 def drain_server(step: _state.Step, event: _events.ServerDraining) -> None:
     """Stop accepting calls for the backend server; running calls finish."""
-    step.state.gate.note_departure(event.server, event.said_at_ms)
-    if step.state.gate.matches_start(event.server):
-        _start_draining(step)
+    known = step.state.gate.starts.current
+    if _note_departure(step, event):
+        _start_draining(step, _describe_departure(event.server, known))
+
+
+def _note_departure(
+    step: _state.Step, event: _events.ServerDraining | _events.ServerWithdrawn
+) -> bool:
+    """Note a departure; return whether the known server is the one leaving."""
+    starts = step.state.gate.starts
+    is_same_server = starts.is_same_server(event.server)
+    starts.depart(event.server, event.said_at_ms)
+    return is_same_server
+
+
+def _describe_departure(
+    start: _server_status.ServerStart,
+    known: _server_status.ServerStart | None,
+) -> str:
+    return f"announced {start}, known {known}"
 
 
 def _start_draining(step: _state.Step, detail: str = "") -> None:
@@ -385,12 +416,15 @@
 
 def withdraw_server(step: _state.Step, event: _events.ServerWithdrawn) -> None:
     """Remove the backend server and return its queued calls."""
-    step.state.gate.note_departure(event.server, event.said_at_ms)
-    if not step.state.gate.matches_start(event.server):
+    known = step.state.gate.starts.current
+    if not _note_departure(step, event):
         return
     for work in step.state.gate.withdraw():
         return_work(step, work, _outcomes.Reason.SERVER_LEAVING)
-    step.record(_records.RecordKind.SERVER_WITHDRAWN)
+    step.record(
+        _records.RecordKind.SERVER_WITHDRAWN,
+        detail=_describe_departure(event.server, known),
+    )
     step.publish_server()
 
 
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -14,8 +14,10 @@
     """Kinds of record; the values are stable names.
 
     ``GATE_PRESSED`` summarises what a gate did while it refused calls,
-    ``SERVER_FELL_COLD`` a server that became cold again without announcing
-    it, and ``CONFIG_HEARD`` the first notice of a newer configuration.
+    ``SERVER_UNCONFIRMED`` a start that is ignored until it announces itself
+    again, ``SERVER_FELL_COLD`` a server that became cold again without
+    announcing it, and ``CONFIG_HEARD`` the first notice of a newer
+    configuration.
     ``LIMIT_CHANGED`` concerns the gate's own limit of concurrent calls, and
     the ``RATE_LIMIT`` kinds the limit that the server names in its answers.
     ``LEAVING_INVALID`` is an answer that says unreadably whether the server
@@ -28,6 +30,7 @@
     CALL_UNKNOWN = "call-unknown"
     CALL_ANSWERED = "call-answered"
     SERVER_ANNOUNCED = "server-announced"
+    SERVER_UNCONFIRMED = "server-unconfirmed"
     SERVER_DRAINING = "server-draining"
     SERVER_WITHDRAWN = "server-withdrawn"
     SERVER_UNREACHABLE = "server-unreachable"
--- a/packages/core/marjoramledge_core/_server_status.py
+++ b/packages/core/marjoramledge_core/_server_status.py
@@ -23,6 +23,9 @@
     server: _ids.ServerId = _ids.NO_SERVER_ID
     born: int = 0
 
+    def __str__(self) -> str:
+        return f"{self.server} of {self.born}"
+
 
 # Stands for the current start of a server that does not identify itself.
 ANY_START: typing.Final = ServerStart()
--- a/packages/node/marjoramledge_node/_local_port.py
+++ b/packages/node/marjoramledge_node/_local_port.py
@@ -83,8 +83,8 @@
             return web.Response(status=204)
         event.said_at_ms = time.time_ns() // NS_PER_MS
         self._engine.submit(event)
-        gate = self._engine.state.gate
-        await self._store_or_warn(gate.resolve_departure(event.server))
+        starts = self._engine.state.gate.starts
+        await self._store_or_warn(starts.resolve(event.server))
         return web.Response(status=204)
 
     async def _store_or_warn(self, server: node.ServerStart) -> None:
--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -83,7 +83,7 @@
     driver.submit(event(server=start, said_at_ms=100))
     _announce(driver, "s", born=90, sequence=21)
     assert driver.state.gate.server is None
-    assert driver.state.gate.resolve_departure(start).born == 100
+    assert driver.state.gate.starts.resolve(start).born == 100
     _announce(driver, "s", born=110)
     assert driver.state.gate.state is node.ServerState.WARM
 
@@ -95,7 +95,7 @@
     start = node.ServerStart(server=ids.ServerId("s"))
     driver.submit(node.ServerWithdrawn(server=start, said_at_ms=500))
     assert driver.state.gate.server is None
-    assert driver.state.gate.resolve_departure(start).born == 90
+    assert driver.state.gate.starts.resolve(start).born == 90
     _announce(driver, "s", born=400)
     assert driver.state.gate.state is node.ServerState.WARM
 
