Adopt a fetched content under the number that is wanted

Cause: the content of version 2 was being fetched when the number of version 3, whose content was in force, was taken over. Version 4 has the content of 2 and started no second fetch of it; the fetch ended under number 2 and was dropped as outdated. No timer and no message led out of that.

Ruled out: lost fetches or messages; four calls of the tracker show it.

Change: a content that is wanted is adopted under the wanted number. A node served its former content to peers in that state; mended too. Readiness is 503, with the reason, while a node refuses callers as outdated.

--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -227,6 +227,19 @@
             return self.stop_phase >= StopPhase.CLOSED
         return self.stop_phase is not StopPhase.RUNNING
 
+    def describe_unreadiness(self, now: float) -> str:
+        """Describe why this node serves no callers; empty if it does."""
+        if self.stop_phase is not StopPhase.RUNNING:
+            return "the node is stopping"
+        if self.versions.configuration is None:
+            return "no configuration is in force yet"
+        if self.versions.is_outdated(self.options.outdated_limit_s, now):
+            return (
+                f"version {self.versions.wanted.version} is in force at other "
+                f"nodes, version {self.versions.ref.version} here"
+            )
+        return ""
+
     def outlasts_stop(self, deadline_at: float) -> bool:
         """Return whether a planned stop may cut a call with this deadline."""
         if self.stop_phase is StopPhase.RUNNING:
--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -111,6 +111,11 @@
         """Version in force."""
         return self._ref
 
+    @property
+    def wanted(self) -> _manifest.VersionRef:
+        """Newest version that this node knows of and tries to get."""
+        return self._wanted
+
     @property
     def read_at(self) -> float:
         """Time at which this node last started to read the version row."""
@@ -264,11 +269,13 @@
     ) -> bool:
         """Put a version in force; return False if it is not newer."""
         self._fetching.discard(ref.digest)
-        if ref.version <= self._ref.version:
-            return False
         if ref.digest == self._wanted.digest:
+            # The content was fetched under a number that may be outdated by
+            # now, but no other fetch of it is running.
             newest = max(ref.version, self._wanted.version)
             ref = dataclasses.replace(ref, version=newest)
+        if ref.version <= self._ref.version:
+            return False
         self._known_at = min(
             (
                 newer.known_at
--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -253,11 +253,12 @@
     def _adopt(
         self, ref: configuration.VersionRef, parsed: _ParsedContent
     ) -> None:
-        if ref.version > self._engine.state.versions.ref.version:
-            self._compressed_config = parsed.compressed
         self._engine.submit(
             node.ManifestFetched(ref=ref, configuration=parsed.declared)
         )
+        # The content may be in force under a higher version number.
+        if ref.digest == self._engine.state.versions.ref.digest:
+            self._compressed_config = parsed.compressed
 
     async def close(self) -> None:
         """Cancel the running tasks and wait for them to end."""
--- a/packages/node/marjoramledge_node/_ready_port.py
+++ b/packages/node/marjoramledge_node/_ready_port.py
@@ -1,11 +1,11 @@
 """HTTP port for readiness checks of this node.
 
-A node is not ready while it has no configuration or is stopping.  When it
-stops, it still serves requests that arrive for a while.
+A node is not ready while it has no configuration, refuses callers since its
+configuration is outdated, or is stopping.  When it stops, it still serves
+requests that arrive for a while.
 """
 
 from aiohttp import web
-from marjoramledge_core import node
 
 from marjoramledge_node import _engine
 
@@ -29,12 +29,8 @@
         """Serve one request."""
         if request.raw_path.partition("?")[0] != self._target:
             return web.Response(status=404)
-        state = self._engine.state
-        is_ready = (
-            state.versions.configuration is not None
-            and state.stop_phase is node.StopPhase.RUNNING
-        )
-        return web.Response(status=200 if is_ready else 503)
+        problem = self._engine.state.describe_unreadiness(self._engine.now())
+        return web.Response(status=503 if problem else 200, text=problem)
 
 
 def make_server(port: ReadyPort) -> web.Server:
