--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -143,6 +143,38 @@
         assert len(recent) <= _rate_limiter.RATE_FACTOR * 20.0
 
 
+# Guards against twice the rate that a cold server bears: its node is killed
+# just after the server became cold, so that the gate of the next one can't
+# tell the time before the kill from that of a common start (review, hand_over).
+@hypothesis.given(
+    gaps=strategies.lists(
+        strategies.floats(min_value=0.0, max_value=0.05), max_size=150
+    ),
+    killed_at=strategies.floats(min_value=0.0, max_value=1.5),
+    away_s=strategies.floats(min_value=0.34, max_value=1.0),
+    rate_per_s=strategies.sampled_from([2.0, 20.0, 45.0, 200.0]),
+)
+def test_two_gates_in_turn_stay_within_what_a_cold_server_bears(
+    gaps: list[float], killed_at: float, away_s: float, rate_per_s: float
+) -> None:
+    rate = _rate_limiter.ColdRateLimiter()
+    now = 0.0
+    has_restarted = False
+    started: list[float] = []
+    for gap in gaps:
+        now += gap
+        if now > killed_at and not has_restarted:
+            has_restarted = True
+            now += away_s
+            rate = _rate_limiter.ColdRateLimiter()
+        # Many calls wait at any time.
+        while rate.wait_s(rate_per_s, now) <= 0.0:
+            rate.note_start(now)
+            started.append(now)
+        recent = [at for at in started if at > now - 1.0]
+        assert len(recent) <= 1.5 * rate_per_s + 5.0
+
+
 def test_calls_to_a_cold_server_start_at_its_cold_rate() -> None:
     driver = _build_driver()
     _announce(driver, "s", born=10, cold_left_s=30.0)
