--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -145,7 +145,8 @@
 
 # Guards against twice the rate that a cold server bears: its node is killed
 # just after the server became cold, so that the gate of the next one can't
-# tell the time before the kill from that of a common start (review, hand_over).
+# tell the time before the kill from that of a common start (review,
+# hand_over).
 @hypothesis.given(
     gaps=strategies.lists(
         strategies.floats(min_value=0.0, max_value=0.05), max_size=150
