Cut a long answer that its server has not completed in time

Cause: only buffered answers and those without a length were relayed under a time limit; a longer one with a length had none but 60 s of silence.

Ruled out: one hop only; entry and gate relay in the same way.

The time for which a slow caller holds up what has arrived does not count.

--- a/packages/node/marjoramledge_node/_relay.py
+++ b/packages/node/marjoramledge_node/_relay.py
@@ -3,9 +3,11 @@
 A small response is buffered completely before any of it is forwarded, so that
 it can still be replaced if it turns out to be truncated.  Larger responses
 are streamed in chunks of bounded size.  If a streamed response is truncated,
-or has no length and continues beyond the deadline, the connection to the
+or its server has not sent all of it by the deadline, the connection to the
 caller is aborted: that is the only way in HTTP/1.1 to signal an incomplete
-response.
+response.  The time for which a slow caller keeps the rest of a response
+waiting does not count, unless the response has no length and so may be
+endless.
 """
 
 import asyncio
@@ -15,6 +17,7 @@
 
 import aiohttp
 from aiohttp import web
+import loguru
 from marjoramledge_core import node
 from marjoramledge_store import bounded_http
 import multidict
@@ -54,9 +57,8 @@
     closes_connection
         Whether to close the connection after a streamed response.
     remaining_s
-        Seconds until the deadline.  A response that is buffered, or that has
-        no length and so may be endless, is abandoned ``ANSWER_GRACE_S`` after
-        the deadline.
+        Seconds until the deadline.  A response that its server has not sent
+        completely ``ANSWER_GRACE_S`` after the deadline is abandoned.
 
     Returns
     -------
@@ -120,9 +122,12 @@
         async with asyncio.timeout(limit_s if has_no_length else None):
             await streamed.prepare(request)
             return streamed, await _stream_body(
-                request, answer, streamed, start.body
+                request, answer, streamed, start.body, limit_s
             )
     except TimeoutError:
+        loguru.logger.bind(event="answer-cut").info(
+            "cut an answer that its server did not complete in time"
+        )
         abort_connection(request)
     except ConnectionError:
         pass
@@ -134,19 +139,33 @@
     answer: _upstream.Answer,
     response: web.StreamResponse,
     chunk: bytes,
+    max_wait_s: float,
 ) -> node.ServerOutcome:
-    """Forward a body whose first bytes have already been read."""
+    """Forward a body whose first bytes have already been read.
+
+    Raises
+    ------
+    TimeoutError
+        All waits for the backend server took longer than ``max_wait_s``.
+    """
     reader = answer.response.content
+    loop = asyncio.get_running_loop()
     while True:
         if chunk:
             await response.write(chunk)
+        began_at = loop.time()
+        wait_limit = asyncio.timeout(max(0.0, max_wait_s))
         try:
-            chunk = await reader.readany()
-            if not chunk:
-                if answer.connection_closed is not None:
-                    await answer.connection_closed
-                break
+            async with wait_limit:
+                chunk = await reader.readany()
+                if not chunk:
+                    if answer.connection_closed is not None:
+                        await answer.connection_closed
+                    break
+            max_wait_s -= loop.time() - began_at
         except (aiohttp.ClientError, OSError):
+            if wait_limit.expired():
+                raise
             abort_connection(request)
             return node.ServerOutcome.ABORTED
     await response.write_eof()
