Exchange suspicions with member lists

Cause: suspicions were gossiped only when they were new. A node that started later learned of none, and its own gate ran the request.

Ruled out: the way of the restart; the nodes were long in touch again.

Change: the exchange of member lists carries all current suspicions with their age, so that a quarantine ends everywhere when the first one does.

--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -9,6 +9,7 @@
 from marjoramledge_core import _members
 from marjoramledge_core import _options
 from marjoramledge_core import _outcomes
+from marjoramledge_core import _quarantine
 from marjoramledge_core import _reports
 from marjoramledge_core import _server_status
 from marjoramledge_core import _settings
@@ -224,9 +225,10 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class MembersReceived:
-    """A peer sent all members that it knows."""
+    """A peer sent all members, and all suspicions, that it knows."""
 
     members: tuple[_members.Member, ...]
+    suspicions: tuple[_quarantine.Suspicion, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -188,6 +188,16 @@
     recalled = step.state.membership.myself.departed
     step.state.membership.merge_members(event.members, step.now, step.out)
     _apply_recalled_departure(step, recalled)
+    # Others learn of them in exchanges of their own.
+    learned = step.state.quarantine.record_suspicions(
+        event.suspicions, step.now
+    )
+    for suspicion in learned:
+        step.record(
+            _records.RecordKind.SUSPICION_LEARNED,
+            request=suspicion.fingerprint,
+            detail=f"{len(suspicion.deaths)} deaths",
+        )
 
 
 def _apply_recalled_departure(
--- a/packages/core/marjoramledge_core/_quarantine.py
+++ b/packages/core/marjoramledge_core/_quarantine.py
@@ -12,7 +12,9 @@
 - a gate runs at most one suspect at a time;
 - when a server dies that ran a suspect, only the suspect is blamed.
 
-Suspicions and clearances are gossiped in membership messages.  Each death is
+Suspicions and clearances are gossiped in membership messages when they are
+new, and current suspicions are exchanged with the member lists, so that a node
+that has restarted learns of them.  Each death is
 identified by the node of the server and the number of its death there, so a
 death that is reported twice counts once.
 """
@@ -41,12 +43,14 @@
     ``deaths`` are the deaths at which the request ran.  ``cleared`` are those
     of which it is cleared: a backend server answered the request afterwards,
     or the death was withdrawn.  Changes are merged by set union, so they may
-    arrive in any order and repeatedly.
+    arrive in any order and repeatedly.  ``age_s`` is the time in seconds since
+    the change, where it is told to a node that may not have heard of it then.
     """
 
     fingerprint: _ids.Fingerprint
     deaths: frozenset[_ids.DeathId]
     cleared: frozenset[_ids.DeathId]
+    age_s: float = 0.0
 
     def join(self, later: "Suspicion") -> "Suspicion":
         """Return the union of this change and a later one."""
@@ -136,6 +140,20 @@
             return None
         return record.updated_at + QUARANTINE_S - now
 
+    def list_suspicions(self, now: float) -> tuple[Suspicion, ...]:
+        """Return all current suspicions, for a node that may lack them."""
+        return tuple(
+            Suspicion(
+                fingerprint=fingerprint,
+                deaths=record.uncleared,
+                cleared=frozenset(),
+                age_s=now - record.updated_at,
+            )
+            for fingerprint in list(self._records)
+            if (record := self._find(fingerprint, now)) is not None
+            and record.uncleared
+        )
+
     def record_death(
         self,
         death: _ids.DeathId,
@@ -193,12 +211,13 @@
         changes = []
         for suspicion in received:
             fingerprint = suspicion.fingerprint
+            changed_at = now - suspicion.age_s
             record = self._find(fingerprint, now) or _RequestRecord(
-                updated_at=now
+                updated_at=changed_at
             )
             change = record.merge(suspicion)
             if change is not None:
-                record.updated_at = now
+                record.updated_at = max(record.updated_at, changed_at)
                 self._put(fingerprint, record)
                 changes.append(change)
         return tuple(changes)
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -45,6 +45,7 @@
     LEAVING_INVALID = "leaving-invalid"
     SERVER_DIED = "server-died"
     DEATH_WITHDRAWN = "death-withdrawn"
+    SUSPICION_LEARNED = "suspicion-learned"
     REQUEST_QUARANTINED = "request-quarantined"
     PEER_EJECTED = "peer-ejected"
     PEER_READMITTED = "peer-readmitted"
--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -212,12 +212,8 @@
             received = _wire.decode_members(body)
             if isinstance(received, result.Failure):
                 return None
-            self._engine.submit(
-                node.MembersReceived(members=received.unwrap())
-            )
-            if method == "PUT":
-                return b"{}"
-            return _wire.encode_members(state.membership.members.values())
+            self._engine.submit(received.unwrap())
+            return b"{}" if method == "PUT" else self._encode_view()
         if method == "PUT" and target.startswith(_peer_port.MANIFEST_TARGET):
             return await self._receive_manifest(target, body)
         if target == _peer_port.DRAIN_TARGET and method in ("PUT", "DELETE"):
@@ -300,12 +296,11 @@
         self._engine.connect(command_type, start)
 
     async def _sync_members(self, command: node.SyncMembers) -> None:
-        members = self._engine.state.membership.members.values()
         fetched = await self._request_peer(
             "POST",
             command.address,
             _peer_port.MEMBERS_TARGET,
-            _wire.encode_members(members),
+            self._encode_view(),
             _peer_port.MAX_DOCUMENT_BYTES,
         )
         decoded = fetched.bind(_wire.decode_members)
@@ -314,7 +309,15 @@
                 "fetching the member list failed: {}", decoded.failure()
             )
             return
-        self._engine.submit(node.MembersReceived(members=decoded.unwrap()))
+        self._engine.submit(decoded.unwrap())
+
+    def _encode_view(self) -> bytes:
+        """Encode what this node knows of the fleet, for a peer."""
+        state = self._engine.state
+        return _wire.encode_members(
+            state.membership.members.values(),
+            state.quarantine.list_suspicions(self._engine.now()),
+        )
 
     async def _register(self, _command: node.RegisterMember) -> None:
         """Read the fleet from the store; update this node's entry there.
--- a/packages/node/marjoramledge_node/_wire.py
+++ b/packages/node/marjoramledge_node/_wire.py
@@ -51,6 +51,7 @@
         1: (_STRING, "fingerprint", False),
         2: (_LIST, "deaths", _STRING, False),
         3: (_LIST, "excused", _STRING, False),
+        4: (_I64, "age_ms", False),
     }
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
@@ -85,8 +86,9 @@
 class _MembersStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
     thrift_spec = {
         1: (_LIST, "members", (_STRUCT, _MemberStruct), False),
+        2: (_LIST, "suspicions", (_STRUCT, _SuspicionStruct), False),
     }
-    default_spec = [("members", None)]
+    default_spec = [(field[1], None) for field in thrift_spec.values()]
 
 
 class _EnvelopeStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
@@ -120,14 +122,7 @@
             version=message.config.version,
             digest=message.config.digest,
             news=[_to_struct(member) for member in message.updates],
-            suspicions=[
-                _SuspicionStruct(
-                    fingerprint=suspicion.fingerprint,
-                    deaths=sorted(suspicion.deaths),
-                    excused=sorted(suspicion.cleared),
-                )
-                for suspicion in message.suspicions
-            ],
+            suspicions=list(map(_to_suspicion, message.suspicions)),
             load=None if message.load is None else _to_load(message.load),
             config_age_ms=(
                 None if known_at is None else round(1000 * (now - known_at))
@@ -160,12 +155,7 @@
                 ),
                 updates=tuple(_from_struct(entry) for entry in struct.news),
                 suspicions=tuple(
-                    node.Suspicion(
-                        fingerprint=ids.Fingerprint(entry.fingerprint),
-                        deaths=frozenset(map(ids.DeathId, entry.deaths)),
-                        cleared=frozenset(map(ids.DeathId, entry.excused)),
-                    )
-                    for entry in struct.suspicions or ()
+                    map(_from_suspicion, struct.suspicions or ())
                 ),
                 load=None if struct.load is None else _from_load(struct.load),
                 config_known_at=(
@@ -181,21 +171,30 @@
 
 def encode_members(
     members: collections.abc.Iterable[node.Member],
+    suspicions: collections.abc.Iterable[node.Suspicion] = (),
 ) -> bytes:
-    """Encode a list of members."""
+    """Encode a list of members, and the suspicions that go with it."""
     return _encode(
-        _MembersStruct(members=[_to_struct(member) for member in members])
+        _MembersStruct(
+            members=[_to_struct(member) for member in members],
+            suspicions=list(map(_to_suspicion, suspicions)) or None,
+        )
     )
 
 
 def decode_members(
     content: bytes,
-) -> result.Result[tuple[node.Member, ...], str]:
+) -> result.Result[node.MembersReceived, str]:
     """Decode a list of members, or return a description of the error."""
     try:
         struct = utils.deserialize(_MembersStruct(), content, _PROTOCOL)
         return result.Success(
-            tuple(_from_struct(entry) for entry in struct.members)
+            node.MembersReceived(
+                members=tuple(_from_struct(entry) for entry in struct.members),
+                suspicions=tuple(
+                    map(_from_suspicion, struct.suspicions or ())
+                ),
+            )
         )
     except Exception as error:  # Decoding raises many error types.
         return result.Failure(repr(error))
@@ -246,6 +245,24 @@
     return bytes(utils.serialize(struct, _PROTOCOL))
 
 
+def _to_suspicion(suspicion: node.Suspicion) -> _SuspicionStruct:
+    return _SuspicionStruct(
+        fingerprint=suspicion.fingerprint,
+        deaths=sorted(suspicion.deaths),
+        excused=sorted(suspicion.cleared),
+        age_ms=round(1000 * suspicion.age_s) or None,
+    )
+
+
+def _from_suspicion(struct: _SuspicionStruct) -> node.Suspicion:
+    return node.Suspicion(
+        fingerprint=ids.Fingerprint(struct.fingerprint),
+        deaths=frozenset(map(ids.DeathId, struct.deaths)),
+        cleared=frozenset(map(ids.DeathId, struct.excused)),
+        age_s=max(0, struct.age_ms or 0) / 1000,
+    )
+
+
 def _to_load(load: node.LoadReport) -> _LoadStruct:
     return _LoadStruct(
         in_flight=load.in_flight,
--- a/packages/standins/marjoramledge_standins/virtual_network.py
+++ b/packages/standins/marjoramledge_standins/virtual_network.py
@@ -263,8 +263,12 @@
         if None in states or is_away or self.is_cut(one, other):
             return
         for receiver, sender in ((other, one), (one, other)):
-            members = tuple(self.nodes[sender].membership.members.values())
-            self.submit(receiver, node.MembersReceived(members=members))
+            state = self.nodes[sender]
+            event = node.MembersReceived(
+                members=tuple(state.membership.members.values()),
+                suspicions=state.quarantine.list_suspicions(self.now),
+            )
+            self.submit(receiver, event)
 
     def _register(self, address: node.Address) -> None:
         if not self.uses_store or not self.store.is_up:
--- a/tests/test_departures_outlive_nodes.py
+++ b/tests/test_departures_outlive_nodes.py
@@ -163,7 +163,7 @@
         driver.state.membership.myself, departed=departed
     )
     decoded = _wire.decode_members(_wire.encode_members([record]))
-    assert decoded == result.Success((record,))
+    assert decoded == result.Success(node.MembersReceived(members=(record,)))
 
 
 class _Fleet:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,11 +5,14 @@
 from marjoramledge_core import _quarantine
 from marjoramledge_core import ids
 from marjoramledge_core import node
+from marjoramledge_node import _wire
 from marjoramledge_standins import builders
+from marjoramledge_standins import virtual_network
 
 POISON = "poison"
 BYSTANDER = "bystander"
 NOW = 100.0
+AGE_S = 3.0
 
 
 class _Cluster:
@@ -341,3 +344,70 @@
         quarantine.record_death(ids.DeathId("d"), [fingerprint], NOW)
     assert len(quarantine) == _quarantine.MAX_SUSPECTS
     assert quarantine.dropped == 5
+
+
+def _learn_of_poison(deaths: int) -> node.MembersReceived:
+    """Build a peer's view with a request that ran at some deaths."""
+    known = _quarantine.Quarantine()
+    for number in range(deaths):
+        death = ids.DeathId(f"n{number}#1")
+        known.record_death(death, [ids.Fingerprint(POISON)], NOW)
+    suspicions = known.list_suspicions(NOW + AGE_S)
+    encoded = _wire.encode_members([], suspicions)
+    return _wire.decode_members(encoded).unwrap()
+
+
+# Guards against a request that crashes further servers after each restart of a
+# node, which forgot that it is fatal (review, case 5).
+def test_a_restarted_node_learns_which_requests_are_fatal() -> None:
+    cluster = _Cluster()
+    cluster.submit(0, _learn_of_poison(deaths=2))
+    assert not cluster.offer(0, "a", POISON)
+    assert cluster.offer(0, "b", BYSTANDER)
+
+
+# Guards against a suspect that is run beside another one after a restart.
+def test_a_restarted_node_learns_of_suspects() -> None:
+    cluster = _Cluster()
+    cluster.submit(0, _learn_of_poison(deaths=1))
+    quarantine = cluster.drivers[0].state.quarantine
+    assert quarantine.is_suspect(ids.Fingerprint(POISON), NOW)
+
+
+# Guards against a quarantine that never ends, since nodes tell it each other
+# again and again.
+def test_a_quarantine_that_is_passed_on_ends_when_the_first_one_does() -> None:
+    views = [_quarantine.Quarantine() for _ in range(3)]
+    for number in range(2):
+        death = ids.DeathId(f"n{number}#1")
+        views[0].record_death(death, [ids.Fingerprint(POISON)], NOW)
+    now = NOW
+    while now < NOW + 3 * _quarantine.QUARANTINE_S:
+        for one, other in ((0, 1), (1, 2), (2, 0)):
+            told = views[one].list_suspicions(now)
+            views[other].record_suspicions(told, now)
+        now += 7.0
+        is_over = now > NOW + _quarantine.QUARANTINE_S
+        for view in views:
+            left_s = view.remaining_s(ids.Fingerprint(POISON), now)
+            assert (left_s is None) is is_over
+
+
+# Guards against a restarted fleet: those who know tell all others.
+def test_fatal_requests_are_known_after_all_but_one_node_restart() -> None:
+    network = virtual_network.Network(count=9, seed=1)
+    network.run(5.0)
+    knowing = network.nodes[network.address(0)]
+    for number in range(2):
+        death = ids.DeathId(f"n{number}#1")
+        fingerprints = [ids.Fingerprint(POISON)]
+        knowing.quarantine.record_death(death, fingerprints, network.now)
+    for number in range(1, 9):
+        network.kill(number)
+        network.start(number, 10**12)
+    network.run(60.0)
+    for state in network.nodes.values():
+        left_s = state.quarantine.remaining_s(
+            ids.Fingerprint(POISON), network.now
+        )
+        assert left_s is not None
