--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -131,7 +131,8 @@
 
 def _add_departure(record: Member, other: Member) -> Member:
     """Return a record with the departure that only the other one has."""
-    if record.departed != _server_status.ANY_START:
+    is_needless = other.departed == _server_status.ANY_START
+    if is_needless or record.departed != _server_status.ANY_START:
         return record
     return dataclasses.replace(record, departed=other.departed)
 
@@ -139,7 +140,7 @@
 def merge_records(known: Member, received: Member) -> Member:
     """Return the newer record of a node, with the departure of either.
 
-    The record of a node that has restarted lacks the departure that the
+    It is ``known`` itself if nothing is new.  The record of a node that has restarted lacks the departure that the
     process before it acknowledged.
     """
     if received.supersedes(known):
--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -536,14 +536,14 @@
                 self._put_record(member, now, out)
             return
         merged = _members.merge_records(known, member)
-        if merged != known:
+        if merged is not known:
             self._put_record(merged, now, out)
 
     def _refute(self, claim: _members.Member, now: float) -> None:
         myself = self._roster.myself
         record = _members.refute_claim(myself, claim)
         has_left = myself.status is _members.MemberStatus.LEFT
-        if record != myself and not has_left:
+        if record is not myself and not has_left:
             self._publish_myself(record, now)
 
     def _publish_myself(self, record: _members.Member, now: float) -> None:
--- a/packages/node/marjoramledge_node/_departure_keeper.py
+++ b/packages/node/marjoramledge_node/_departure_keeper.py
@@ -159,7 +159,7 @@
             born=server.born,
             confirmed=confirmed,
             asked=len(peers),
-        ).info("peers hold the backend server's departure")
+        ).info("asked peers to hold the backend server's departure")
         return confirmed >= needed
 
     def _pick_holders(self) -> list[node.Address]:
