--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -140,8 +140,8 @@
 def merge_records(known: Member, received: Member) -> Member:
     """Return the newer record of a node, with the departure of either.
 
-    It is ``known`` itself if nothing is new.  The record of a node that has restarted lacks the departure that the
-    process before it acknowledged.
+    It is ``known`` itself if nothing is new.  The record of a node that has
+    restarted lacks the departure that the process before it acknowledged.
     """
     if received.supersedes(known):
         return _add_departure(received, known)
