Count no bytes that wait for a slow reader as overhead

Four megabytes, with a length and in chunks, on both event loops, are read whole with and without the change (tests/test_endless_bytes.py); the counter now leaves them out.

--- a/packages/store/marjoramledge_store/_bounded_http.py
+++ b/packages/store/marjoramledge_store/_bounded_http.py
@@ -91,6 +91,9 @@
             self._body_bytes = body_bytes
             self._overhead_bytes = 0
             return
+        if self._reading_paused:
+            # The piece waits for a slow reader, and no more are received.
+            return
         self._overhead_bytes += len(piece)
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._abort(f"{self._overhead_bytes} bytes that are no answer")
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -32,6 +32,7 @@
 import multidict
 import pytest
 from returns import result
+import uvloop
 
 HOST = "127.0.0.1"
 KEYS = peers.parse_keys("k1:a-secret-of-this-test").unwrap()
@@ -310,6 +311,64 @@
     assert fetched == result.Success(BODY)
 
 
+async def _read_slowly(content: bytes) -> int:
+    """Return how much of an answer a reader gets that often pauses."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(content)
+            await writer.drain()
+            await reader.read()
+        writer.close()
+
+    listener = await asyncio.start_server(serve, HOST, 0)
+    upstream = _upstream.Upstream(
+        dialect=_dialect.DEFAULT_DIALECT, idle_connection_s=1.0
+    )
+    server = dataclasses.replace(
+        builders.build_server(), port=listener.sockets[0].getsockname()[1]
+    )
+    outgoing = _upstream.OutgoingRequest(
+        method="GET",
+        target="/",
+        headers=multidict.CIMultiDict({"Host": "shop"}),
+        body=_bodies.Body(),
+    )
+    sent = await upstream.send_to_server(outgoing, server, DEADLINE_S)
+    reader = sent.unwrap().response.content
+    size = 0
+    while part := await reader.readany():
+        size += len(part)
+        await asyncio.sleep(0.01)
+    await upstream.close()
+    listener.close()
+    return size
+
+
+# Guards against a long answer that is aborted since its reader is slow: what
+# waits to be read is no overhead.
+@pytest.mark.parametrize(
+    "loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop]
+)
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_a_long_answer_is_read_whole_however_slowly(
+    loop_factory: collections.abc.Callable[[], asyncio.AbstractEventLoop],
+    is_chunked: bool,
+) -> None:
+    body = b"x" * 4_000_000
+    head = b"Content-Length: %d" % len(body)
+    content = body
+    if is_chunked:
+        head = b"Transfer-Encoding: chunked"
+        content = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+    answer = b"HTTP/1.1 200 OK\r\n%b\r\n\r\n%b" % (head, content)
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        assert runner.run(_read_slowly(answer)) == len(body)
+
+
 # Guards against the memory of answers that come on an idle connection.
 def test_a_connection_with_an_unrequested_answer_is_closed() -> None:
     closed: list[int] = []
