Identify requests in chunks by their content

Cause: a body without a length was streamed whatever its size, and the fingerprint of a streamed body covers no content, so that all requests in chunks to a path were one request, which others kept clearing.

Ruled out: the quarantine itself; the same request with a length is refused after two crashes.

--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -49,7 +49,7 @@
         self.target = target
         self.mailbox = mailbox
         self.body = body
-        self.fingerprint = compute_fingerprint(request, body.buffered)
+        self.fingerprint = compute_fingerprint(request, body)
         self.answers: dict[ids.AttemptId, _upstream.Answer] = {}
         self.local_attempts: set[ids.AttemptId] = set()
         self.hedge: asyncio.Task[None] | None = None
@@ -461,17 +461,26 @@
 
 
 def compute_fingerprint(
-    request: web.BaseRequest, body: bytes | None
+    request: web.BaseRequest, body: _bodies.Body
 ) -> ids.Fingerprint:
     """Compute a hash that is equal for equal requests on all nodes.
 
-    For a streamed body, it covers only the announced length.
+    For a streamed body, it covers the announced length and, if as much was
+    received at once, the longest beginning that could have been buffered.
     """
     digest = hashlib.blake2b(digest_size=8)
     length = request.headers.get("Content-Length", "")
+    content = body.buffered or b""
+    if body.buffered is not None:
+        # The same body may come with a length or in chunks.
+        length = str(len(content))
+    elif body.stream is not None:
+        beginning = body.stream.prefix[: _bodies.MAX_BUFFERED_BODY_BYTES]
+        if len(beginning) == _bodies.MAX_BUFFERED_BODY_BYTES:
+            content = beginning
     parts = (request.method, request.headers["Host"], request.raw_path, length)
     digest.update("\n".join(parts).encode("utf-8", "surrogateescape"))
-    digest.update(body or b"")
+    digest.update(content)
     return ids.Fingerprint(digest.hexdigest())
 
 
