State the probe's time limit once; tell a callable from its class by name

The move of the probe of a running server had copied PROBE_TIMEOUT_S; it now stands beside the probe itself. The local port named a callable like the class DepartureKeeper.

--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -38,7 +38,6 @@
 # aborted and started again with another peer takes the same full link again.
 MANIFEST_TIMEOUT_S: typing.Final = 10.0
 MANIFEST_IDLE_S: typing.Final = 1.0
-PROBE_TIMEOUT_S: typing.Final = 1.0
 MAX_INVALID_ROWS_LOGGED: typing.Final = 10
 # Bounds the members that a starting node takes from the store; more than any
 # fleet has.  Nodes that start together learn of those beyond it by gossip
@@ -172,7 +171,7 @@
             node.ProbeServer,
             self._probe_server,
             lambda _command: node.ProbeEnded(
-                is_healthy=False, elapsed_s=PROBE_TIMEOUT_S
+                is_healthy=False, elapsed_s=_upstream.PROBE_TIMEOUT_S
             ),
         )
         self._connect(
@@ -510,10 +509,12 @@
     async def _probe_server(self, command: node.ProbeServer) -> None:
         server = command.server
         began_at = self._engine.now()
-        probed = await self._upstream.probe(server, PROBE_TIMEOUT_S)
+        probed = await self._upstream.probe(server, _upstream.PROBE_TIMEOUT_S)
         if probed is None:
             # The core needs an outcome to decide whether the server has died.
-            probed = await self._upstream.probe(server, PROBE_TIMEOUT_S)
+            probed = await self._upstream.probe(
+                server, _upstream.PROBE_TIMEOUT_S
+            )
         if probed is None:
             probed = _upstream.ProbeResult(is_alive=False)
         elapsed_s = self._engine.now() - began_at
--- a/packages/node/marjoramledge_node/_local_port.py
+++ b/packages/node/marjoramledge_node/_local_port.py
@@ -26,7 +26,7 @@
 AnnouncementCheck = collections.abc.Callable[
     [node.Server], collections.abc.Awaitable[bool]
 ]
-DepartureKeeper = collections.abc.Callable[
+KeepDeparture = collections.abc.Callable[
     [node.ServerStart], collections.abc.Awaitable[bool]
 ]
 
@@ -56,7 +56,7 @@
         default_host: str,
         read_announcement: _environment.AnnouncementReader,
         contradicts: AnnouncementCheck,
-        keep_departure: DepartureKeeper,
+        keep_departure: KeepDeparture,
     ) -> None:
         self._engine = engine
         self._default_host = default_host
--- a/packages/node/marjoramledge_node/_server_inspector.py
+++ b/packages/node/marjoramledge_node/_server_inspector.py
@@ -16,7 +16,6 @@
 from marjoramledge_node import _options
 from marjoramledge_node import _upstream
 
-PROBE_TIMEOUT_S: typing.Final = 1.0
 # Backend servers wait 1 s for the answer to an announcement.
 CHECK_TIMEOUT_S: typing.Final = 0.5
 # How long a starting node waits for the store's list of departed servers
@@ -84,7 +83,7 @@
             is_cold=False,
             health_path=service.health_path,
         )
-        probed = await self._upstream.probe(server, PROBE_TIMEOUT_S)
+        probed = await self._upstream.probe(server, _upstream.PROBE_TIMEOUT_S)
         if probed is None or not probed.is_healthy or probed.slots is None:
             return
         if probed.signals is not None and probed.signals.is_leaving:
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -42,6 +42,7 @@
     }
 )
 BODY_IDLE_TIMEOUT_S: typing.Final = 60.0
+PROBE_TIMEOUT_S: typing.Final = 1.0
 # A health page is only a line or two.
 MAX_PROBE_BYTES: typing.Final = 65536
 
