Read the store's era; log its restorations and the reads that are ignored

A read below the version held was dropped without a line, and the era in the store's answers was not read.

The answers' era and the version of each row are decoded now. 'store-restored' names the eras and versions before and after, 'read-ignored' the version that was read and the one held. No decision depends on the era yet.

--- a/packages/core/marjoramledge_core/configuration.py
+++ b/packages/core/marjoramledge_core/configuration.py
@@ -5,12 +5,14 @@
 from marjoramledge_core import _plan
 from marjoramledge_core import _routes
 from marjoramledge_core import _settings
+from marjoramledge_core import _version_numbers
 
 FILE_NAMES = _document.FILE_NAMES
 INVENTORY_FILE = _document.INVENTORY_FILE
 MAX_MANIFEST_BYTES = _manifest.MAX_MANIFEST_BYTES
 NO_VERSION = _manifest.NO_VERSION
 RULES_FILE = _document.RULES_FILE
+UNKNOWN_ERA = _version_numbers.UNKNOWN_ERA
 
 Change = _plan.Change
 ChangeAction = _plan.ChangeAction
@@ -34,3 +36,9 @@
 compute_digest = _manifest.compute_digest
 encode_manifest = _manifest.encode_manifest
 parse_documents = _document.parse_documents
+
+assume_era = _version_numbers.assume_era
+era_of = _version_numbers.era_of
+format_version = _version_numbers.format_version
+number_of = _version_numbers.number_of
+pack_version = _version_numbers.pack_version
--- a/packages/store/marjoramledge_store/_change_feed.py
+++ b/packages/store/marjoramledge_store/_change_feed.py
@@ -12,6 +12,7 @@
 import random
 import typing
 
+import loguru
 from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
@@ -48,6 +49,7 @@
         self._operator_table = operator_table
         self._rows: dict[str, bytes] = {}
         self._version = 0
+        self._era = configuration.UNKNOWN_ERA
         self._ref = configuration.NO_VERSION
         self._cached_contents: dict[ids.Digest, bytes] = {}
 
@@ -69,10 +71,12 @@
             read = await self._read_changes(wait_s)
         if isinstance(read, result.Failure):
             return read
+        self._note_era(read.unwrap())
         if not self._apply(read.unwrap()):
             return result.Failure(_errors.StoreError.REJECTED)
         if known.version > self._version:
             # A stale read: the fleet already knows a later version.
+            _log_ignored(read.unwrap(), known.version)
             return result.Failure(_errors.StoreError.REJECTED)
         if not self._rows:
             return result.Success(None)
@@ -153,12 +157,26 @@
                 rows=merged,
                 removed=frozenset(),
                 version=max(changed.version, self._version),
+                era=changed.era,
             )
         )
 
+    def _note_era(self, read: _ports.Rows) -> None:
+        """Log that the store has come back from an older copy."""
+        if self._era and read.era > self._era:
+            loguru.logger.bind(
+                event="store-restored",
+                era=read.era,
+                era_before=self._era,
+                version=read.version,
+                version_before=self._version,
+            ).warning("the store has come back from an older copy")
+        self._era = max(read.era, self._era)
+
     def _apply(self, read: _ports.Rows) -> bool:
         """Apply read rows; return False if they are too large."""
         if read.version < self._version:
+            _log_ignored(read, self._version)
             return True
         content = _encode_rows(read.rows)
         if len(content) > configuration.MAX_MANIFEST_BYTES:
@@ -232,6 +250,12 @@
     return None
 
 
+def _log_ignored(read: _ports.Rows, held: int) -> None:
+    loguru.logger.bind(
+        event="read-ignored", era=read.era, version=read.version
+    ).warning("a read of the store is older than version {}", held)
+
+
 def _encode_rows(rows: typing.Mapping[str, bytes]) -> bytes:
     texts = {
         key: value.decode("utf-8", "replace") for key, value in rows.items()
--- a/packages/store/marjoramledge_store/_ports.py
+++ b/packages/store/marjoramledge_store/_ports.py
@@ -79,12 +79,19 @@
     """Rows of one table as of one version of the store.
 
     ``removed`` has the keys of deleted rows; it is empty unless the rows are
-    changes since an earlier version.
+    changes since an earlier version.  ``row_versions`` has the version that
+    wrote or removed each row, where the store tells it.  ``era`` counts the
+    restorations of the store from older copies, from 1 on; it is 0 if the
+    store does not tell it.
     """
 
     rows: typing.Mapping[str, bytes]
     removed: frozenset[str]
     version: int
+    row_versions: typing.Mapping[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+    era: int = configuration.UNKNOWN_ERA
 
 
 class RowTables(typing.Protocol):
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -218,7 +218,8 @@
         nonlocal pages
         pages += 1
         row = {"key": f"k{pages:09}", "value": "AAAA"}
-        return result.Success({"rows": [row] * rows, "ver": 1, "hasMore": 1})
+        fields = {"rows": [row] * rows, "ver": 1, "hasMore": 1}
+        return result.Success(_store._Reply(fields=fields, era=0))
 
     async def read() -> object:
         tables = _store.PlatformTables(address=node.Address(host=HOST, port=1))
