--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -59,11 +59,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Run:
-    """A request that a backend server ran."""
+    """A request that a backend server ran, and the node it was sent to."""
 
     at: float
+    node: str
     zone: str
-    path: str
 
 
 class Server:
@@ -105,8 +105,8 @@
             self._listener.close()
 
     async def send_heartbeats(self, session: aiohttp.ClientSession) -> None:
-        """Send heartbeats to the node until cancelled."""
-        while True:
+        """Send heartbeats to the node until the server leaves."""
+        while not self._is_leaving:
             await self.send_heartbeat(session)
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -139,7 +139,7 @@
                 f"/api/instances/{self._id}/heartbeat",
                 json=document,
             ) as response:
-                return response.status == 200
+                return 200 <= response.status < 300
         return False
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -156,8 +156,8 @@
         self._runs.append(
             Run(
                 at=time.monotonic(),
+                node=request.path.split("/")[2],
                 zone=self._machine.zone,
-                path=request.path,
             )
         )
         headers["Response-Seal"] = f"seal.{request_id}"
@@ -233,7 +233,6 @@
         self._prefixes: list[str] = []
         # When the change that added a route was acknowledged.
         self.acknowledged_at: dict[str, float] = {}
-        self.evacuated: set[str] = set()
 
     @property
     def routes(self) -> tuple[str, ...]:
@@ -255,12 +254,10 @@
 
     def evacuate(self, zone: str) -> int:
         """Order that nothing be sent to the servers of a zone."""
-        self.evacuated.add(zone)
         return self._store.write("op", f"evacuate/{zone}", {})
 
     def end_evacuation(self, zone: str) -> int:
         """Remove the order for a zone."""
-        self.evacuated.discard(zone)
         return self._store.write("op", f"evacuate/{zone}", None)
 
     def _build_configuration(self) -> dict[str, object]:
@@ -329,6 +326,8 @@
         self.operator = Operator(store=self.store)
         self._request_ids = itertools.count(1)
         self._tasks: list[asyncio.Task[None]] = []
+        # What the store held before any node was started.
+        self.first_copy = self.store.take_copy()
         self._session: aiohttp.ClientSession | None = None
 
     @property
@@ -346,6 +345,7 @@
         try:
             await self.store.start()
             self.operator.add_route()
+            self.first_copy = self.store.take_copy()
             for machine in self.machines:
                 await machine.server.start()
                 machine.start_node()
@@ -373,9 +373,7 @@
             await asyncio.sleep(0.05)
         return True
 
-    def find_refused(
-        self, start: float, end: float, *, nodes: typing.Container[str] = ()
-    ) -> list[Sample]:
+    def find_refused(self, start: float, end: float) -> list[Sample]:
         """Return 404 for routes that had to be in force, sent in a time."""
         acknowledged_at = self.operator.acknowledged_at
         return [
@@ -384,7 +382,6 @@
             if sample.status == 404
             and start <= sample.sent_at < end
             and sample.sent_at > acknowledged_at[sample.route] + CONFIG_APPLY_S
-            and (not nodes or sample.node in nodes)
         ]
 
     def find_fallen_back(self, since: float) -> list[Sample]:
@@ -418,11 +415,13 @@
             if (machine.name, route) not in served
         ]
 
-    def count_runs(self, zone: str, start: float, end: float) -> int:
-        """Count the requests that the servers of a zone began in a time."""
-        return sum(
-            run.zone == zone and start <= run.at < end for run in self.runs
-        )
+    def find_runs(self, zone: str, start: float, end: float) -> list[Run]:
+        """Return the requests that the servers of a zone began in a time."""
+        return [
+            run
+            for run in self.runs
+            if run.zone == zone and start <= run.at < end
+        ]
 
     async def read_gauge(self, machine: Machine, name: str) -> int | None:
         """Return a gauge of a node's metrics, or None without an answer."""
@@ -495,7 +494,7 @@
         status = 0
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with self.session.get(
-                f"{machine.url}{route}{number}",
+                f"{machine.url}{route}{machine.name}/{number}",
                 headers={
                     "Host": HOST,
                     "Request-Id": f"{number:016x}",
