Order versions by the store's era, and merge what a restored store lacks

Callers got 404 for routes whose change the store had acknowledged seconds before, at all nodes and without an end: the store had come back from an older copy, its numbers had gone back, and nodes order configurations by these numbers. A read with a lower number was ignored, a feed was resumed after a number of the lost history, and the 410 that answered it led to a table that was ignored as older, at once again (708 to 883 reads a follower in 8 s).

Ruled out: changes that are read late (the followers read at once; the reads are answered and ignored), and contents that can't be fetched (nothing is fetched).

A version is now ordered by the era that the store's answers name, then by its number. A later era alone isn't a newer content: the rows that are read are merged with those in force, by the number and era that each row was written at and by what each side is known to have seen, as with version vectors. What the store lacks is kept until the operator writes it again or removes it; what it shows of the time before the copy is recognised; what is written anew counts whatever its number. Nodes that meet under one number with different rows merge each other's. Digests cover the rows alone, so that the history costs no fetch. Names without an era, as older builds send, count for the own era.

Each node writes its own row and the departures that the store had confirmed again, spread over a second or 50 a second of the fleet.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -579,7 +579,7 @@
         f"attempts [{tried}], {len(candidates)} candidate servers, "
         f"{free_count} below their limit, "
         f"{step.budget_of(call.service).tokens:.1f} retry tokens left, "
-        f"configuration {step.state.versions.ref.version}, "
+        f"configuration {step.state.versions.describe()}, "
         f"outdated for {step.state.versions.behind_s(step.now):.3f} s"
     )
 
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -143,6 +143,16 @@
     server: _server_status.ServerStart
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RestoreRows:
+    """Write this node's rows to the store again: it has lost some.
+
+    All nodes learn of it at once; each waits for ``delay_s`` first.
+    """
+
+    delay_s: float
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ReadVersion:
     """Read the current configuration version from the store.
@@ -201,6 +211,7 @@
     | SendMessage
     | SyncMembers
     | RegisterMember
+    | RestoreRows
     | StoreDeparture
     | ReadVersion
     | FetchManifest
--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -257,10 +257,15 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ManifestFetched:
-    """A configuration was fetched and passed validation."""
+    """A configuration was fetched and passed validation.
+
+    ``requested`` is the version that was fetched, if the configuration was
+    merged from it and the one in force; ``ref`` is then the merged version.
+    """
 
     ref: _manifest.VersionRef
     configuration: _settings.Configuration
+    requested: _manifest.VersionRef | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -30,6 +30,7 @@
 from marjoramledge_core import _server_status
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
+from marjoramledge_core import _version_numbers
 from marjoramledge_core import _versions
 
 # Interval at which a stopping node checks whether calls still run.
@@ -40,6 +41,10 @@
 # Time that a stopping node stays up after each of its last steps, so that
 # its final messages are still sent.
 STOP_LINGER_S: typing.Final = 0.2
+# After the store was restored, all nodes write their rows again: within this
+# time, and at most this many a second.
+MIN_RESTORE_SPREAD_S: typing.Final = 1.0
+FLEET_RESTORES_PER_S: typing.Final = 50.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -148,7 +153,10 @@
     wakeup = next_wakeup(state)
     if wakeup is not None and now - wakeup > PAUSE_S:
         _run_due_timers(step, _events.TimePassed())
+    era = state.versions.era
     _HANDLERS[type(event)](step, event)
+    if state.versions.era != era:
+        _enter_era(step, era)
     while step.returned_work:
         work, reason = step.returned_work.pop()
         _calls.work_returned(step, work, reason)
@@ -182,6 +190,7 @@
         step.now,
         step.out,
     )
+    step.state.membership.set_config(step.state.versions.in_force)
 
 
 def _merge_members(step: _state.Step, event: _events.MembersReceived) -> None:
@@ -218,18 +227,40 @@
 def _note_version(step: _state.Step, event: _events.VersionRead) -> None:
     known = _manifest.KnownVersion(ref=event.ref, known_at=step.now)
     step.state.versions.observe_version(known, None, step.now, step.out)
+    step.state.membership.set_config(step.state.versions.in_force)
+
+
+def _enter_era(step: _state.Step, before: int) -> None:
+    """Restore what the store has lost, if it has come back from a copy."""
+    state = step.state
+    step.record(
+        _records.RecordKind.STORE_ERA,
+        detail=f"era {state.versions.era} after {before}, 0 is unknown",
+    )
+    if before == _version_numbers.UNKNOWN_ERA:
+        return
+    spread_s = max(
+        MIN_RESTORE_SPREAD_S,
+        state.membership.present_count / FLEET_RESTORES_PER_S,
+    )
+    step.out.append(
+        _commands.RestoreRows(delay_s=step.rng.uniform(0.0, spread_s))
+    )
 
 
 def _adopt_manifest(step: _state.Step, event: _events.ManifestFetched) -> None:
     state = step.state
     was_open = step.is_zone_open()
-    if not state.versions.adopt(event.ref, event.configuration, step.now):
+    is_adopted = state.versions.adopt(
+        event.ref, event.configuration, step.now, requested=event.requested
+    )
+    if not is_adopted:
         return
     state.membership.set_config(state.versions.in_force)
     state.membership.push_now(step.rng, step.out)
     step.record(
         _records.RecordKind.CONFIG_ADOPTED,
-        detail=f"version {event.ref.version}",
+        detail=f"version {state.versions.describe()}",
     )
     _gate_handlers.apply_service(step)
     is_open = step.is_zone_open()
@@ -246,7 +277,10 @@
 ) -> None:
     step.record(
         _records.RecordKind.CONFIG_REFUSED,
-        detail=f"version {event.ref.version}: {event.detail}",
+        detail=(
+            f"version {_version_numbers.format_version(event.ref.version)}: "
+            f"{event.detail}"
+        ),
     )
     if event.is_unreadable:
         step.state.versions.reject(event.ref)
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -63,6 +63,7 @@
     ZONE_OPENED = "zone-opened"
     STORE_FAILED = "store-failed"
     STORE_RECOVERED = "store-recovered"
+    STORE_ERA = "store-era"
     LOOP_STALLED = "loop-stalled"
     OPTIONS_CHANGED = "options-changed"
     STOP_BEGUN = "stop-begun"
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -23,6 +23,7 @@
 from marjoramledge_core import _records
 from marjoramledge_core import _settings
 from marjoramledge_core import _timers
+from marjoramledge_core import _version_numbers
 from marjoramledge_core import _versions
 
 
@@ -234,9 +235,12 @@
         if self.versions.configuration is None:
             return "no configuration is in force yet"
         if self.versions.is_outdated(self.options.outdated_limit_s, now):
+            wanted = _version_numbers.format_version(
+                self.versions.wanted.version
+            )
             return (
-                f"version {self.versions.wanted.version} is in force at other "
-                f"nodes, version {self.versions.ref.version} here"
+                f"version {wanted} is in force at other nodes, "
+                f"version {self.versions.describe()} here"
             )
         return ""
 
--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -11,8 +11,15 @@
 node that learns of it late knows how late it is.  The node is outdated when
 other nodes have had a newer version for longer than a limit; it must then not
 decide on calls until it has the newer version too.
+
+Where the store names the era of its versions (see ``_version_numbers``), a
+content is not adopted as it was fetched: it is merged with the one in force,
+so that nothing is lost that the store lacks after it has been restored.  Two
+nodes may then hold different contents under one version for a moment; each
+fetches the other's until they are the same.
 """
 
+import collections
 import dataclasses
 import random
 import typing
@@ -24,6 +31,7 @@
 from marjoramledge_core import _records
 from marjoramledge_core import _settings
 from marjoramledge_core import _timers
+from marjoramledge_core import _version_numbers
 
 MIN_READ_PERIOD_S: typing.Final = 2.0
 # Reads of the version row per second by the whole fleet.
@@ -51,6 +59,8 @@
 FLEET_SAFETY_READS_PER_S: typing.Final = 2.0
 # Newer versions that a node keeps track of until one is in force.
 MAX_NEWER_VERSIONS: typing.Final = 16
+# Latest contents that a node remembers as contained in the one in force.
+MAX_MERGED_CONTENTS: typing.Final = 32
 # Delays after failed reads: a change made after an outage must be read within
 # seconds.
 READ_RETRY_S: typing.Final = 0.5
@@ -97,6 +107,9 @@
         self._fetching: set[_ids.Digest] = set()
         self._known_at = 0.0
         self._newer: list[_NewerVersion] = []
+        self._merged: collections.deque[_ids.Digest] = collections.deque(
+            maxlen=MAX_MERGED_CONTENTS
+        )
         self._read_at = 0.0
         self._read_retry_s = READ_RETRY_S
         self._has_read_failed = False
@@ -126,6 +139,15 @@
         """Version in force, and when the fleet first knew it."""
         return _manifest.KnownVersion(ref=self._ref, known_at=self._known_at)
 
+    @property
+    def era(self) -> int:
+        """Era of the version in force."""
+        return _version_numbers.era_of(self._ref.version)
+
+    def describe(self) -> str:
+        """Describe the version in force, for operators."""
+        return _version_numbers.format_version(self._ref.version)
+
     def behind_s(self, now: float) -> float:
         """Seconds since the fleet knows a newer version than this node's.
 
@@ -156,9 +178,8 @@
 
     def is_newer_than(self, ref: _manifest.VersionRef) -> bool:
         """Return whether the version in force is newer than ``ref``."""
-        return (
-            ref.version < self._ref.version and ref.digest != self._ref.digest
-        )
+        version = _version_numbers.assume_era(ref.version, self._ref.version)
+        return version < self._ref.version and ref.digest != self._ref.digest
 
     def start(self, now: float) -> None:
         """Schedule the first read of the version row."""
@@ -231,6 +252,7 @@
 
         ``source`` is the peer, or None for the store.
         """
+        known = self._assume_era(known)
         ref = known.ref
         if ref.digest == self._ref.digest:
             # Same content, possibly under a higher version number.
@@ -238,10 +260,12 @@
             self._ref = dataclasses.replace(ref, version=newest)
             self._forget_older()
             return
+        if ref.version == self._ref.version:
+            self._fetch_variant(ref, source, now, out)
         if ref.version <= self._ref.version:
             return
         self._note_newer(known, is_at_peers=source is not None)
-        if ref.version <= self._wanted.version:
+        if not self._is_preferred(ref):
             return
         self._wanted = ref
         if ref.digest in self._fetching:
@@ -254,7 +278,8 @@
         record = _records.Record(
             kind=_records.RecordKind.CONFIG_HEARD,
             detail=(
-                f"version {ref.version} from {source_name}, "
+                f"version {_version_numbers.format_version(ref.version)} "
+                f"from {source_name}, "
                 f"known for {now - known.known_at:.3f} s"
             ),
         )
@@ -266,21 +291,33 @@
         ref: _manifest.VersionRef,
         configuration: _settings.Configuration,
         now: float,
+        *,
+        requested: _manifest.VersionRef | None = None,
     ) -> bool:
-        """Put a version in force; return False if it is not newer."""
-        self._fetching.discard(ref.digest)
-        if ref.digest == self._wanted.digest:
+        """Put a version in force; return False if it is not newer.
+
+        ``requested`` is the version that was fetched if ``ref`` is the result
+        of merging it with the one in force.
+        """
+        requested = requested or ref
+        self._fetching.discard(requested.digest)
+        if requested.digest == self._wanted.digest:
             # The content was fetched under a number that may be outdated by
             # now, but no other fetch of it is running.
             newest = max(ref.version, self._wanted.version)
             ref = dataclasses.replace(ref, version=newest)
-        if ref.version <= self._ref.version:
+        if requested.digest != ref.digest:
+            self._merged.append(requested.digest)
+        is_variant = ref.version == self._ref.version and (
+            _has_era(ref) and ref.digest != self._ref.digest
+        )
+        if ref.version <= self._ref.version and not is_variant:
             return False
         self._known_at = min(
             (
                 newer.known_at
                 for newer in self._newer
-                if newer.ref.digest == ref.digest
+                if newer.ref.digest == requested.digest
             ),
             default=now,
         )
@@ -351,6 +388,49 @@
             )
         )
 
+    def _fetch_variant(
+        self,
+        ref: _manifest.VersionRef,
+        source: _members.Address | None,
+        now: float,
+        out: list[_commands.Command],
+    ) -> None:
+        """Fetch another content that has the number of the one in force."""
+        is_known = ref.digest in self._merged or ref.digest in self._fetching
+        if is_known or not _has_era(ref):
+            return
+        self._fetching.add(ref.digest)
+        out.append(
+            _commands.FetchManifest(ref=ref, source=source, ordered_at=now)
+        )
+
+    def _is_preferred(self, ref: _manifest.VersionRef) -> bool:
+        """Return whether a version is to be fetched in place of the wanted.
+
+        Of two contents with the same number, the one that was named last is
+        more likely to be available.
+        """
+        if ref.version != self._wanted.version:
+            return ref.version > self._wanted.version
+        is_other = ref.digest != self._wanted.digest
+        return (
+            is_other
+            and _has_era(ref)
+            and self._wanted.digest not in self._fetching
+        )
+
+    def _assume_era(
+        self, known: _manifest.KnownVersion
+    ) -> _manifest.KnownVersion:
+        """Take a version without an era, as old builds send, for this one."""
+        version = _version_numbers.assume_era(
+            known.ref.version, self._ref.version
+        )
+        if version == known.ref.version:
+            return known
+        ref = dataclasses.replace(known.ref, version=version)
+        return dataclasses.replace(known, ref=ref)
+
     def _note_newer(
         self, known: _manifest.KnownVersion, *, is_at_peers: bool
     ) -> None:
@@ -383,3 +463,7 @@
     def _is_in_force(self) -> bool:
         """Return whether the wanted version or a newer one is in force."""
         return self._wanted.version <= self._ref.version
+
+
+def _has_era(ref: _manifest.VersionRef) -> bool:
+    return _version_numbers.era_of(ref.version) != _version_numbers.UNKNOWN_ERA
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -89,6 +89,7 @@
 RefuseCall = _commands.RefuseCall
 RefuseWork = _commands.RefuseWork
 RegisterMember = _commands.RegisterMember
+RestoreRows = _commands.RestoreRows
 RunOnServer = _commands.RunOnServer
 SendMessage = _commands.SendMessage
 SendToPeer = _commands.SendToPeer
--- a/packages/node/marjoramledge_node/_departure_keeper.py
+++ b/packages/node/marjoramledge_node/_departure_keeper.py
@@ -3,7 +3,9 @@
 A departure that has been acknowledged must hold after a restart of this node,
 also while the store is unavailable.  It is therefore acknowledged once the
 store has it, or once some peers hold this node's record, which names it: a
-process that takes this one's place gets the record back from any node.
+process that takes this one's place gets the record back from any node.  A
+store that comes back from an older copy may have lost it; it is then written
+again.
 """
 
 import asyncio
@@ -70,6 +72,8 @@
         self._send_record = send_record
         self._kept: node.ServerStart | None = None
         self._stored: node.ServerStart | None = None
+        # All that the store has confirmed, in case that it loses some.
+        self._confirmed: dict[node.ServerStart, None] = {}
         self._writers: dict[node.ServerStart, asyncio.Future[bool]] = {}
         self._tasks: set[asyncio.Task[typing.Any]] = set()
 
@@ -97,6 +101,14 @@
         self._writers[server] = asyncio.get_running_loop().create_future()
         self._start(self._write_until_stored(server, self._write_departure))
 
+    def rewrite(self) -> None:
+        """Write the confirmed departures again: the store has lost some."""
+        confirmed = list(self._confirmed)
+        self._confirmed.clear()
+        self._stored = None
+        for server in confirmed:
+            self.write(server)
+
     async def close(self) -> None:
         """Cancel the running tasks and wait for them to end."""
         for task in self._tasks:
@@ -114,6 +126,12 @@
                 return await asyncio.shield(written)
         return False
 
+    def _note_stored(self, server: node.ServerStart) -> None:
+        self._stored = server
+        self._confirmed[server] = None
+        while len(self._confirmed) > MAX_WRITERS:
+            del self._confirmed[next(iter(self._confirmed))]
+
     async def _write_until_stored(
         self, server: node.ServerStart, write_departure: DepartureWriter
     ) -> None:
@@ -123,7 +141,7 @@
             for _ in range(MAX_WRITES):
                 is_stored = await write_departure(server)
                 if is_stored:
-                    self._stored = server
+                    self._note_stored(server)
                 if not first.done():
                     first.set_result(is_stored)
                 if is_stored:
--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import dataclasses
+import functools
 import json
 import typing
 
@@ -16,6 +18,7 @@
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_store import client
+from marjoramledge_store import followed
 from returns import result
 
 from marjoramledge_node import _config_content
@@ -39,6 +42,12 @@
 MANIFEST_TIMEOUT_S: typing.Final = 10.0
 MANIFEST_IDLE_S: typing.Final = 1.0
 MAX_INVALID_ROWS_LOGGED: typing.Final = 10
+# Writes of this node's row to a restored store, and the first pause between
+# them, which doubles.
+MAX_RESTORE_WRITES: typing.Final = 6
+MIN_RESTORE_PAUSE_S: typing.Final = 0.5
+# Contents that are served to peers after they have been replaced.
+MAX_REPLACED_CONTENTS: typing.Final = 4
 # Bounds the members that a starting node takes from the store; more than any
 # fleet has.  Nodes that start together learn of those beyond it by gossip
 # only, which takes seconds.
@@ -46,11 +55,18 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _ParsedContent:
-    """A parsed configuration, and its compressed content for peers."""
+class _Parsed:
+    """A parsed configuration and what it was parsed from.
 
+    ``document`` is the content, and its history if it has one.  The compressed
+    forms are those that peers fetch, without and with the history.
+    """
+
+    digest: ids.Digest
+    document: bytes
     declared: configuration.Configuration
     compressed: bytes
+    compressed_document: bytes
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -75,40 +91,50 @@
 
 
 def _check_digest(
-    content: bytes, digest: ids.Digest
+    document: bytes, digest: ids.Digest
 ) -> result.Result[bytes, str]:
+    """Check the content of a document, which its digest covers."""
+    content, _ = followed.split_content(document)
     if configuration.compute_digest(content) != digest:
         return result.Failure(
             "the content does not match the requested digest"
         )
-    return result.Success(content)
+    return result.Success(document)
 
 
 def _verify_fetched(
     command: node.FetchManifest, fetched: bytes
 ) -> result.Result[bytes, str]:
-    """Decompress and check fetched content, which peers send compressed."""
+    """Decompress and check a fetched document; peers send it compressed."""
     decompressed: result.Result[bytes, str] = result.Success(fetched)
     if command.source is not None:
         decompressed = _config_content.decompress_content(
             fetched, configuration.MAX_MANIFEST_BYTES
         )
     return decompressed.bind(
-        lambda content: _check_digest(content, command.ref.digest)
+        lambda document: _check_digest(document, command.ref.digest)
     )
 
 
-def _parse_content(
-    content: bytes, parse: collections.abc.Callable[[], _manifests.ParseResult]
-) -> result.Result[_ParsedContent, str]:
+def _parse_document(
+    document: bytes,
+    parse: collections.abc.Callable[
+        [bytes, ids.Digest], _manifests.ParseResult
+    ],
+) -> result.Result[_Parsed, str]:
+    content, _ = followed.split_content(document)
+    digest = configuration.compute_digest(content)
     try:
-        declared = parse()
+        declared = parse(content, digest)
     except Exception as error:  # A parser's bug must not stop later fetches.
         return result.Failure(f"parsing the configuration failed: {error!r}")
     return declared.map(
-        lambda value: _ParsedContent(
+        lambda value: _Parsed(
+            digest=digest,
+            document=document,
             declared=value,
             compressed=_config_content.compress_content(content),
+            compressed_document=_config_content.compress_content(document),
         )
     )
 
@@ -154,7 +180,12 @@
         self._options = options
         self._timeline = timeline
         self._worker = _config_content.WorkerThread()
-        self._compressed_config = b""
+        self._in_force: _Parsed | None = None
+        # A peer may fetch a content that has been replaced meanwhile.
+        self._replaced: collections.deque[_Parsed] = collections.deque(
+            maxlen=MAX_REPLACED_CONTENTS
+        )
+        self._merged_read = b""
         self._is_store_up = True
         self._fleet_loaded = asyncio.Event()
         self._fleet_reading = asyncio.Lock()
@@ -167,6 +198,7 @@
         self._connect(node.SyncMembers, self._sync_members)
         self._connect(node.RegisterMember, self._register)
         self._connect(node.StoreDeparture, self._keep_departure)
+        self._connect(node.RestoreRows, self._restore_rows)
         self._connect(
             node.ProbeServer,
             self._probe_server,
@@ -205,7 +237,6 @@
         Return the body of the response, or None if the target is unknown or
         the request's body is invalid.
         """
-        state = self._engine.state
         is_members = target == _peer_port.MEMBERS_TARGET
         if is_members and method in ("POST", "PUT"):
             received = _wire.decode_members(body)
@@ -220,9 +251,22 @@
             return b"{}"
         if (method, target) == ("GET", _peer_port.STATUS_TARGET):
             return json.dumps(self._build_status()).encode()
-        current = _peer_port.manifest_target(state.versions.ref.digest)
-        if (method, target) == ("GET", current) and self._compressed_config:
-            return self._compressed_config
+        if method == "GET":
+            return self._find_served(target)
+        return None
+
+    def _find_served(self, target: str) -> bytes | None:
+        """Return the content or document that a peer fetches, if it is here.
+
+        Peers of older builds fetch contents without their history.
+        """
+        if self._in_force is None:
+            return None
+        for parsed in (self._in_force, *self._replaced):
+            if target == _peer_port.manifest_target(parsed.digest):
+                return parsed.compressed
+            if target == _peer_port.document_target(parsed.digest):
+                return parsed.compressed_document
         return None
 
     async def _receive_manifest(
@@ -235,8 +279,11 @@
             return None
         accepted = manifest.unwrap()
         parsed = await self._worker.run(
-            lambda: _parse_content(
-                content, lambda: _manifests.parse_decoded_manifest(accepted)
+            lambda: _parse_document(
+                content,
+                lambda _content, _digest: _manifests.parse_decoded_manifest(
+                    accepted
+                ),
             )
         )
         if isinstance(parsed, result.Failure):
@@ -246,14 +293,31 @@
         return b"{}"
 
     def _adopt(
-        self, ref: configuration.VersionRef, parsed: _ParsedContent
+        self, requested: configuration.VersionRef, parsed: _Parsed
     ) -> None:
+        """Put a document in force that was fetched, or merged from it."""
+        held = self._engine.state.versions.ref
+        version = requested.version
+        if parsed.digest != requested.digest:
+            version = max(version, held.version)
         self._engine.submit(
-            node.ManifestFetched(ref=ref, configuration=parsed.declared)
+            node.ManifestFetched(
+                ref=configuration.VersionRef(
+                    version=version, digest=parsed.digest
+                ),
+                configuration=parsed.declared,
+                requested=requested,
+            )
         )
         # The content may be in force under a higher version number.
-        if ref.digest == self._engine.state.versions.ref.digest:
-            self._compressed_config = parsed.compressed
+        if parsed.digest == self._engine.state.versions.ref.digest:
+            self._set_in_force(parsed)
+
+    def _set_in_force(self, parsed: _Parsed) -> None:
+        replaced = self._in_force
+        if replaced is not None and replaced.digest != parsed.digest:
+            self._replaced.append(replaced)
+        self._in_force = parsed
 
     async def close(self) -> None:
         """Cancel the running tasks and wait for them to end."""
@@ -335,12 +399,35 @@
             slots = myself.slots or member.slots
             if member == dataclasses.replace(myself, slots=slots):
                 return
-        written = await self._store.put_member(myself)
+        await self._write_member(self._store)
+
+    async def _write_member(self, store: client.NodeStore) -> bool:
+        """Write this node's entry; return whether the store confirmed it."""
+        written = await store.put_member(self._build_stored_member())
         self._count_store_call("put-member", written)
         if isinstance(written, result.Failure):
             loguru.logger.bind(event="register-failed").warning(
                 "writing this node to the store failed: {}", written.failure()
             )
+        return isinstance(written, result.Success)
+
+    async def _restore_rows(self, command: node.RestoreRows) -> None:
+        """Write this node's rows to a store that has lost some."""
+        if self._store is None:
+            return
+        self._departures.rewrite()
+        pause_s = command.delay_s
+        for _ in range(MAX_RESTORE_WRITES):
+            await asyncio.sleep(pause_s)
+            if await self._write_member(self._store):
+                loguru.logger.bind(event="rows-restored").info(
+                    "this node has written its row to the store again"
+                )
+                return
+            pause_s = max(MIN_RESTORE_PAUSE_S, 2.0 * pause_s)
+        loguru.logger.bind(event="rows-not-restored").warning(
+            "this node's row could not be written to the store again"
+        )
 
     def _build_stored_member(self) -> node.Member:
         """Build this node's entry for the store."""
@@ -425,6 +512,7 @@
         if is_success:
             row = found.unwrap()
             if row is not None:
+                await self._merge_read(row.ref)
                 self._engine.submit(node.VersionRead(ref=row.ref))
             if not self._fleet_loaded.is_set():
                 # The store was unavailable when this node started, or the
@@ -432,57 +520,145 @@
                 await self._read_fleet_once(self._store)
         self._engine.submit(node.VersionReadEnded(is_success=is_success))
 
+    async def _merge_read(self, ref: configuration.VersionRef) -> None:
+        """Merge rows that were read and that the core will not fetch.
+
+        They are those in force, or have the same version.  The operator may
+        have written the same rows again since, or removed some.
+        """
+        held = self._in_force
+        if held is None or self._store is None or not _has_era(ref):
+            return
+        held_version = self._engine.state.versions.ref.version
+        if held.digest != ref.digest and held_version != ref.version:
+            return
+        read = await self._store.get_manifest(ref.digest)
+        document = read.value_or(b"")
+        if not document or document == self._merged_read:
+            return
+        parsed = await self._merge_and_parse(ref, document)
+        if isinstance(parsed, result.Failure):
+            loguru.logger.bind(event="rows-ignored").warning(
+                "the rows of version {} can't be merged: {}",
+                configuration.format_version(ref.version),
+                parsed.failure(),
+            )
+            return
+        self._merged_read = document
+        if parsed.unwrap().digest == self._engine.state.versions.ref.digest:
+            self._set_in_force(parsed.unwrap())
+        else:
+            self._adopt(ref, parsed.unwrap())
+
     async def _fetch_manifest(self, command: node.FetchManifest) -> None:
         ref = command.ref
         times = _FetchTimes(
             ordered_at=command.ordered_at, begun_at=self._engine.now()
         )
-        fetched: result.Result[bytes, str]
-        if command.source is not None:
-            fetched = await self._request_peer(
-                "GET",
-                command.source,
-                _peer_port.manifest_target(ref.digest),
-                b"",
-                configuration.MAX_MANIFEST_BYTES,
-                timeout_s=MANIFEST_TIMEOUT_S,
-                idle_s=MANIFEST_IDLE_S,
-            )
-        elif self._store is not None:
-            manifest_read = await self._store.get_manifest(ref.digest)
-            self._count_store_call("read-manifest", manifest_read)
-            self._set_store_status(isinstance(manifest_read, result.Success))
-            fetched = manifest_read.alt(str)
-        else:
-            fetched = result.Failure("no store is configured")
+        fetched = await self._fetch_document(command)
         times.fetched_at = times.reading_at = self._engine.now()
 
-        def read() -> tuple[bool, result.Result[_ParsedContent, str]]:
+        def verify() -> result.Result[bytes, str]:
             times.reading_at = self._engine.now()
-            verified = fetched.bind(
-                lambda content: _verify_fetched(command, content)
-            )
-            parsed = verified.bind(
-                lambda content: _parse_content(
-                    content,
-                    lambda: self._read_configuration(content, ref.digest),
-                )
+            return fetched.bind(
+                lambda document: _verify_fetched(command, document)
             )
-            return isinstance(verified, result.Success), parsed
 
-        is_verified, parsed = await self._worker.run(read)
+        verified = await self._worker.run(verify)
+        parsed: result.Result[_Parsed, str]
+        if isinstance(verified, result.Failure):
+            parsed = verified
+        else:
+            parsed = await self._merge_and_parse(ref, verified.unwrap())
         self._record_fetch(command, fetched, times)
         if isinstance(parsed, result.Failure):
             self._engine.submit(
                 node.ManifestFailed(
                     ref=ref,
                     detail=parsed.failure(),
-                    is_unreadable=is_verified,
+                    is_unreadable=isinstance(verified, result.Success),
                 )
             )
             return
         self._adopt(ref, parsed.unwrap())
 
+    async def _fetch_document(
+        self, command: node.FetchManifest
+    ) -> result.Result[bytes, str]:
+        digest = command.ref.digest
+        if command.source is not None:
+            target = _peer_port.manifest_target(digest)
+            if configuration.era_of(command.ref.version):
+                target = _peer_port.document_target(digest)
+            return await self._request_peer(
+                "GET",
+                command.source,
+                target,
+                b"",
+                configuration.MAX_MANIFEST_BYTES,
+                timeout_s=MANIFEST_TIMEOUT_S,
+                idle_s=MANIFEST_IDLE_S,
+            )
+        if self._store is None:
+            return result.Failure("no store is configured")
+        read = await self._store.get_manifest(digest)
+        self._count_store_call("read-manifest", read)
+        self._set_store_status(isinstance(read, result.Success))
+        return read.alt(str)
+
+    async def _merge_and_parse(
+        self, ref: configuration.VersionRef, fetched: bytes
+    ) -> result.Result[_Parsed, str]:
+        """Merge a fetched document with the one in force, and parse it.
+
+        Does so again if another one has come into force meanwhile.
+        """
+        while True:
+            held = self._in_force
+            held_version = self._engine.state.versions.ref.version
+            parsed = await self._worker.run(
+                functools.partial(
+                    self._parse_merged, held, held_version, fetched, ref
+                )
+            )
+            is_current = held is self._in_force
+            if is_current or isinstance(parsed, result.Failure):
+                return parsed
+
+    def _parse_merged(
+        self,
+        held: _Parsed | None,
+        held_version: ids.ConfigVersion,
+        fetched: bytes,
+        ref: configuration.VersionRef,
+    ) -> result.Result[_Parsed, str]:
+        """Merge and parse a document, in the worker thread."""
+        document = fetched
+        if self._store is not None:
+            try:
+                document = self._store.merge_documents(
+                    b"" if held is None else held.document,
+                    held_version,
+                    fetched,
+                    ref.version,
+                )
+            except Exception as error:  # As a parser's bug.
+                return result.Failure(f"merging failed: {error!r}")
+        content, _ = followed.split_content(document)
+        if held is not None and (
+            configuration.compute_digest(content) == held.digest
+        ):
+            return result.Success(
+                dataclasses.replace(
+                    held,
+                    document=document,
+                    compressed_document=_config_content.compress_content(
+                        document
+                    ),
+                )
+            )
+        return _parse_document(document, self._read_configuration)
+
     def _record_fetch(
         self,
         command: node.FetchManifest,
@@ -499,7 +675,9 @@
             node.Record(
                 kind=node.RecordKind.CONFIG_FETCHED,
                 detail=(
-                    f"version {command.ref.version} from {source} "
+                    f"version "
+                    f"{configuration.format_version(command.ref.version)} "
+                    f"from {source} "
                     f"in {fetch_s:.3f} s: {outcome}, "
                     f"{times.describe(self._engine.now())}"
                 ),
@@ -579,7 +757,8 @@
         return {
             "node": state.node,
             "zone": state.zone,
-            "version": state.versions.ref.version,
+            "version": configuration.number_of(state.versions.ref.version),
+            "era": configuration.era_of(state.versions.ref.version),
             "digest": state.versions.ref.digest,
             "is_store_up": self._is_store_up,
             "is_drained_by_order": state.is_drained_by_order,
@@ -609,3 +788,7 @@
         "server": member.server.name.lower(),
         "slots": member.slots,
     }
+
+
+def _has_era(ref: configuration.VersionRef) -> bool:
+    return configuration.era_of(ref.version) != configuration.UNKNOWN_ERA
--- a/packages/node/marjoramledge_node/_headers.py
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -149,9 +149,12 @@
 
 
 def format_config(known: configuration.KnownVersion, now: float) -> str:
-    """Format a configuration version and its age at ``now``."""
+    """Format a configuration version, its age at ``now``, and its era."""
     age_ms = round(1000 * (now - known.known_at))
-    return f"{known.ref.version};{known.ref.digest};{age_ms}"
+    number = configuration.number_of(known.ref.version)
+    text = f"{number};{known.ref.digest};{age_ms}"
+    era = configuration.era_of(known.ref.version)
+    return text if era == configuration.UNKNOWN_ERA else f"{text};{era}"
 
 
 def parse_config(
@@ -159,10 +162,11 @@
 ) -> configuration.KnownVersion | None:
     """Parse a configuration version; return None if missing or invalid."""
     try:
-        version, digest, age_ms = (text or "").split(";")
+        number, digest, age_ms, *eras = (text or "").split(";")
+        (era,) = eras or (str(configuration.UNKNOWN_ERA),)
         return configuration.KnownVersion(
             ref=configuration.VersionRef(
-                version=ids.ConfigVersion(int(version)),
+                version=configuration.pack_version(int(era), int(number)),
                 digest=ids.Digest(digest),
             ),
             known_at=now - max(0, int(age_ms)) / 1000,
--- a/packages/node/marjoramledge_node/_metrics_port.py
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -4,6 +4,7 @@
 import typing
 
 from aiohttp import web
+from marjoramledge_core import configuration
 from marjoramledge_core import node
 
 from marjoramledge_node import _counts
@@ -140,8 +141,13 @@
         )
         yield (
             "configuration_version",
-            "Version of the configuration in force.",
-            state.versions.ref.version,
+            "Number of the configuration in force, within its era.",
+            configuration.number_of(state.versions.ref.version),
+        )
+        yield (
+            "configuration_era",
+            "Restorations of the store before this version; 0 if unknown.",
+            configuration.era_of(state.versions.ref.version),
         )
         yield (
             "configuration_read_age_seconds",
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -30,6 +30,7 @@
 STATUS_TARGET: typing.Final = "/status"
 DRAIN_TARGET: typing.Final = "/drain"
 MANIFEST_TARGET: typing.Final = "/manifests/"
+DOCUMENT_TARGET: typing.Final = "/documents/"
 # Maximum size of a member list (some thousands of members of about 80 bytes
 # each) and of a configuration.
 MAX_DOCUMENT_BYTES: typing.Final = configuration.MAX_MANIFEST_BYTES
@@ -382,6 +383,11 @@
     return f"{MANIFEST_TARGET}{digest}"
 
 
+def document_target(digest: ids.Digest) -> str:
+    """Return the target at which peers serve one with its history."""
+    return f"{DOCUMENT_TARGET}{digest}"
+
+
 def sign_request(
     keys: _auth.KeyRing, method: str, target: str, body: bytes
 ) -> dict[str, str]:
--- a/packages/node/marjoramledge_node/_statsd_reporter.py
+++ b/packages/node/marjoramledge_node/_statsd_reporter.py
@@ -9,6 +9,7 @@
 import typing
 
 import loguru
+from marjoramledge_core import configuration
 from marjoramledge_core import node
 import statsd
 
@@ -62,9 +63,9 @@
                 batch.gauge("gate.limit", report.limit)
                 batch.gauge("gate.service_us", round(report.service_s * 1e6))
                 batch.gauge("entry.calls", len(self._engine.state.calls))
-                batch.gauge(
-                    "config.version", self._engine.state.versions.ref.version
-                )
+                version = self._engine.state.versions.ref.version
+                batch.gauge("config.version", configuration.number_of(version))
+                batch.gauge("config.era", configuration.era_of(version))
         except OSError as error:
             loguru.logger.debug("metrics not sent: {!r}", error)
         self._counts.clear()
--- a/packages/node/marjoramledge_node/_wire.py
+++ b/packages/node/marjoramledge_node/_wire.py
@@ -79,6 +79,7 @@
         10: (_LIST, "suspicions", (_STRUCT, _SuspicionStruct), False),
         11: (_STRUCT, "load", _LoadStruct, False),
         12: (_I64, "config_age_ms", False),
+        13: (_I32, "config_era", False),
     }
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
@@ -119,7 +120,7 @@
             port=message.sender_address.port,
             sequence=message.sequence,
             target=message.target,
-            version=message.config.version,
+            version=configuration.number_of(message.config.version),
             digest=message.config.digest,
             news=[_to_struct(member) for member in message.updates],
             suspicions=list(map(_to_suspicion, message.suspicions)),
@@ -127,6 +128,7 @@
             config_age_ms=(
                 None if known_at is None else round(1000 * (now - known_at))
             ),
+            config_era=configuration.era_of(message.config.version) or None,
         )
     )
 
@@ -150,7 +152,10 @@
                 sequence=struct.sequence,
                 target=ids.NodeId(struct.target),
                 config=configuration.VersionRef(
-                    version=ids.ConfigVersion(struct.version),
+                    version=configuration.pack_version(
+                        struct.config_era or configuration.UNKNOWN_ERA,
+                        struct.version,
+                    ),
                     digest=ids.Digest(struct.digest),
                 ),
                 updates=tuple(_from_struct(entry) for entry in struct.news),
--- a/packages/store/marjoramledge_store/_client.py
+++ b/packages/store/marjoramledge_store/_client.py
@@ -172,6 +172,17 @@
             return result.Failure(_errors.StoreError.REJECTED)
         return result.Success(reply.body)
 
+    def merge_documents(
+        self,
+        own: bytes,
+        own_version: ids.ConfigVersion,
+        fetched: bytes,
+        fetched_version: ids.ConfigVersion,
+    ) -> bytes:
+        """Return the fetched manifest: a manifest replaces its parent."""
+        del own, own_version, fetched_version
+        return fetched
+
     async def put_member(self, member: node.Member) -> _ports.Outcome[None]:
         """Store the address of a node, its service and its slots."""
         reply_result = await self._request(
--- a/packages/store/marjoramledge_store/_ports.py
+++ b/packages/store/marjoramledge_store/_ports.py
@@ -54,7 +54,23 @@
         """
 
     async def get_manifest(self, digest: ids.Digest) -> Outcome[bytes]:
-        """Read the content of a configuration by its digest."""
+        """Read the content of a configuration by its digest.
+
+        A store that may be restored from an older copy adds its history.
+        """
+
+    def merge_documents(
+        self,
+        own: bytes,
+        own_version: ids.ConfigVersion,
+        fetched: bytes,
+        fetched_version: ids.ConfigVersion,
+    ) -> bytes:
+        """Merge a fetched content and its history into the one in force.
+
+        Called in another thread than the other operations, by one thread at
+        a time.
+        """
 
     async def put_member(self, member: node.Member) -> Outcome[None]:
         """Store the address of a node, its service and its slots."""
@@ -105,7 +121,8 @@
     ) -> Outcome[Rows]:
         """Wait for changes of a table after version ``after``.
 
-        Fails with ``HISTORY_GONE`` if the store no longer has all of them.
+        Fails with ``HISTORY_GONE`` if the store no longer has all of them,
+        or does not have that version.
         """
 
     async def put_row(
--- a/tests/test_served_contents.py
+++ b/tests/test_served_contents.py
@@ -31,9 +31,13 @@
     )
 
 
-def _build_parsed(content: bytes) -> _document_exchange._ParsedContent:
-    return _document_exchange._ParsedContent(
-        declared=builders.build_configuration(), compressed=content
+def _build_parsed(content: bytes) -> _document_exchange._Parsed:
+    return _document_exchange._Parsed(
+        digest=ids.Digest(content.decode()),
+        document=content,
+        declared=builders.build_configuration(),
+        compressed=content,
+        compressed_document=content,
     )
 
 
