Let a few followers read the store often

A follower's read waited 4 s in a small fleet and up to 20 s in a large one.

The first node in each of the first two zones waits for 0.8 s at most, all other followers for 4 s in a fleet of any size.

--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -41,6 +41,8 @@
 # Time that a stopping node stays up after each of its last steps, so that
 # its final messages are still sent.
 STOP_LINGER_S: typing.Final = 0.2
+# Nodes that read the store often, in zones of their own.
+FREQUENT_READERS: typing.Final = 2
 # After the store was restored, all nodes write their rows again: within this
 # time, and at most this many a second.
 MIN_RESTORE_SPREAD_S: typing.Final = 1.0
@@ -230,6 +232,20 @@
     step.state.membership.set_config(step.state.versions.in_force)
 
 
+def _reads_often(state: _state.NodeState) -> bool:
+    """Return whether this node reads the store often for the fleet.
+
+    All nodes choose the same: the first one in each of the first zones.
+    """
+    first_of_zone: dict[_ids.ZoneName, _ids.NodeId] = {}
+    for member in state.membership.members.values():
+        if member.status is _members.MemberStatus.ALIVE:
+            first = first_of_zone.get(member.zone, member.node)
+            first_of_zone[member.zone] = min(first, member.node)
+    zones = sorted(first_of_zone)[:FREQUENT_READERS]
+    return state.node in (first_of_zone[zone] for zone in zones)
+
+
 def _enter_era(step: _state.Step, before: int) -> None:
     """Restore what the store has lost, if it has come back from a copy."""
     state = step.state
@@ -459,6 +475,7 @@
             step.now,
             step.rng,
             step.out,
+            reads_often=_reads_often(step.state),
         )
     ),
     _timers.TimerKind.CONFIG_FETCH: _retry_fetch,
--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -44,13 +44,12 @@
 # Every third retry of a fetch goes to the store, which may be unreachable from
 # this node only; the others go to peers, most of which have the manifest.
 STORE_RETRY_INTERVAL: typing.Final = 3
-# Bounds of the time for which a read waits at the store for a change.  An
-# outage may leave such a read without an answer.  The minimum is so short that
-# a node notices this before the next change must be in force; in a large
-# fleet, waits are longer, and the first node that notices informs the others.
-MIN_WAIT_S: typing.Final = 4.0
-MAX_WAIT_S: typing.Final = 20.0
-WAIT_PER_MEMBER_S: typing.Final = 0.4
+# How long a read waits at the store for a change.  An outage may leave such a
+# read without an answer, and a store that has been restored may let it wait
+# for a number of the lost history.  A few followers read often: they notice
+# both before the next change must be in force, and inform the others.
+WAIT_S: typing.Final = 4.0
+OFTEN_WAIT_S: typing.Final = 0.8
 # How often a node checks whether it has become a follower of the store.
 FOLLOWER_CHECK_S: typing.Final = 0.5
 # How often a node that is not a follower reads the version row, in case that
@@ -192,11 +191,13 @@
         now: float,
         rng: random.Random,
         out: list[_commands.Command],
+        *,
+        reads_often: bool = False,
     ) -> None:
         """Read the version in force from the store.
 
         Where reads wait for a change, a node that is not a follower makes
-        only safety reads.
+        only safety reads, and one that ``reads_often`` waits for a short time.
         """
         if self._waits_for_change:
             period_s = max(
@@ -210,9 +211,7 @@
                 )
                 return
         self._read_at = now
-        wait_s = min(
-            MAX_WAIT_S, max(MIN_WAIT_S, WAIT_PER_MEMBER_S * member_count)
-        )
+        wait_s = OFTEN_WAIT_S if reads_often else WAIT_S
         if self._has_read_failed:
             # The store may lose this read too; it must not take long to
             # notice that, and the store's return.
