Take a number without an era as a hint only

In a fleet with nodes of an older build, these name numbers of a lost history without an era. Such a number was taken for one of the own era: it raised the number held, was passed on with the era, and no change was taken until the restored store's numbers had passed it, as in the incident itself.

A name without an era now makes a node that knows its era read the store, at most once a second, and changes nothing else.

--- a/packages/core/marjoramledge_core/_versions.py
+++ b/packages/core/marjoramledge_core/_versions.py
@@ -58,6 +58,8 @@
 FLEET_SAFETY_READS_PER_S: typing.Final = 2.0
 # Newer versions that a node keeps track of until one is in force.
 MAX_NEWER_VERSIONS: typing.Final = 16
+# Shortest interval of reads after what nodes of older builds name.
+MIN_CHECK_INTERVAL_S: typing.Final = 1.0
 # Latest contents that a node remembers as contained in the one in force.
 MAX_MERGED_CONTENTS: typing.Final = 32
 # Delays after failed reads: a change made after an outage must be read within
@@ -112,6 +114,8 @@
         self._read_at = 0.0
         self._read_retry_s = READ_RETRY_S
         self._has_read_failed = False
+        self._is_reading = False
+        self._is_check_due = False
 
     @property
     def configuration(self) -> _settings.Configuration | None:
@@ -204,13 +208,15 @@
                 MIN_SAFETY_READ_PERIOD_S,
                 member_count / FLEET_SAFETY_READS_PER_S,
             )
-            is_due = now - self._read_at >= period_s
+            is_due = self._is_check_due or now - self._read_at >= period_s
             if not is_follower and self._configuration and not is_due:
                 self._timers.set(
                     now + FOLLOWER_CHECK_S, _timers.TimerKind.CONFIG_READ
                 )
                 return
         self._read_at = now
+        self._is_reading = True
+        self._is_check_due = False
         wait_s = OFTEN_WAIT_S if reads_often else WAIT_S
         if self._has_read_failed:
             # The store may lose this read too; it must not take long to
@@ -232,6 +238,7 @@
         if not self._waits_for_change:
             return
         delay_s = 0.0
+        self._is_reading = False
         self._has_read_failed = not is_success
         if is_success:
             self._read_retry_s = READ_RETRY_S
@@ -251,8 +258,10 @@
 
         ``source`` is the peer, or None for the store.
         """
-        known = self._assume_era(known)
         ref = known.ref
+        if self.era != _version_numbers.UNKNOWN_ERA and not _has_era(ref):
+            self._check_store(ref, now)
+            return
         if ref.digest == self._ref.digest:
             # Same content, possibly under a higher version number.
             newest = max(ref.version, self._ref.version)
@@ -418,17 +427,18 @@
             and self._wanted.digest not in self._fetching
         )
 
-    def _assume_era(
-        self, known: _manifest.KnownVersion
-    ) -> _manifest.KnownVersion:
-        """Take a version without an era, as old builds send, for this one."""
-        version = _version_numbers.assume_era(
-            known.ref.version, self._ref.version
-        )
-        if version == known.ref.version:
-            return known
-        ref = dataclasses.replace(known.ref, version=version)
-        return dataclasses.replace(known, ref=ref)
+    def _check_store(self, ref: _manifest.VersionRef, now: float) -> None:
+        """Read the store if a node of an older build may know more.
+
+        Its number, without an era, may be one of a lost history.
+        """
+        is_known = ref.digest == self._ref.digest or self._is_reading
+        number = _version_numbers.number_of(self._ref.version)
+        is_due = now - self._read_at >= MIN_CHECK_INTERVAL_S
+        if is_known or ref.version <= number or not is_due:
+            return
+        self._is_check_due = True
+        self._timers.set(now, _timers.TimerKind.CONFIG_READ)
 
     def _note_newer(
         self, known: _manifest.KnownVersion, *, is_at_peers: bool
