Write departures to a restored store again one by one, after a delay

All nodes wrote their confirmed departures at the moment at which they learned of the era, at 195 nodes more than the store takes in a second, and two starts of one server side by side, so that the row could end as the earlier one and an acknowledged departure was lost.

The latest departure of each server is written, after the node's delay, ten a second.

--- a/packages/node/marjoramledge_node/_departure_keeper.py
+++ b/packages/node/marjoramledge_node/_departure_keeper.py
@@ -33,6 +33,8 @@
 MAX_WRITES: typing.Final = 40
 FIRST_WRITE_PAUSE_S: typing.Final = 1.0
 MAX_WRITE_PAUSE_S: typing.Final = 4.0
+# Interval at which departures are written again to a restored store.
+REWRITE_INTERVAL_S: typing.Final = 0.1
 # Departures that are written concurrently; each server has one.
 MAX_WRITERS: typing.Final = 16
 
@@ -72,8 +74,9 @@
         self._send_record = send_record
         self._kept: node.ServerStart | None = None
         self._stored: node.ServerStart | None = None
-        # All that the store has confirmed, in case that it loses some.
-        self._confirmed: dict[node.ServerStart, None] = {}
+        # The latest that the store has confirmed of each server, in case
+        # that it loses some.
+        self._confirmed: dict[ids.ServerId, node.ServerStart] = {}
         self._writers: dict[node.ServerStart, asyncio.Future[bool]] = {}
         self._tasks: set[asyncio.Task[typing.Any]] = set()
 
@@ -101,13 +104,12 @@
         self._writers[server] = asyncio.get_running_loop().create_future()
         self._start(self._write_until_stored(server, self._write_departure))
 
-    def rewrite(self) -> None:
+    async def rewrite(self) -> None:
         """Write the confirmed departures again: the store has lost some."""
-        confirmed = list(self._confirmed)
-        self._confirmed.clear()
         self._stored = None
-        for server in confirmed:
+        for server in list(self._confirmed.values()):
             self.write(server)
+            await asyncio.sleep(REWRITE_INTERVAL_S)
 
     async def close(self) -> None:
         """Cancel the running tasks and wait for them to end."""
@@ -128,7 +130,8 @@
 
     def _note_stored(self, server: node.ServerStart) -> None:
         self._stored = server
-        self._confirmed[server] = None
+        self._confirmed.pop(server.server, None)
+        self._confirmed[server.server] = server
         while len(self._confirmed) > MAX_WRITERS:
             del self._confirmed[next(iter(self._confirmed))]
 
--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -11,6 +11,7 @@
 import dataclasses
 import functools
 import json
+import random
 import typing
 
 import loguru
@@ -415,16 +416,17 @@
         """Write this node's rows to a store that has lost some."""
         if self._store is None:
             return
-        self._departures.rewrite()
-        pause_s = command.delay_s
+        await asyncio.sleep(command.delay_s)
+        await self._departures.rewrite()
+        pause_s = MIN_RESTORE_PAUSE_S
         for _ in range(MAX_RESTORE_WRITES):
-            await asyncio.sleep(pause_s)
             if await self._write_member(self._store):
                 loguru.logger.bind(event="rows-restored").info(
-                    "this node has written its row to the store again"
+                    "this node has written its rows to the store again"
                 )
                 return
-            pause_s = max(MIN_RESTORE_PAUSE_S, 2.0 * pause_s)
+            await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
+            pause_s *= 2.0
         loguru.logger.bind(event="rows-not-restored").warning(
             "this node's row could not be written to the store again"
         )
