Find removals in a restored store from a bound of the copy; fail old reads

An evacuation that began before the store's history does, and that the operator ended before any node had read the restored store, was kept for ever: the changes were asked for from the row's own number on, which the store no longer had. They are asked for from three lower bounds of the copy now, the oldest first. Without any history, a row that was held for longer than a copy is old counts as removed.

--- a/packages/standins/marjoramledge_standins/builders.py
+++ b/packages/standins/marjoramledge_standins/builders.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+import typing
 
 from marjoramledge_core import configuration
 from marjoramledge_core import ids
@@ -110,10 +111,19 @@
     )
 
 
+DEFAULT_OPTIONS: typing.Final = node.Options(stop_limit_s=30.0)
+
+
 class CoreDriver:
     """Drives one node's state machine under virtual time."""
 
-    def __init__(self, *, name: str = "n0", zone: str = "north") -> None:
+    def __init__(
+        self,
+        *,
+        name: str = "n0",
+        zone: str = "north",
+        options: node.Options = DEFAULT_OPTIONS,
+    ) -> None:
         self.now = 100.0
         self.rng = random.Random(1)
         self.out: list[node.Command] = []
@@ -125,7 +135,7 @@
                 incarnation=1,
             ),
             seeds=(),
-            options=node.Options(stop_limit_s=30.0),
+            options=options,
             now=self.now,
         )
 
--- a/packages/store/marjoramledge_store/_change_feed.py
+++ b/packages/store/marjoramledge_store/_change_feed.py
@@ -15,7 +15,9 @@
 import collections
 import dataclasses
 import json
+import math
 import random
+import time
 import typing
 
 import loguru
@@ -72,7 +74,11 @@
         self._removed: dict[str, _table_document.WriteTime] = {}
         # Times and versions of reads in this era, up to the age of a copy.
         self._reads: collections.deque[tuple[float, int]] = collections.deque()
+        # Version before any copy of the last restoration, if known.
         self._oldest_before: int | None = None
+        self._entered_at = math.inf
+        # When this node has first had a row in force, by key and number.
+        self._held_since: dict[tuple[str, int], float] = {}
         self._in_force: _table_document.TableDocument | None = None
         # Rows in force that the restored store lacks and that were looked for.
         self._looked_for: set[str] = set()
@@ -153,6 +159,12 @@
             )
         self._memory.remember(merged)
         self._in_force = merged
+        now = time.monotonic()
+        self._held_since = {
+            entry: self._held_since.get(entry, now)
+            for key, row in merged.rows.items()
+            for entry in ((key, row.written.number),)
+        }
         return _table_document.encode_document(merged)
 
     async def put_member(self, member: node.Member) -> _ports.Outcome[None]:
@@ -244,7 +256,11 @@
             version_before=self._version,
             missing=sorted(self._rows.keys() - read.rows.keys()),
         ).warning("the store has come back from an older copy")
-        self._oldest_before = self._reads[0][1] if self._reads else None
+        now = asyncio.get_running_loop().time()
+        read_at, oldest = self._reads[0]
+        is_before_copy = now - read_at > MAX_COPY_AGE_S
+        self._oldest_before = oldest if is_before_copy else None
+        self._entered_at = time.monotonic()
         self._reads.clear()
         self._version = 0
         self._looked_for.clear()
@@ -270,15 +286,21 @@
             return result.Success(None)
         changes = await self._read_history(document, missing, read)
         if isinstance(changes, result.Success):
-            removals = _list_removals(changes.unwrap(), era)
             removed = {
                 key: at
-                for key, at in removals.items()
+                for key, at in _list_removals(changes.unwrap(), era).items()
                 if key in missing and at.number != self._removal_of(key)
             }
-            self._note_removals(removed)
-        elif changes.failure() is not _errors.StoreError.HISTORY_GONE:
+        elif changes.failure() is _errors.StoreError.HISTORY_GONE:
+            at = _table_document.WriteTime(era=era, number=read.version)
+            removed = {
+                key: at
+                for key, number in missing.items()
+                if self._was_in_copy(key, number)
+            }
+        else:
             return result.Failure(changes.failure())
+        self._note_removals(removed)
         self._looked_for.update(missing)
         loguru.logger.bind(
             event="rows-missing",
@@ -306,13 +328,15 @@
             ),
             default=0,
         )
-        followed = min(number - 1 for number in missing.values())
+        # Two lower bounds of the copy's version, and the rows themselves; the
+        # store may have discarded some of its history.
+        starts = {latest_common, min(missing.values()) - 1}
         if self._oldest_before is not None:
-            followed = min(followed, self._oldest_before)
+            starts.add(self._oldest_before)
         changes: _ports.Outcome[_ports.Rows] = result.Failure(
             _errors.StoreError.HISTORY_GONE
         )
-        for after in sorted({followed, min(followed, latest_common)}):
+        for after in sorted(starts):
             changes = await _limit_time(
                 self._tables.wait_for_changes(
                     self._operator_table, max(0, after), SHORTEST_WAIT_S
@@ -323,6 +347,11 @@
                 break
         return changes
 
+    def _was_in_copy(self, key: str, number: int) -> bool:
+        """Return whether a row is older than any copy, judged by its age."""
+        since = self._held_since.get((key, number), math.inf)
+        return self._entered_at - since > MAX_COPY_AGE_S
+
     def _removal_of(self, key: str) -> int | None:
         """Return the number of a removal that this node has read."""
         at = self._removed.get(key)
@@ -338,10 +367,10 @@
             del self._removed[oldest]
 
     def _apply(self, read: _ports.Rows) -> bool:
-        """Apply read rows; return False if they are too large."""
+        """Apply read rows; return False if they are older or too large."""
         if (read.era or self._era, read.version) < (self._era, self._version):
             _log_ignored(read, self._ref.version)
-            return True
+            return False
         document = self._encode(read)
         content, _ = _table_document.split_content(document)
         if len(content) > configuration.MAX_MANIFEST_BYTES:
--- a/tests/test_restored_table.py
+++ b/tests/test_restored_table.py
@@ -5,171 +5,28 @@
 configuration that was in force is replaced by an earlier one.
 """
 
-import asyncio
 import copy
-import dataclasses
 
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
-from marjoramledge_core import configuration
-from marjoramledge_core import ids
-from marjoramledge_store import client
-from marjoramledge_store import followed
-from returns import result
+import restored_table
 
-TABLE = "operator"
-CONFIG = "config"
 ZONES = ("evacuate/a", "evacuate/b")
 NODES = 3
 
 
-@dataclasses.dataclass(slots=True)
-class _State:
-    """Rows with their versions, and the changes that led to them."""
-
-    version: int
-    rows: dict[str, tuple[bytes, int]]
-    changes: list[tuple[int, str, bytes | None]]
-
-
-class _Tables:
-    """In-memory tables that can come back from a copy."""
-
-    def __init__(self) -> None:
-        self.era = 1
-        self.state = _State(
-            version=1, rows={CONFIG: (b"0", 1)}, changes=[(1, CONFIG, b"0")]
-        )
-        self.history_start = 0
-
-    def change(self, key: str, value: bytes | None) -> None:
-        state = self.state
-        state.version += 1
-        if value is None:
-            if state.rows.pop(key, None) is None:
-                return
-        else:
-            state.rows[key] = (value, state.version)
-        state.changes.append((state.version, key, value))
-
-    def restore(self, state: _State) -> None:
-        self.era += 1
-        self.state = copy.deepcopy(state)
-        self.history_start = min(self.history_start, self.state.version)
-
-    async def close(self) -> None:
-        """Do nothing, since nothing is open."""
-
-    async def list_rows(
-        self, table: str
-    ) -> result.Result[followed.Rows, client.StoreError]:
-        assert table == TABLE
-        rows = self.state.rows
-        return result.Success(
-            followed.Rows(
-                rows={key: value for key, (value, _) in rows.items()},
-                removed=frozenset(),
-                version=self.state.version,
-                row_versions={key: at for key, (_, at) in rows.items()},
-                era=self.era,
-            )
-        )
-
-    async def wait_for_changes(
-        self, table: str, after: int, wait_s: float
-    ) -> result.Result[followed.Rows, client.StoreError]:
-        del wait_s
-        assert table == TABLE
-        if not self.history_start <= after <= self.state.version:
-            return result.Failure(client.StoreError.HISTORY_GONE)
-        latest = {
-            key: (at, value)
-            for at, key, value in self.state.changes
-            if at > after
-        }
-        return result.Success(
-            followed.Rows(
-                rows={
-                    key: value
-                    for key, (_, value) in latest.items()
-                    if value is not None
-                },
-                removed=frozenset(
-                    key for key, (_, value) in latest.items() if value is None
-                ),
-                version=self.state.version,
-                row_versions={key: at for key, (at, _) in latest.items()},
-                era=self.era,
-            )
-        )
-
-    async def put_row(
-        self, table: str, key: str, value: bytes
-    ) -> result.Result[None, client.StoreError]:
-        raise AssertionError("the operator's table is not written")
-
-
-def _is_later(key: str, text: str, other: str) -> bool:
-    return key == CONFIG and int(other) > int(text)
-
-
-class _Node:
-    """What a node holds, and its reader of the store."""
-
-    def __init__(self, tables: _Tables) -> None:
-        self.store = followed.ChangeFeedStore(
-            tables=tables, operator_table=TABLE, is_later=_is_later
-        )
-        self.document = b""
-        self.version = configuration.NO_VERSION.version
-
-    @property
-    def rows(self) -> dict[str, str]:
-        return followed.decode_rows(self.document) if self.document else {}
-
-    def read(self) -> None:
-        """Read the store, and merge what was read."""
-        asyncio.run(self._read())
-
-    async def _read(self) -> None:
-        ref = configuration.VersionRef(
-            version=self.version, digest=ids.Digest("")
-        )
-        read = await self.store.wait_version(ref, 0.0)
-        row = read.unwrap()
-        if row is not None:
-            found = await self.store.get_manifest(row.ref.digest)
-            self._merge(found.unwrap(), row.ref.version)
-
-    def fetch(self, peer: "_Node") -> None:
-        """Merge what a peer holds."""
-        if peer.document:
-            self._merge(peer.document, peer.version)
-
-    def _merge(self, document: bytes, version: ids.ConfigVersion) -> None:
-        before = self.rows.get(CONFIG)
-        self.document = self.store.merge_documents(
-            self.document, self.version, document, version
-        )
-        self.version = max(self.version, version)
-        after = self.rows.get(CONFIG)
-        if before is not None:
-            assert after is not None
-            assert int(after) >= int(before), "an earlier configuration"
-
-
 class RestoredTableMachine(stateful.RuleBasedStateMachine):
     """Compares what nodes hold in the end with the rows of the store."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.tables = _Tables()
+        self.tables = restored_table.Tables()
         self.revision = 0
         self.copy = copy.deepcopy(self.tables.state)
         self.written_since_copy: list[tuple[str, bytes | None]] = []
         self.lost: list[tuple[str, bytes | None]] = []
-        self.nodes = [_Node(self.tables) for _ in range(NODES)]
+        self.nodes = [restored_table.Node(self.tables) for _ in range(NODES)]
 
     def _write(self, key: str, value: bytes | None) -> None:
         self.tables.change(key, value)
@@ -180,7 +37,7 @@
         """Write the next configuration, after what is to be written again."""
         self.operator_writes_again()
         self.revision += 1
-        self._write(CONFIG, str(self.revision).encode())
+        self._write(restored_table.CONFIG, str(self.revision).encode())
 
     @stateful.rule(zone=strategies.sampled_from(ZONES))
     def operator_evacuates(self, zone: str) -> None:
@@ -235,7 +92,7 @@
     @stateful.rule(number=strategies.integers(0, NODES - 1))
     def node_starts_anew(self, number: int) -> None:
         """Lose all that a node knows."""
-        self.nodes[number] = _Node(self.tables)
+        self.nodes[number] = restored_table.Node(self.tables)
 
     def teardown(self) -> None:
         """Let all be written again, read and exchanged; compare the rows."""
