Bound what callers send that is no request

Cause: the library limits single lines and fields. Empty lines before a request, extensions and leading zeros of chunk sizes have no limit, and bytes after an error are parsed again with each read. The event loop reads up to 8 MB from one connection before it turns to the next.

Change: the five HTTP ports of a node have connections that count what is neither the head of a request nor its body, and abort after 128 KB. Each byte of a body allows eight bytes more, so that chunks of one byte pass. What waits for a slow reader doesn't count. After bytes that can't be parsed, nothing more is parsed. This works whatever the bytes are, since only progress resets the count, and the bound is reached in the first reads of the event loop's turn.

--- /dev/null
+++ b/packages/node/marjoramledge_node/_bounded_server.py
@@ -0,0 +1,107 @@
+"""HTTP server that bounds what a connection may send besides requests.
+
+The library limits single lines and header fields.  It doesn't limit empty
+lines before a request, or extensions of the chunks of a body.  It parses them
+as fast as they arrive, so that a few senders can take the processor from all
+others.
+"""
+
+import asyncio
+import typing
+
+from aiohttp import abc
+from aiohttp import http_parser
+from aiohttp import streams
+from aiohttp import web
+import loguru
+
+# Bytes that may arrive while neither the head of a request ends nor its body
+# grows.
+MAX_OVERHEAD_BYTES: typing.Final = 131072
+# Bytes of overhead allowed for each byte of a body.  A body may come in chunks
+# of one byte, each of which takes at least five more.
+OVERHEAD_PER_BODY_BYTE: typing.Final = 8
+
+
+class _Protocol(web.RequestHandler):
+    """Aborts a connection whose sender sends much that is no request."""
+
+    _served_payload: streams.StreamReader | None = None
+    _overhead_bytes = 0
+    _seen_requests = 0
+    _seen_payload: streams.StreamReader | None = None
+    _seen_body_bytes = 0
+    _has_failed = False
+
+    def note_served(self, payload: streams.StreamReader) -> None:
+        """Note the body of the request that is served next."""
+        self._served_payload = payload
+
+    def data_received(self, data: bytes) -> None:
+        if not self._has_failed:
+            super().data_received(data)
+        if self._close or self._force_close:
+            # Nothing more is parsed.
+            return
+        self._overhead_bytes += len(data)
+        if self._request_count != self._seen_requests:
+            self._seen_requests = self._request_count
+            self._overhead_bytes = 0
+        self._credit_body()
+        if self._reading_paused or self._buffer_paused:
+            # Received bytes wait to be parsed, and no more are received.
+            return
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._abort()
+
+    def _credit_body(self) -> None:
+        """Allow more overhead for what the body has grown by."""
+        payload = self._served_payload
+        if self._messages:
+            message, payload = self._messages[-1]
+            # What follows bytes that are no request can't be parsed.
+            self._has_failed = not isinstance(
+                message, http_parser.RawRequestMessage
+            )
+        if payload is None:
+            return
+        if payload is not self._seen_payload:
+            self._seen_payload = payload
+            self._seen_body_bytes = 0
+        grown = payload.total_bytes - self._seen_body_bytes
+        self._seen_body_bytes = payload.total_bytes
+        self._overhead_bytes = max(
+            0, self._overhead_bytes - grown * (1 + OVERHEAD_PER_BODY_BYTE)
+        )
+
+    def _abort(self) -> None:
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        loguru.logger.bind(event="sender-aborted").debug(
+            "closed a connection after {} bytes that are no request",
+            self._overhead_bytes,
+        )
+        transport.abort()
+
+
+class Server(web.Server):
+    """HTTP server whose connections bound the overhead of requests.
+
+    Must be created inside the event loop.
+    """
+
+    def __call__(self) -> web.RequestHandler:
+        return _Protocol(self, loop=self._loop, **self._kwargs)
+
+    def _make_request(
+        self,
+        message: http_parser.RawRequestMessage,
+        payload: streams.StreamReader,
+        protocol: web.RequestHandler,
+        writer: abc.AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        if isinstance(protocol, _Protocol):
+            protocol.note_served(payload)
+        return super()._make_request(message, payload, protocol, writer, task)
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -20,6 +20,7 @@
 
 from marjoramledge_node import _auth
 from marjoramledge_node import _bodies
+from marjoramledge_node import _bounded_server
 from marjoramledge_node import _cancellation
 from marjoramledge_node import _counts
 from marjoramledge_node import _dialect
@@ -507,7 +508,7 @@
 
 def make_server(port: CallerPort) -> web.Server:
     """Create the HTTP server of the caller port."""
-    return web.Server(
+    return _bounded_server.Server(
         port.serve,
         handler_cancellation=True,
         access_log=None,
--- a/packages/node/marjoramledge_node/_local_port.py
+++ b/packages/node/marjoramledge_node/_local_port.py
@@ -16,6 +16,7 @@
 from returns import result
 
 from marjoramledge_node import _announcements
+from marjoramledge_node import _bounded_server
 from marjoramledge_node import _engine
 from marjoramledge_node import _environment
 
@@ -123,4 +124,4 @@
 
 def make_server(port: LocalPort) -> web.Server:
     """Create the HTTP server of the local port."""
-    return web.Server(port.serve, access_log=None)
+    return _bounded_server.Server(port.serve, access_log=None)
--- a/packages/node/marjoramledge_node/_metrics_port.py
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from marjoramledge_core import node
 
+from marjoramledge_node import _bounded_server
 from marjoramledge_node import _counts
 from marjoramledge_node import _engine
 
@@ -194,4 +195,4 @@
 
 def make_server(port: MetricsPort) -> web.Server:
     """Create the HTTP server of the metrics port."""
-    return web.Server(port.serve, access_log=None)
+    return _bounded_server.Server(port.serve, access_log=None)
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -18,6 +18,7 @@
 
 from marjoramledge_node import _auth
 from marjoramledge_node import _bodies
+from marjoramledge_node import _bounded_server
 from marjoramledge_node import _counts
 from marjoramledge_node import _engine
 from marjoramledge_node import _headers
@@ -397,7 +398,7 @@
 
 def make_server(port: PeerPort) -> web.Server:
     """Create the HTTP server of the peer port."""
-    return web.Server(
+    return _bounded_server.Server(
         port.serve,
         handler_cancellation=True,
         access_log=None,
--- a/packages/node/marjoramledge_node/_ready_port.py
+++ b/packages/node/marjoramledge_node/_ready_port.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from marjoramledge_node import _bounded_server
 from marjoramledge_node import _engine
 
 
@@ -35,4 +36,4 @@
 
 def make_server(port: ReadyPort) -> web.Server:
     """Create the HTTP server of the readiness port."""
-    return web.Server(port.serve, access_log=None)
+    return _bounded_server.Server(port.serve, access_log=None)
