Read uploads to their end in a planned stop

What callers saw: an upload that was in progress when its node began a planned stop got no answer until the node ended, and then a closed connection.

Cause: a busy connection is closed with `close()` of the library, so that no further request is served on it. From then on the library drops all that it receives on the connection, the rest of a body too.

Change: as long as the body of the newest request is incomplete, received bytes are parsed also after `close()`. Requests behind it are not served, as before; its response says `Connection: close`.

--- a/packages/node/marjoramledge_node/_bounded_server.py
+++ b/packages/node/marjoramledge_node/_bounded_server.py
@@ -33,20 +33,35 @@
     _seen_body_bytes = 0
     _has_failed = False
 
+    @property
+    def _newest_payload(self) -> streams.StreamReader | None:
+        """Body of the newest request, if there was one."""
+        if self._messages:
+            return self._messages[-1][1]
+        return self._served_payload
+
     def note_served(self, payload: streams.StreamReader) -> None:
         """Note the body of the request that is served next."""
         self._served_payload = payload
 
     def data_received(self, data: bytes) -> None:
-        if not self._has_failed:
+        if self._close and self._is_body_due():
+            # The library would drop the rest of the body.
+            self._close = False
+            super().data_received(data)
+            self._close = True
+        elif not self._has_failed:
             super().data_received(data)
         if self._close or self._force_close:
-            # Nothing more is parsed.
             return
         self._overhead_bytes += len(data)
         if self._request_count != self._seen_requests:
             self._seen_requests = self._request_count
             self._overhead_bytes = 0
+            # What follows bytes that are no request can't be parsed.
+            self._has_failed = bool(self._messages) and not isinstance(
+                self._messages[-1][0], http_parser.RawRequestMessage
+            )
         self._credit_body()
         if self._reading_paused or self._buffer_paused:
             # Received bytes wait to be parsed, and no more are received.
@@ -54,15 +69,13 @@
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._abort()
 
+    def _is_body_due(self) -> bool:
+        payload = self._newest_payload
+        return payload is not None and not payload.is_eof()
+
     def _credit_body(self) -> None:
         """Allow more overhead for what the body has grown by."""
-        payload = self._served_payload
-        if self._messages:
-            message, payload = self._messages[-1]
-            # What follows bytes that are no request can't be parsed.
-            self._has_failed = not isinstance(
-                message, http_parser.RawRequestMessage
-            )
+        payload = self._newest_payload
         if payload is None:
             return
         if payload is not self._seen_payload:
