Forward targets unchanged

Cause: the target was joined to the server's address and parsed as one URL. The library then wrote the URL's path and query, which know no empty query, and left out the fragment.

Change: the URL is built from its parts, and the target as a whole is its path, which is written as it is. It holds for servers, health checks and peers.

--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -649,7 +649,13 @@
 
 def _build_url(host: str, port: int, target: str) -> yarl.URL:
     url_host = f"[{host}]" if ":" in host else host
-    return yarl.URL(f"http://{url_host}:{port}{target}", encoded=True)
+    # Parsed as part of a URL, a target would lose a final "?" and a fragment.
+    return yarl.URL.build(
+        scheme="http",
+        authority=f"{url_host}:{port}",
+        path=target,
+        encoded=True,
+    )
 
 
 def _format_ms(seconds: float) -> str:
