Answer or close behind a request that offers another protocol

What callers saw: a request sent behind one with `Upgrade: h2c`, before its answer, got none.

Cause: the library's parser stops at the end of a request that offers a change of the protocol. It keeps what it has received behind it for websocket only, and goes on with the next bytes that arrive.

Ruled out: requests that are sent after the answer, or by themselves: answered before and after, so a caller that offers h2c with each request keeps its connection.

Where it is certain that nothing was dropped (the bytes received end with the blank line of its head, and contain no other than those of the requests read), all stays as it was.

--- a/packages/node/marjoramledge_node/_bounded_server.py
+++ b/packages/node/marjoramledge_node/_bounded_server.py
@@ -3,7 +3,8 @@
 The library limits single lines and header fields.  It doesn't limit empty
 lines before a request, or extensions of the chunks of a body.  It parses them
 as fast as they arrive, so that a few senders can take the processor from all
-others.
+others.  It also drops what it has received behind a request that offers a
+change of the protocol.
 """
 
 import asyncio
@@ -21,6 +22,9 @@
 # Bytes of overhead allowed for each byte of a body.  A body may come in chunks
 # of one byte, each of which takes at least five more.
 OVERHEAD_PER_BODY_BYTE: typing.Final = 8
+_HEAD_END: typing.Final = b"\r\n\r\n"
+# The library keeps what follows a request that offers this protocol.
+_KEPT_UPGRADE: typing.Final = "websocket"
 
 
 class _Protocol(web.RequestHandler):
@@ -32,6 +36,8 @@
     _seen_payload: streams.StreamReader | None = None
     _seen_body_bytes = 0
     _has_failed = False
+    # The last bytes before those that are being received.
+    _received_before = b""
 
     @property
     def _newest_payload(self) -> streams.StreamReader | None:
@@ -56,12 +62,10 @@
             return
         self._overhead_bytes += len(data)
         if self._request_count != self._seen_requests:
+            self._check_newest(data, self._request_count - self._seen_requests)
             self._seen_requests = self._request_count
             self._overhead_bytes = 0
-            # What follows bytes that are no request can't be parsed.
-            self._has_failed = bool(self._messages) and not isinstance(
-                self._messages[-1][0], http_parser.RawRequestMessage
-            )
+        self._received_before = (self._received_before + data)[-3:]
         self._credit_body()
         if self._reading_paused or self._buffer_paused:
             # Received bytes wait to be parsed, and no more are received.
@@ -69,6 +73,30 @@
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._abort()
 
+    def _check_newest(self, data: bytes, count: int) -> None:
+        """Check the newest of some requests that have just been received."""
+        if not self._messages:
+            return
+        message, payload = self._messages[-1]
+        if not isinstance(message, http_parser.RawRequestMessage):
+            # What follows bytes that are no request can't be parsed.
+            self._has_failed = True
+            return
+        offered = message.headers.get("Upgrade", "").lower()
+        if not message.upgrade or offered == _KEPT_UPGRADE:
+            return
+        received = self._received_before + data
+        is_all_parsed = (
+            payload is streams.EMPTY_PAYLOAD
+            and received.endswith(_HEAD_END)
+            and received.count(_HEAD_END) == count
+        )
+        if not is_all_parsed:
+            # Part of a request may have been dropped; its rest must not be
+            # taken for another one.
+            closing = message._replace(should_close=True)
+            self._messages[-1] = (closing, payload)
+
     def _is_body_due(self) -> bool:
         payload = self._newest_payload
         return payload is not None and not payload.is_eof()
