Take every head that an operator's limit allows

Cause: the limits of the callers' port were the library's own, 8190 bytes a line and 128 fields. The limits of the configuration aren't read.

Change: a line may have 65536 bytes and a head 4096 fields, more than fit into a head of 16 KB; on the peers' port twice as much, since the entry adds its own.

Ruled out: that long `Connection` headers take much time with this: dropping 9,000 options from 4,000 fields takes 2 ms (one run).

--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -513,6 +513,7 @@
         handler_cancellation=True,
         access_log=None,
         auto_decompress=False,
+        max_headers=_options.MAX_HEAD_FIELDS,
         max_line_size=_options.MAX_HEAD_LINE_BYTES,
         max_field_size=_options.MAX_HEAD_LINE_BYTES,
     )
--- a/packages/node/marjoramledge_node/_options.py
+++ b/packages/node/marjoramledge_node/_options.py
@@ -14,7 +14,10 @@
 # sent on a connection that the server is about to close.
 DEFAULT_IDLE_CONNECTION_S: typing.Final = 15.0
 DEFAULT_STOP_LIMIT_S: typing.Final = 30.0
-MAX_HEAD_LINE_BYTES: typing.Final = 8190
+# No less than the whole head that an operator's configuration allows.
+MAX_HEAD_LINE_BYTES: typing.Final = 65536
+# No less than fit into 16 KB; the shortest field takes four bytes.
+MAX_HEAD_FIELDS: typing.Final = 4096
 
 
 class LogFormat(enum.StrEnum):
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -404,6 +404,7 @@
         access_log=None,
         auto_decompress=False,
         # The entry adds its own headers to the caller's.
+        max_headers=2 * _options.MAX_HEAD_FIELDS,
         max_line_size=2 * _options.MAX_HEAD_LINE_BYTES,
         max_field_size=2 * _options.MAX_HEAD_LINE_BYTES,
     )
