Let SIGHUP not end a node that is starting

A change of the settings together with a start is planned work, and the requests that the node had just taken would end with it.

Cause: until the event loop handles SIGHUP, its default is to end the process.

The signal is handled rather than ignored, since a process passes on ignored signals to its children.

Ruled out: the operator's command; it doesn't import these modules, so a closed terminal still ends it.

--- a/packages/node/marjoramledge_node/_reload.py
+++ b/packages/node/marjoramledge_node/_reload.py
@@ -47,10 +47,13 @@
         self._problem = ""
 
     async def run(self) -> None:
-        """Reload the settings periodically until cancelled."""
+        """Reload the settings now and periodically, until cancelled.
+
+        A signal that came while the process started was passed over.
+        """
         while True:
-            await asyncio.sleep(CHECK_PERIOD_S)
             self.reload_settings()
+            await asyncio.sleep(CHECK_PERIOD_S)
 
     def reload_settings(self) -> None:
         """Read the settings and apply the changed ones."""
--- a/packages/node/marjoramledge_node/process.py
+++ b/packages/node/marjoramledge_node/process.py
@@ -1,5 +1,6 @@
 """Public API for platform adapters that run a node."""
 
+from marjoramledge_node import _absorbed_hangups  # noqa: F401
 from marjoramledge_node import _auth
 from marjoramledge_node import _dialect
 from marjoramledge_node import _environment
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -116,6 +116,53 @@
     assert "reload-requested" in events
 
 
+# Sends SIGHUP to its own process at each import of a library.
+HANG_UP_AT_IMPORTS = """
+import os, signal, sys
+
+def hang_up(event, arguments):
+    if event == "import":
+        package = arguments[0].partition(".")[0]
+        if package in ("aiohttp", "loguru", "returns", "typer", "uvloop"):
+            os.kill(os.getpid(), signal.SIGHUP)
+
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
+sys.addaudithook(hang_up)
+"""
+
+
+# Guards against a node that is ended by SIGHUP in its first half second.
+@pytest.mark.parametrize(
+    ("start", "status"),
+    [
+        (
+            "from marjoramledge_node import _start\n"
+            "sys.argv = ['marjoramledge-node', '--help']\n"
+            "_start.main()",
+            0,
+        ),
+        (
+            "from marjoramledge_platform import __main__\n"
+            "sys.exit(__main__.main())",
+            2,
+        ),
+    ],
+    ids=["own", "platform"],
+)
+def test_a_hangup_signal_does_not_end_a_starting_node(
+    start: str, status: int
+) -> None:
+    done = subprocess.run(
+        [sys.executable, "-c", HANG_UP_AT_IMPORTS + start],
+        env=_environment(),
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert done.returncode == status, done.stderr
+
+
 def _start_node(host: str, ports: dict[str, int]) -> "subprocess.Popen[str]":
     """Start a node that listens on a port for each of the given flags."""
     return subprocess.Popen(
