Close behind every offer of a protocol that isn't known to be alone

What callers saw: nothing yet. Where a request that offers websocket and one that offers h2c were received at once with the head of a third, the body of the third, received later, was still run as a request of its own (test below).

Change: a request that offers a protocol is answered with `Connection: close` unless it is known that nothing came behind it, wherever it was parsed.

Evidence: tests/test_offered_protocols.py, two offers; failed before.

--- a/packages/node/marjoramledge_node/_bounded_server.py
+++ b/packages/node/marjoramledge_node/_bounded_server.py
@@ -36,6 +36,8 @@
     _seen_payload: streams.StreamReader | None = None
     _seen_body_bytes = 0
     _has_failed = False
+    # The newest request that offers a protocol and has nothing behind it.
+    _lone_offer: http_parser.RawRequestMessage | None = None
     # The last bytes before those that are being received.
     _received_before = b""
 
@@ -46,9 +48,20 @@
             return self._messages[-1][1]
         return self._served_payload
 
-    def note_served(self, payload: streams.StreamReader) -> None:
-        """Note the body of the request that is served next."""
+    def begin_request(
+        self,
+        message: http_parser.RawRequestMessage,
+        payload: streams.StreamReader,
+    ) -> http_parser.RawRequestMessage:
+        """Note a request that is served next; return it as it is served."""
         self._served_payload = payload
+        if not message.upgrade or message is self._lone_offer:
+            return message
+        if message.headers.get("Upgrade", "").lower() == _KEPT_UPGRADE:
+            return message
+        # Part of the next request may have been dropped; its rest must not be
+        # taken for another one.
+        return message._replace(should_close=True)
 
     def data_received(self, data: bytes) -> None:
         if self._close and self._is_body_due():
@@ -82,20 +95,15 @@
             # What follows bytes that are no request can't be parsed.
             self._has_failed = True
             return
-        offered = message.headers.get("Upgrade", "").lower()
-        if not message.upgrade or offered == _KEPT_UPGRADE:
+        if not message.upgrade:
             return
         received = self._received_before + data
-        is_all_parsed = (
+        if (
             payload is streams.EMPTY_PAYLOAD
             and received.endswith(_HEAD_END)
             and received.count(_HEAD_END) == count
-        )
-        if not is_all_parsed:
-            # Part of a request may have been dropped; its rest must not be
-            # taken for another one.
-            closing = message._replace(should_close=True)
-            self._messages[-1] = (closing, payload)
+        ):
+            self._lone_offer = message
 
     def _is_body_due(self) -> bool:
         payload = self._newest_payload
@@ -144,5 +152,5 @@
         task: asyncio.Task[None],
     ) -> web.BaseRequest:
         if isinstance(protocol, _Protocol):
-            protocol.note_served(payload)
+            message = protocol.begin_request(message, payload)
         return super()._make_request(message, payload, protocol, writer, task)
--- a/tests/test_offered_protocols.py
+++ b/tests/test_offered_protocols.py
@@ -111,6 +111,18 @@
     assert answered.count(b"HTTP/1.1 200 OK") == len(served)
 
 
+# Guards against the same behind an offer that came behind another one, which
+# the library parses elsewhere.
+def test_no_body_is_run_as_a_request_behind_two_offers() -> None:
+    offers = _format_offer("websocket", "none") + _format_offer("h2c", "none")
+    content = offers + SECOND + LAST
+    cut = content.index(SMUGGLED)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        served, answered = runner.run(_send(content, [cut]))
+    assert served == ["/1:0", "/1:0"]
+    assert b"Connection: close" in answered
+
+
 # Guards against callers that offer a protocol with each request and would need
 # a connection for each.
 @pytest.mark.parametrize("protocol", ["h2c", "websocket"])
