Take only rows of the range that was followed as evidence of the new era

A row of the copy could move the bound of the new era below it: its version by the operator is later than the one held, by a node that had last read the store before the copy was taken. It then counted as written anew, and replaced the later configuration at nodes that had it.

Only a number that the node has seen the writes up to is evidence.

--- a/packages/store/marjoramledge_store/_table_merge.py
+++ b/packages/store/marjoramledge_store/_table_merge.py
@@ -153,7 +153,8 @@
 ) -> int:
     """Lower the bound by rows that must have been written in the new era."""
     for key, row in newer.rows.items():
-        if row.written.era != newer.read.era:
+        number = row.written.number
+        if row.written.era != newer.read.era or number > older.read.number:
             continue
         held = older.rows.get(key)
         if held is not None and is_later(key, row.text, held.text):
@@ -161,7 +162,7 @@
         if memory.is_written_since(key, row, older.read) or (
             held is not None and is_later(key, held.text, row.text)
         ):
-            restored_at = min(restored_at, row.written.number - 1)
+            restored_at = min(restored_at, number - 1)
     return restored_at
 
 
--- a/tests/restored_table.py
+++ b/tests/restored_table.py
@@ -106,7 +106,8 @@
         raise AssertionError("the operator's table is not written")
 
 
-def _is_later(key: str, text: str, other: str) -> bool:
+def is_later(key: str, text: str, other: str) -> bool:
+    """Return whether the other text is a later configuration."""
     return key == CONFIG and int(other) > int(text)
 
 
@@ -115,7 +116,7 @@
 
     def __init__(self, tables: Tables) -> None:
         self.store = followed.ChangeFeedStore(
-            tables=tables, operator_table=TABLE, is_later=_is_later
+            tables=tables, operator_table=TABLE, is_later=is_later
         )
         self.document = b""
         self.version = configuration.NO_VERSION.version
