--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -23,7 +23,8 @@
     ``deadline_s`` is the caller's timeout in seconds from now, and
     ``is_body_buffered`` is true if the whole body is in memory.  Equal
     requests have the same ``fingerprint`` at every entry node, and
-    ``request`` is the request ID that the caller chose.
+    ``request`` is the request ID that the caller chose.  ``credentials`` are
+    the values of the ``Authorization`` header fields.
     """
 
     call: _ids.CallId
@@ -34,6 +35,7 @@
     is_body_buffered: bool
     fingerprint: _ids.Fingerprint
     request: str = ""
+    credentials: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_ids.py
+++ b/packages/core/marjoramledge_core/_ids.py
@@ -18,11 +18,13 @@
 ServerId = typing.NewType("ServerId", str)
 ConfigVersion = typing.NewType("ConfigVersion", int)
 Digest = typing.NewType("Digest", str)
+WorkspaceName = typing.NewType("WorkspaceName", str)
 
 NO_SERVICE: typing.Final = ServiceName("")
 NO_CALL: typing.Final = CallId("")
 NO_FINGERPRINT: typing.Final = Fingerprint("")
 NO_NODE: typing.Final = NodeId("")
+NO_WORKSPACE: typing.Final = WorkspaceName("")
 NO_SERVER_ID: typing.Final = ServerId("")
 # A server's id is part of a row's key and of membership messages.
 MAX_SERVER_ID_BYTES: typing.Final = 180
--- a/packages/core/marjoramledge_core/_settings.py
+++ b/packages/core/marjoramledge_core/_settings.py
@@ -7,11 +7,12 @@
 """
 
 import dataclasses
-import enum
 import typing
 
 from marjoramledge_core import _ids
+from marjoramledge_core import _priority
 from marjoramledge_core import _routes
+from marjoramledge_core import _workspaces
 
 DEFAULT_DEADLINE_S: typing.Final = 5.0
 DEFAULT_PROBES_PER_S: typing.Final = 1.0
@@ -26,13 +27,7 @@
 EXPECTED_TARGET_FRACTION: typing.Final = 0.3
 
 
-class Priority(enum.IntEnum):
-    """Priority of a request; smaller values are served first."""
-
-    CRITICAL = 0
-    HIGH = 1
-    NORMAL = 2
-    BACKGROUND = 3
+Priority = _priority.Priority
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,7 +52,7 @@
     services by weight; without shares all go to ``service``.  ``max_runs``
     is the maximum number of backend servers that may run one call, and
     ``target_s`` is the latency target: the time within which an answer has
-    its full value.
+    its full value.  Calls of a kind that ``is_public`` need no key.
     """
 
     name: _ids.KindName
@@ -73,6 +68,7 @@
     shares: tuple[ServiceShare, ...] = ()
     max_runs: int = DEFAULT_MAX_RUNS
     target_s: float | None = None
+    is_public: bool = False
 
     def pick_service(self, draw: float) -> _ids.ServiceName:
         """Pick the service of a call; ``draw`` is uniform in [0, 1)."""
@@ -142,6 +138,8 @@
         Deadline in seconds of calls that match no declared kind.
     routes
         Kinds that are selected by host and path prefix alone.
+    workspaces
+        Workspaces of callers; without any, requests need no key.
     """
 
     def __init__(
@@ -154,7 +152,9 @@
         measuring: ProbeBudget,
         default_deadline_s: float,
         routes: _routes.RouteTable[RequestKind] | None = None,
+        workspaces: _workspaces.WorkspaceTable | None = None,
     ) -> None:
+        self._workspaces = workspaces or _workspaces.WorkspaceTable(())
         self._routes = _routes.RouteTable(()) if routes is None else routes
         self._organisation = organisation
         self._measuring = measuring
@@ -211,6 +211,11 @@
         """Kinds that are selected by host and path prefix alone."""
         return self._routes
 
+    @property
+    def workspaces(self) -> _workspaces.WorkspaceTable:
+        """Workspaces of callers; without any, requests need no key."""
+        return self._workspaces
+
     def find_kind(
         self, host: str, method: str, path: str
     ) -> RequestKind | None:
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -126,7 +126,8 @@
 
     ``tried`` are the nodes that an attempt was sent to, and ``faulty`` those
     where one failed for another reason than overload.  ``failed_runs``
-    counts the failed attempts that ran or may have run.
+    counts the failed attempts that ran or may have run.  ``workspace`` is the
+    caller's workspace, if it showed a key.
     """
 
     call: _ids.CallId
@@ -147,6 +148,7 @@
     delivered: Attempt | None = None
     may_have_run: bool = False
     failed_runs: int = 0
+    workspace: _ids.WorkspaceName = _ids.NO_WORKSPACE
 
     def advance(self, phase: CallPhase) -> None:
         """Enter another phase; the transition must be an allowed one."""
--- a/packages/core/marjoramledge_core/configuration.py
+++ b/packages/core/marjoramledge_core/configuration.py
@@ -6,6 +6,7 @@
 from marjoramledge_core import _routes
 from marjoramledge_core import _settings
 from marjoramledge_core import _version_numbers
+from marjoramledge_core import _workspaces
 
 FILE_NAMES = _document.FILE_NAMES
 INVENTORY_FILE = _document.INVENTORY_FILE
@@ -28,6 +29,9 @@
 ServiceShare = _settings.ServiceShare
 DEFAULT_DEADLINE_S = _settings.DEFAULT_DEADLINE_S
 Service = _settings.Service
+Workspace = _workspaces.Workspace
+WorkspaceTable = _workspaces.WorkspaceTable
+digest_key = _workspaces.digest_key
 VersionRef = _manifest.VersionRef
 Zone = _settings.Zone
 
--- a/packages/core/marjoramledge_core/ids.py
+++ b/packages/core/marjoramledge_core/ids.py
@@ -13,9 +13,11 @@
 RegionName = _ids.RegionName
 ServerId = _ids.ServerId
 ServiceName = _ids.ServiceName
+WorkspaceName = _ids.WorkspaceName
 ZoneName = _ids.ZoneName
 
 MAX_SERVER_ID_BYTES = _ids.MAX_SERVER_ID_BYTES
 NO_CONFIGURATION = _ids.NO_CONFIGURATION
 NO_SERVICE = _ids.NO_SERVICE
 NO_SERVER_ID = _ids.NO_SERVER_ID
+NO_WORKSPACE = _ids.NO_WORKSPACE
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -169,6 +169,7 @@
                 is_body_buffered=body.is_resendable,
                 fingerprint=exchange.fingerprint,
                 request=self._read_request_id(request),
+                credentials=tuple(request.headers.getall("Authorization", ())),
             )
         )
         try:
