Access: complete path

Decode tenants and public routes of the platform. Requests without a known key are refused with 401 where the configuration lists workspaces. The key is removed from what is forwarded and the workspace's header is set, for the local server by the entry, and for others by the gate from the entry's own header. A name that is imported by alias could not be indexed as a type in _document; it imports the enumeration from its own module now.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -12,6 +12,7 @@
 import math
 import typing
 
+from marjoramledge_core import _access
 from marjoramledge_core import _commands
 from marjoramledge_core import _dispatch
 from marjoramledge_core import _events
@@ -49,6 +50,7 @@
     {
         _outcomes.Reason.NO_CONFIGURATION,
         _outcomes.Reason.OUTDATED_CONFIGURATION,
+        _outcomes.Reason.UNPROVEN_CONFIGURATION,
         _outcomes.Reason.NO_SERVER,
         _outcomes.Reason.OVERLOADED,
         _outcomes.Reason.SERVER_LEAVING,
@@ -94,6 +96,11 @@
     if kind is None:
         _refuse_on_arrival(step, event, _outcomes.Reason.UNKNOWN_SERVICE)
         return
+    access = _access.authorize(step, event, kind)
+    if access.reason is not None:
+        _refuse_on_arrival(step, event, access.reason, kind=kind.name)
+        return
+    # A workspace's limit over the whole fleet is applied here.
     quarantine_s = _gate_handlers.quarantine_left_s(step, event.fingerprint)
     if quarantine_s is not None:
         _refuse_on_arrival(
@@ -118,7 +125,7 @@
             step, event, _outcomes.Reason.NODE_STOPPING, kind=kind.name
         )
         return
-    call = _build_call(step, event, kind, deadline_s)
+    call = _build_call(step, event, access, deadline_s)
     step.state.calls[call.call] = call
     step.budget_of(call.service).earn()
     _set_timer(step, call, call.deadline_at, _timers.TimerKind.CALL_DEADLINE)
@@ -136,10 +143,11 @@
 def _build_call(
     step: _state.Step,
     event: _events.CallArrived,
-    kind: _settings.RequestKind,
+    access: _access.Access,
     deadline_s: float,
 ) -> _state.Call:
     """Build the record of a call that is accepted."""
+    kind = access.kind
     target_at = math.inf
     if kind.target_s is not None:
         target_at = step.now + min(kind.target_s, deadline_s)
@@ -157,6 +165,7 @@
         timers=[],
         fingerprint=event.fingerprint,
         request=event.request,
+        workspace=access.workspace_name,
     )
 
 
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -20,7 +20,9 @@
 class RunOnServer:
     """Send a caller's request to the backend server on this VM.
 
-    ``is_repeatable`` is true if the request is idempotent.
+    ``is_repeatable`` is true if the request is idempotent.  ``workspace`` is
+    that of the caller: empty if it has none, and None if the configuration
+    lists no workspaces.
     """
 
     call: _ids.CallId
@@ -28,6 +30,7 @@
     server: _gate.Server
     deadline_at: float
     is_repeatable: bool
+    workspace: _ids.WorkspaceName | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -37,7 +40,7 @@
     ``is_hedge`` marks an attempt that is made while another one is still
     open.  With ``prefers_queueing`` the gate should queue the request rather
     than refuse it early.  ``status`` is what this node has learned about the
-    server.
+    server.  ``workspace`` is as in ``RunOnServer``.
     """
 
     call: _ids.CallId
@@ -51,6 +54,7 @@
     is_hedge: bool
     prefers_queueing: bool
     status: _server_status.ServerStatus | None = None
+    workspace: _ids.WorkspaceName | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_dispatch.py
+++ b/packages/core/marjoramledge_core/_dispatch.py
@@ -120,6 +120,7 @@
                 is_hedge=is_hedge,
                 prefers_queueing=prefers_queueing,
                 status=server.status,
+                workspace=call.workspace,
             )
         )
         return True
--- a/packages/core/marjoramledge_core/_document.py
+++ b/packages/core/marjoramledge_core/_document.py
@@ -14,6 +14,7 @@
 from returns import result
 
 from marjoramledge_core import _ids
+from marjoramledge_core import _priority
 from marjoramledge_core import _routes
 from marjoramledge_core import _settings
 
@@ -505,7 +506,7 @@
         service=_ids.ServiceName(kind_target.service),
         methods=methods,
         path=path,
-        priority=_settings.Priority[priority.upper()],
+        priority=_priority.Priority[priority.upper()],
         idempotent=idempotent,
         deadline_s=deadline_ms / 1000,
         hedging=hedging,
--- a/packages/core/marjoramledge_core/_gate_handlers.py
+++ b/packages/core/marjoramledge_core/_gate_handlers.py
@@ -277,6 +277,7 @@
             server=server,
             deadline_at=work.deadline_at,
             is_repeatable=work.kind.idempotent,
+            workspace=call.workspace,
         )
     )
 
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -20,6 +20,7 @@
 from marjoramledge_core import _gate
 from marjoramledge_core import _gate_handlers
 from marjoramledge_core import _ids
+from marjoramledge_core import _kind_priorities
 from marjoramledge_core import _manifest
 from marjoramledge_core import _members
 from marjoramledge_core import _membership
@@ -120,6 +121,7 @@
         lost_requests={},
         latencies={},
         budgets={},
+        prioritized_kinds=_kind_priorities.PrioritizedKinds(),
     )
     state.membership.start(now)
     state.versions.start(now)
@@ -272,6 +274,7 @@
     )
     if not is_adopted:
         return
+    state.prioritized_kinds.forget()
     state.membership.set_config(state.versions.in_force)
     state.membership.push_now(step.rng, step.out)
     step.record(
--- a/packages/core/marjoramledge_core/_outcomes.py
+++ b/packages/core/marjoramledge_core/_outcomes.py
@@ -35,6 +35,8 @@
     ANSWER_LOST = "answer-lost"
     ANSWER_CUT_SHORT = "answer-cut-short"
     QUARANTINED = "quarantined"
+    UNKNOWN_KEY = "unknown-key"
+    UNPROVEN_CONFIGURATION = "unproven-configuration"
     BAD_REQUEST = "bad-request"
     BODY_STALLED = "body-stalled"
     NOT_A_MEMBER = "not-a-member"
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -12,6 +12,7 @@
 from marjoramledge_core import _directory
 from marjoramledge_core import _gate
 from marjoramledge_core import _ids
+from marjoramledge_core import _kind_priorities
 from marjoramledge_core import _latency
 from marjoramledge_core import _load
 from marjoramledge_core import _members
@@ -127,7 +128,8 @@
     ``tried`` are the nodes that an attempt was sent to, and ``faulty`` those
     where one failed for another reason than overload.  ``failed_runs``
     counts the failed attempts that ran or may have run.  ``workspace`` is the
-    caller's workspace, if it showed a key.
+    caller's workspace: empty if it has none, and None if the configuration
+    lists no workspaces.
     """
 
     call: _ids.CallId
@@ -148,7 +150,7 @@
     delivered: Attempt | None = None
     may_have_run: bool = False
     failed_runs: int = 0
-    workspace: _ids.WorkspaceName = _ids.NO_WORKSPACE
+    workspace: _ids.WorkspaceName | None = None
 
     def advance(self, phase: CallPhase) -> None:
         """Enter another phase; the transition must be an allowed one."""
@@ -214,6 +216,7 @@
         tuple[_ids.ServiceName, _ids.KindName], _latency.QuantileEstimate
     ]
     budgets: dict[_ids.ServiceName, _budget.RetryBudget]
+    prioritized_kinds: _kind_priorities.PrioritizedKinds
     deaths: int = 0
     ordinary_answers: int = 0
     presumed_death: PresumedDeath | None = None
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -169,7 +169,9 @@
                 is_body_buffered=body.is_resendable,
                 fingerprint=exchange.fingerprint,
                 request=self._read_request_id(request),
-                credentials=tuple(request.headers.getall("Authorization", ())),
+                credentials=tuple(
+                    request.headers.getall(_headers.AUTHORIZATION, ())
+                ),
             )
         )
         try:
@@ -188,10 +190,15 @@
         return "" if name is None else request.headers.get(name, "")
 
     def _build_outgoing(
-        self, exchange: _Exchange, *, is_repeatable: bool
+        self,
+        exchange: _Exchange,
+        workspace: ids.WorkspaceName | None,
+        *,
+        is_repeatable: bool,
     ) -> _upstream.OutgoingRequest:
         """Build the request to forward, with the node's own headers."""
         headers = _headers.copy_end_to_end(exchange.request.headers)
+        _headers.set_workspace(headers, self._dialect.workspace, workspace)
         headers[_headers.CALL] = exchange.call
         if self._dialect.caller_service is not None:
             headers[self._dialect.caller_service] = self._caller_service
@@ -241,7 +248,9 @@
                 attempt,
                 self._upstream.send_to_server(
                     self._build_outgoing(
-                        exchange, is_repeatable=command.is_repeatable
+                        exchange,
+                        command.workspace,
+                        is_repeatable=command.is_repeatable,
                     ),
                     command.server,
                     command.deadline_at - self._engine.now(),
@@ -288,7 +297,11 @@
                 b"",
             ),
         )
-        outgoing = self._build_outgoing(exchange, is_repeatable=True)
+        outgoing = self._build_outgoing(
+            exchange, command.workspace, is_repeatable=True
+        )
+        if command.workspace is not None:
+            outgoing.headers[_headers.WORKSPACE] = command.workspace
         outgoing.headers.update(
             {
                 _headers.ATTEMPT: attempt,
--- a/packages/node/marjoramledge_node/_dialect.py
+++ b/packages/node/marjoramledge_node/_dialect.py
@@ -49,6 +49,9 @@
     cold_left
         Header with the milliseconds for which a server stays cold; None if
         unused.
+    workspace
+        Header that tells a backend server the caller's workspace; None if
+        unused.
     ready_target
         Request target of the readiness check.
     indicates_not_run
@@ -71,6 +74,7 @@
     expected_server: str | None
     server_id: str | None
     cold_left: str | None
+    workspace: str | None
     ready_target: str
     indicates_not_run: collections.abc.Callable[[int, HeaderMap], bool]
     read_slots: collections.abc.Callable[[HeaderMap], int | None]
@@ -126,6 +130,7 @@
     expected_server=None,
     server_id=None,
     cold_left=None,
+    workspace=_headers.WORKSPACE,
     ready_target="/ready",
     indicates_not_run=_indicates_not_run,
     read_slots=lambda headers: None,
--- a/packages/node/marjoramledge_node/_headers.py
+++ b/packages/node/marjoramledge_node/_headers.py
@@ -36,6 +36,8 @@
 TARGET: typing.Final = "Marjoramledge-Target-Ms"
 CONFIG: typing.Final = "Marjoramledge-Config"
 SERVER: typing.Final = "Marjoramledge-Server"
+WORKSPACE: typing.Final = "Marjoramledge-Workspace"
+AUTHORIZATION: typing.Final = "Authorization"
 
 _SYSTEM_PREFIX: typing.Final = "marjoramledge-"
 # RFC 9110, section 7.6.1: these apply to a single connection.
@@ -70,6 +72,25 @@
     return copied
 
 
+def set_workspace(
+    headers: Headers, name: str | None, workspace: str | None
+) -> None:
+    """Replace a caller's key by its workspace in headers to be forwarded.
+
+    ``name`` is the header that the backend server expects, if any.  What the
+    caller sent in it is removed.  ``workspace`` is empty if the caller has
+    none; None changes nothing.
+    """
+    if workspace is None:
+        return
+    headers.popall(AUTHORIZATION, None)
+    if name is None:
+        return
+    headers.popall(name, None)
+    if workspace:
+        headers[name] = workspace
+
+
 def parse_count(text: str) -> int | None:
     """Parse a number of up to nine decimal digits; None if it is none."""
     digits = text.strip()
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -59,6 +59,8 @@
         the response, or None if the request is unknown or invalid.
     counts
         Counters that record the bytes of documents.
+    workspace_header
+        Header that tells the backend server the caller's workspace, if any.
     """
 
     def __init__(
@@ -70,8 +72,10 @@
         guard: node.ReplayGuard,
         handle_document_request: DocumentRequestHandler,
         counts: _counts.Counts,
+        workspace_header: str | None = None,
     ) -> None:
         self._counts = counts
+        self._workspace_header = workspace_header
         self._engine = engine
         self._upstream = upstream
         self._keys = keys
@@ -270,6 +274,9 @@
     ) -> _upstream.SendResult:
         headers = _headers.copy_end_to_end(request.headers)
         headers[_headers.CALL] = request.headers.get(_headers.CALL, "")
+        _headers.set_workspace(
+            headers, self._workspace_header, self._read_workspace(request)
+        )
         outgoing = _upstream.OutgoingRequest(
             method=request.method,
             target=request.raw_path,
@@ -311,6 +318,18 @@
         refusal = self._refuse(request, reason, node.RunState.MAY_HAVE_RUN)
         return refusal, outcome
 
+    def _read_workspace(self, request: web.BaseRequest) -> str | None:
+        """Return the caller's workspace as the entry has determined it.
+
+        An entry whose configuration lists no workspaces yet names none.  It
+        has not removed what the caller sent in their headers.
+        """
+        declared = self._engine.state.versions.configuration
+        has_workspaces = declared is not None and bool(declared.workspaces)
+        return request.headers.get(
+            _headers.WORKSPACE, "" if has_workspaces else None
+        )
+
     def _refuse(
         self,
         request: web.BaseRequest,
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -148,6 +148,7 @@
                 guard=guard,
                 handle_document_request=self._document_exchange.handle_request,
                 counts=self._counts,
+                workspace_header=environment.dialect.workspace,
             )
         )
         self._local = _local_port.make_server(
--- a/packages/node/marjoramledge_node/_refusals.py
+++ b/packages/node/marjoramledge_node/_refusals.py
@@ -31,6 +31,8 @@
     node.Reason.ANSWER_LOST: 502,
     node.Reason.ANSWER_CUT_SHORT: 502,
     node.Reason.QUARANTINED: 503,
+    node.Reason.UNKNOWN_KEY: 401,
+    node.Reason.UNPROVEN_CONFIGURATION: 503,
     node.Reason.BAD_REQUEST: 400,
     node.Reason.BODY_STALLED: 408,
     node.Reason.NOT_A_MEMBER: 403,
@@ -73,6 +75,9 @@
         _headers.RUN: run.value,
         _headers.REASON: reason.value,
     }
+    if reason is node.Reason.UNKNOWN_KEY:
+        # RFC 9110, section 15.5.2: an answer with 401 names a scheme.
+        headers["WWW-Authenticate"] = "Bearer"
     if retry_after is not None:
         headers["Retry-After"] = retry_after
     if load is not None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,6 +3,7 @@
 import json
 import typing
 
+from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_platform import _announcements
@@ -239,3 +240,50 @@
     assert dialect.map_status(504, node.RunState.NOT_RUN) == 503
     assert dialect.map_status(503, node.RunState.MAY_HAVE_RUN) == 504
     assert dialect.map_status(404, node.RunState.NOT_RUN) == 404
+
+
+# Guards against tenants of the platform whose keys or limits are lost.
+def test_tenants_become_workspaces() -> None:
+    rule = CONFIG["listeners"][0]["rules"][0]
+    tenants = [
+        {
+            "name": "alder",
+            "apiKeys": ["k1", "k2"],
+            "priority": 0,
+            "ratePerS": 12.5,
+            "burst": 40,
+        },
+        {"name": "birch", "ratePerS": 0},
+    ]
+    document = {
+        **CONFIG,
+        "tenants": tenants,
+        "listeners": [
+            {"host": "shop.example", "rules": [{**rule, "public": True}]}
+        ],
+    }
+    read = _operator.read_configuration(
+        _content(config=document), REGIONS
+    ).unwrap()
+    alder = read.workspaces.find(b"k2")
+    assert alder is not None
+    assert alder is read.workspaces.find(b"k1")
+    assert (alder.name, alder.priority) == ("alder", 0)
+    assert (alder.rate_per_s, alder.burst) == (12.5, 40.0)
+    birch = read.workspaces.get(ids.WorkspaceName("birch"))
+    assert birch == configuration.Workspace(name=ids.WorkspaceName("birch"))
+    order = read.find_kind("shop.example", "POST", "/orders/1")
+    assert order is not None
+    assert order.is_public
+    plain = _operator.read_configuration(_content(config=CONFIG), REGIONS)
+    assert not plain.unwrap().workspaces
+
+
+# Guards against a header that a tenant's name would split.
+@pytest.mark.parametrize(
+    "tenant", [{}, {"name": ""}, {"name": "a\r\nb"}, {"name": 7}, 7]
+)
+def test_an_invalid_tenant_is_refused(tenant: object) -> None:
+    content = _content(config={**CONFIG, "tenants": [tenant]})
+    read = _operator.read_configuration(content, REGIONS)
+    assert isinstance(read, result.Failure)
--- a/tools/check_platform_names.py
+++ b/tools/check_platform_names.py
@@ -17,7 +17,8 @@
     r"|(?-i:Server-(?:Limit|Leaving))"
     r"|MARJORAMLEDGE_BOOT|rows-(?:tx|get|feed|parts)"
     r"|blob-(?:put|get|drop|list)|heartbeatAddr|trafficSplit|pathPrefix"
-    r"|coldPerS|coldLeft|targetLatency|appAddr|op/(?:config|evacuate)",
+    r"|coldPerS|coldLeft|apiKeys|ratePerS|strictRevoke"
+    r"|targetLatency|appAddr|op/(?:config|evacuate)",
     re.IGNORECASE,
 )
 # Tests of the adapter and the operators' documentation need the names.
