Access: bound the time until a revoked key is refused

A node admits a request with a key only while its configuration was the newest one less than the bound ago, by a read of the store. Nodes learn this from each other with the age counted from the question, and read the store themselves as a last resort. An unknown key gets 401 only from a configuration that is proven recent enough, and 503 otherwise.

A newer version that is not in force yet does not end the confirmation at once: the bound counts from the read, so it holds without that, and callers would be refused for the length of a download at each change.

--- a/packages/core/marjoramledge_core/_access.py
+++ b/packages/core/marjoramledge_core/_access.py
@@ -3,12 +3,17 @@
 Active where the configuration in force lists workspaces.  A request needs a
 known key unless its kind is public.  Keys are compared by their digests and
 never recorded.
+
+A known key may have been revoked meanwhile, and an unknown one may have been
+given out, so both need a configuration that is proven recent enough.  Without
+it, a request is refused as not run, and not as unauthorized.
 """
 
 import dataclasses
 import enum
 import typing
 
+from marjoramledge_core import _confirmation_rounds
 from marjoramledge_core import _events
 from marjoramledge_core import _ids
 from marjoramledge_core import _outcomes
@@ -80,12 +85,21 @@
     is_ambiguous = len(credentials) > 1
     key = None if is_ambiguous else _read_key(credentials)
     workspace = None if key is None else configuration.workspaces.find(key)
+    is_proven = _confirmation_rounds.is_proven(step)
     if kind.is_public:
+        if not is_proven:
+            # The key may have been revoked.
+            workspace = None
         return _admit(step, AccessOutcome.PUBLIC, kind, workspace)
     if is_ambiguous:
         return Access(outcome=AccessOutcome.AMBIGUOUS, kind=kind)
     if workspace is None:
-        return Access(outcome=AccessOutcome.UNKNOWN, kind=kind)
+        outcome = AccessOutcome.UNPROVEN
+        if _confirmation_rounds.can_reject(step):
+            outcome = AccessOutcome.UNKNOWN
+        return Access(outcome=outcome, kind=kind)
+    if not is_proven:
+        return Access(outcome=AccessOutcome.UNPROVEN, kind=kind)
     return _admit(step, AccessOutcome.KNOWN, kind, workspace)
 
 
--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -14,6 +14,7 @@
 
 from marjoramledge_core import _access
 from marjoramledge_core import _commands
+from marjoramledge_core import _confirmation_rounds
 from marjoramledge_core import _dispatch
 from marjoramledge_core import _events
 from marjoramledge_core import _gate_handlers
@@ -98,7 +99,13 @@
         return
     access = _access.authorize(step, event, kind)
     if access.reason is not None:
-        _refuse_on_arrival(step, event, access.reason, kind=kind.name)
+        _refuse_on_arrival(
+            step,
+            event,
+            access.reason,
+            kind=kind.name,
+            detail=_confirmation_rounds.describe(step),
+        )
         return
     # A workspace's limit over the whole fleet is applied here.
     quarantine_s = _gate_handlers.quarantine_left_s(step, event.fingerprint)
@@ -606,12 +613,13 @@
     *,
     kind: _ids.KindName | None = None,
     retry_after_s: float | None = None,
+    detail: str = "",
 ) -> None:
     step.record(
         _records.RecordKind.CALL_REFUSED,
         call=event.call,
         request=event.request,
-        detail=reason.value,
+        detail=f"{reason.value}; {detail}" if detail else reason.value,
     )
     _send_refusal(
         step,
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -162,10 +162,12 @@
     """Read the current configuration version from the store.
 
     A store that supports long polling may wait for a change for up to
-    ``wait_s``.  The event ``VersionReadEnded`` must follow.
+    ``wait_s``.  The event ``VersionReadEnded`` must follow.  With
+    ``is_confirming``, it is read in addition to the regular reads.
     """
 
     wait_s: float
+    is_confirming: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -245,16 +245,24 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class VersionRead:
-    """The store returned the current configuration version."""
+    """The store returned the current configuration version.
+
+    ``started_at`` is the monotonic time at which the read began, if known.
+    """
 
     ref: _manifest.VersionRef
+    started_at: float | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class VersionReadEnded:
-    """A read of the current configuration version ended."""
+    """A read of the current configuration version ended.
+
+    ``is_confirming`` is that of the command.
+    """
 
     is_success: bool
+    is_confirming: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -187,7 +187,9 @@
     version, or ``NO_VERSION`` in messages that carry only suspicions or load.
     ``config_known_at`` is the monotonic time at which the fleet first knew
     that version, in the clock of the node that holds this value; None if the
-    sender did not tell.
+    sender did not tell.  ``confirmed_age_s`` is how long before this message
+    ``config`` was known to be the newest version, by a read of the store by
+    ``confirmed_by``.  A PING names there a node that reads the store.
     """
 
     kind: MessageKind
@@ -200,3 +202,5 @@
     suspicions: tuple[_quarantine.Suspicion, ...]
     load: _reports.LoadReport | None = None
     config_known_at: float | None = None
+    confirmed_age_s: float | None = None
+    confirmed_by: _ids.NodeId | None = None
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -15,6 +15,8 @@
 from marjoramledge_core import _answered_requests
 from marjoramledge_core import _calls
 from marjoramledge_core import _commands
+from marjoramledge_core import _confirmation
+from marjoramledge_core import _confirmation_rounds
 from marjoramledge_core import _directory
 from marjoramledge_core import _events
 from marjoramledge_core import _gate
@@ -42,8 +44,6 @@
 # Time that a stopping node stays up after each of its last steps, so that
 # its final messages are still sent.
 STOP_LINGER_S: typing.Final = 0.2
-# Nodes that read the store often, in zones of their own.
-FREQUENT_READERS: typing.Final = 2
 # After the store was restored, all nodes write their rows again: within this
 # time, and at most this many a second.
 MIN_RESTORE_SPREAD_S: typing.Final = 1.0
@@ -122,6 +122,8 @@
         latencies={},
         budgets={},
         prioritized_kinds=_kind_priorities.PrioritizedKinds(),
+        confirmation=_confirmation.Confirmation(),
+        confirmation_rounds=_confirmation.ConfirmationRounds(),
     )
     state.membership.start(now)
     state.versions.start(now)
@@ -175,6 +177,7 @@
 def _handle_message(step: _state.Step, event: _events.MessageReceived) -> None:
     message = event.message
     recalled = step.state.membership.myself.departed
+    replies_from = len(step.out)
     step.state.membership.receive_message(message, step.now, step.out)
     _apply_recalled_departure(step, recalled)
     step.publish_suspicions(
@@ -195,6 +198,7 @@
         step.out,
     )
     step.state.membership.set_config(step.state.versions.in_force)
+    _confirmation_rounds.note_message(step, message, replies_from)
 
 
 def _merge_members(step: _state.Step, event: _events.MembersReceived) -> None:
@@ -232,6 +236,16 @@
     known = _manifest.KnownVersion(ref=event.ref, known_at=step.now)
     step.state.versions.observe_version(known, None, step.now, step.out)
     step.state.membership.set_config(step.state.versions.in_force)
+    _confirmation_rounds.note_read(step, event.ref, event.started_at)
+
+
+def _end_version_read(
+    step: _state.Step, event: _events.VersionReadEnded
+) -> None:
+    if event.is_confirming:
+        _confirmation_rounds.read_ended(step, is_success=event.is_success)
+    else:
+        step.state.versions.read_ended(event.is_success, step.now, step.rng)
 
 
 def _reads_often(state: _state.NodeState) -> bool:
@@ -244,7 +258,7 @@
         if member.status is _members.MemberStatus.ALIVE:
             first = first_of_zone.get(member.zone, member.node)
             first_of_zone[member.zone] = min(first, member.node)
-    zones = sorted(first_of_zone)[:FREQUENT_READERS]
+    zones = sorted(first_of_zone)[: _confirmation_rounds.FREQUENT_READERS]
     return state.node in (first_of_zone[zone] for zone in zones)
 
 
@@ -275,6 +289,7 @@
     if not is_adopted:
         return
     state.prioritized_kinds.forget()
+    _confirmation_rounds.start(step)
     state.membership.set_config(state.versions.in_force)
     state.membership.push_now(step.rng, step.out)
     step.record(
@@ -303,6 +318,7 @@
     )
     if event.is_unreadable:
         step.state.versions.reject(event.ref)
+        step.state.confirmation.note_unreadable(event.ref.version)
     step.state.versions.fetch_failed(event.ref, step.now, step.rng)
 
 
@@ -422,9 +438,7 @@
     _events.MembersReceived: _merge_members,
     _events.StoredMembersRead: _merge_stored_members,
     _events.VersionRead: _note_version,
-    _events.VersionReadEnded: lambda step, event: (
-        step.state.versions.read_ended(event.is_success, step.now, step.rng)
-    ),
+    _events.VersionReadEnded: _end_version_read,
     _events.ManifestFetched: _adopt_manifest,
     _events.ManifestFailed: _handle_failed_fetch,
     _events.DrainOrdered: _gate_handlers.order_drain,
@@ -482,5 +496,8 @@
         )
     ),
     _timers.TimerKind.CONFIG_FETCH: _retry_fetch,
+    _timers.TimerKind.CONFIRMATION: lambda step, timer: (
+        _confirmation_rounds.check(step)
+    ),
     _timers.TimerKind.STOP_STEP: lambda step, timer: _continue_stop(step),
 }
--- a/packages/core/marjoramledge_core/_options.py
+++ b/packages/core/marjoramledge_core/_options.py
@@ -33,7 +33,9 @@
     extra wait that a call accepts before it is sent to another zone of the
     region; it accepts at least ``other_zone_cost_share`` times the service
     time of the other server.  A node refuses calls while the fleet has known
-    a newer configuration than its own for ``outdated_limit_s``.
+    a newer configuration than its own for ``outdated_limit_s``.  It refuses
+    requests with keys unless its configuration was the newest one
+    ``revocation_limit_s`` ago or later; None means no bound.
     """
 
     stop_limit_s: float
@@ -45,3 +47,4 @@
     other_zone_cost_s: float = DEFAULT_OTHER_ZONE_COST_S
     other_zone_cost_share: float = 0.0
     outdated_limit_s: float = DEFAULT_OUTDATED_LIMIT_S
+    revocation_limit_s: float | None = None
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -19,6 +19,8 @@
     acknowledged, ``SERVER_FELL_COLD`` a server that became cold again without
     announcing it, and ``CONFIG_HEARD`` the first notice of a newer
     configuration.
+    ``CONFIG_UNPROVEN`` begins a time in which requests with keys are refused,
+    since the configuration may be outdated, and ``CONFIG_PROVEN`` ends it.
     ``LIMIT_CHANGED`` concerns the gate's own limit of concurrent calls, and
     the ``RATE_LIMIT`` kinds the limit that the server names in its answers.
     ``LEAVING_INVALID`` is an answer that says unreadably whether the server
@@ -57,6 +59,8 @@
     CONFIG_FETCHED = "config-fetched"
     CONFIG_ADOPTED = "config-adopted"
     CONFIG_REFUSED = "config-refused"
+    CONFIG_PROVEN = "config-proven"
+    CONFIG_UNPROVEN = "config-unproven"
     DRAIN_ORDERED = "drain-ordered"
     DRAIN_ENDED = "drain-ended"
     ZONE_CLOSED = "zone-closed"
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -9,6 +9,7 @@
 from marjoramledge_core import _answered_requests
 from marjoramledge_core import _budget
 from marjoramledge_core import _commands
+from marjoramledge_core import _confirmation
 from marjoramledge_core import _directory
 from marjoramledge_core import _gate
 from marjoramledge_core import _ids
@@ -217,6 +218,8 @@
     ]
     budgets: dict[_ids.ServiceName, _budget.RetryBudget]
     prioritized_kinds: _kind_priorities.PrioritizedKinds
+    confirmation: _confirmation.Confirmation
+    confirmation_rounds: _confirmation.ConfirmationRounds
     deaths: int = 0
     ordinary_answers: int = 0
     presumed_death: PresumedDeath | None = None
--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -210,7 +210,9 @@
         self._connect(
             node.ReadVersion,
             self._read_version,
-            lambda _command: node.VersionReadEnded(is_success=False),
+            lambda command: node.VersionReadEnded(
+                is_success=False, is_confirming=command.is_confirming
+            ),
         )
         self._connect(
             node.FetchManifest,
@@ -507,6 +509,7 @@
     async def _read_version(self, command: node.ReadVersion) -> None:
         if self._store is None:
             return
+        started_at = self._engine.now()
         found = await self._store.wait_version(
             self._engine.state.versions.ref, command.wait_s
         )
@@ -517,12 +520,18 @@
             row = found.unwrap()
             if row is not None:
                 await self._merge_read(row.ref)
-                self._engine.submit(node.VersionRead(ref=row.ref))
+                self._engine.submit(
+                    node.VersionRead(ref=row.ref, started_at=started_at)
+                )
             if not self._fleet_loaded.is_set():
                 # The store was unavailable when this node started, or the
                 # first read has not ended yet.
                 await self._read_fleet_once(self._store)
-        self._engine.submit(node.VersionReadEnded(is_success=is_success))
+        self._engine.submit(
+            node.VersionReadEnded(
+                is_success=is_success, is_confirming=command.is_confirming
+            )
+        )
 
     async def _merge_read(self, ref: configuration.VersionRef) -> None:
         """Merge rows that were read and that the core will not fetch.
--- a/packages/node/marjoramledge_node/_metrics_port.py
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -1,6 +1,7 @@
 """HTTP port that serves the metrics in the Prometheus text format."""
 
 import collections.abc
+import math
 import typing
 
 from aiohttp import web
@@ -160,6 +161,13 @@
             "Seconds since this node knows of a newer configuration.",
             state.versions.behind_s(now),
         )
+        confirmed_s = state.confirmation.age_s(now)
+        if confirmed_s < math.inf:
+            yield (
+                "configuration_confirmed_age_seconds",
+                "Seconds since the configuration was known to be the newest.",
+                confirmed_s,
+            )
         present = state.membership.present_count
         yield "members_present", "Members that are present.", present
         yield (
--- a/packages/node/marjoramledge_node/_timeline.py
+++ b/packages/node/marjoramledge_node/_timeline.py
@@ -28,6 +28,7 @@
         node.RecordKind.PEER_EJECTED,
         node.RecordKind.MEMBER_FAILED,
         node.RecordKind.CONFIG_REFUSED,
+        node.RecordKind.CONFIG_UNPROVEN,
         node.RecordKind.STORE_FAILED,
     }
 )
--- a/packages/node/marjoramledge_node/_wire.py
+++ b/packages/node/marjoramledge_node/_wire.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import typing
 
 from marjoramledge_core import configuration
@@ -80,6 +81,8 @@
         11: (_STRUCT, "load", _LoadStruct, False),
         12: (_I64, "config_age_ms", False),
         13: (_I32, "config_era", False),
+        17: (_I64, "confirmed_age_ms", False),
+        18: (_STRING, "confirmed_by", False),
     }
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
@@ -129,6 +132,13 @@
                 None if known_at is None else round(1000 * (now - known_at))
             ),
             config_era=configuration.era_of(message.config.version) or None,
+            # Rounded up: an age may look greater, but not smaller.
+            confirmed_age_ms=(
+                None
+                if message.confirmed_age_s is None
+                else math.ceil(1000 * message.confirmed_age_s)
+            ),
+            confirmed_by=message.confirmed_by,
         )
     )
 
@@ -168,6 +178,16 @@
                     if struct.config_age_ms is None
                     else now - max(0, struct.config_age_ms) / 1000
                 ),
+                confirmed_age_s=(
+                    None
+                    if struct.confirmed_age_ms is None
+                    else struct.confirmed_age_ms / 1000
+                ),
+                confirmed_by=(
+                    None
+                    if struct.confirmed_by is None
+                    else ids.NodeId(struct.confirmed_by)
+                ),
             )
         )
     except Exception as error:  # Decoding raises many error types.
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -53,6 +53,9 @@
     driver.submit(
         node.ManifestFetched(ref=builders.build_ref(1), configuration=declared)
     )
+    driver.submit(
+        node.VersionRead(ref=builders.build_ref(1), started_at=driver.now)
+    )
     driver.submit(node.ServerAnnounced(server=builders.build_server()))
     return driver
 
