Add roll-outs: bounded exposure, evidence, decision and stored row

An order of the configuration moves a service's requests to servers of another version. Entries earn a fraction of a token for each call and spend one for an attempt at the new version; deciding nodes test the reported counts, spread the decision and write it conditionally.

--- a/packages/cli/marjoramledge_cli/_fleet_client.py
+++ b/packages/cli/marjoramledge_cli/_fleet_client.py
@@ -35,6 +35,24 @@
     service: str
     server: str
     slots: int
+    version: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RolloutStatus:
+    """One roll-out, as the queried node knows it.
+
+    ``counts`` describes the responses by kind and version.
+    """
+
+    service: str
+    version: str
+    order: str
+    phase: str
+    is_stored: bool
+    age_s: float
+    reason: str
+    counts: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -50,6 +68,7 @@
     queued: int
     limit: int
     members: tuple[MemberStatus, ...]
+    rollouts: tuple[RolloutStatus, ...] = ()
 
     def present_members(self) -> tuple[MemberStatus, ...]:
         """Return the members that are alive or suspected."""
@@ -211,6 +230,12 @@
                 queued=gate["queued"],
                 limit=gate["limit"],
                 members=tuple(map(_parse_member, fields["members"])),
+                rollouts=tuple(
+                    RolloutStatus(
+                        **{**rollout, "counts": tuple(rollout["counts"])}
+                    )
+                    for rollout in fields.get("rollouts", ())
+                ),
             )
         )
     except (ValueError, KeyError, TypeError) as error:
@@ -228,4 +253,5 @@
         service=fields["service"],
         server=fields["server"],
         slots=fields["slots"],
+        version=fields.get("version", ""),
     )
--- a/packages/cli/marjoramledge_cli/_reports.py
+++ b/packages/cli/marjoramledge_cli/_reports.py
@@ -54,6 +54,17 @@
             f"{zone:<16}{service:<16}"
             f"{f'{serving_count} of {len(members)}':<12}{notes or 'all warm'}"
         )
+    for rollout in status.rollouts:
+        stored = "stored" if rollout.is_stored else "not stored yet"
+        lines.append("")
+        lines.append(
+            f"Roll-out of {rollout.service} to {rollout.version} "
+            f"(order {rollout.order}): {rollout.phase}, {stored}, "
+            f"began {rollout.age_s:.1f} s ago"
+        )
+        if rollout.reason:
+            lines.append(f"  {rollout.reason}")
+        lines.extend(f"  {counts}" for counts in rollout.counts)
     return "\n".join(lines)
 
 
--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -24,6 +24,7 @@
 from marjoramledge_core import _queue
 from marjoramledge_core import _records
 from marjoramledge_core import _reports
+from marjoramledge_core import _rollouts
 from marjoramledge_core import _settings
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
@@ -121,6 +122,7 @@
     call = _build_call(step, event, kind, deadline_s)
     step.state.calls[call.call] = call
     step.budget_of(call.service).earn()
+    _rollouts.accept_call(step, call)
     _set_timer(step, call, call.deadline_at, _timers.TimerKind.CALL_DEADLINE)
     if kind.hedging:
         hedge_s = _hedge_delay_s(step, kind)
@@ -172,6 +174,7 @@
     _observe_version(step, attempt.server, event.config)
     attempt.server.note_answer_status(event.status)
     _note_answer(step, attempt.server, event.load, event.is_error)
+    _rollouts.note_answered(step, attempt, is_error=event.is_error)
     if event.is_error and _retry_error(step, call, attempt):
         return
     step.state.answered_calls.note(call.fingerprint, step.now)
@@ -213,6 +216,8 @@
     _note_report(step, attempt.server, event.load)
     if event.reason in _FAULT_REASONS:
         _note_fault(step, attempt.server)
+    if event.run is _outcomes.RunState.MAY_HAVE_RUN:
+        _rollouts.note_lost(step, attempt)
     call.is_body_consumed = call.is_body_consumed or event.is_body_consumed
     if not attempt.server.is_local and event.load is None:
         _lost_nodes.note_broken_connection(step, call, attempt, event)
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -12,6 +12,7 @@
 from marjoramledge_core import _members
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _records
+from marjoramledge_core import _rollout_orders
 from marjoramledge_core import _server_status
 from marjoramledge_core import _settings
 
@@ -177,6 +178,25 @@
     ordered_at: float
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ReadRollout:
+    """Read the row of a service's roll-out; ``RolloutRead`` must follow."""
+
+    service: _ids.ServiceName
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class WriteRollout:
+    """Write the row of a service's roll-out; ``RolloutWritten`` must follow.
+
+    The row must still have ``etag``; empty if there must be none.
+    """
+
+    service: _ids.ServiceName
+    row: _rollout_orders.RolloutRow
+    etag: str
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class StopAccepting:
     """Accept no new connections and close the idle ones."""
@@ -215,6 +235,8 @@
     | StoreDeparture
     | ReadVersion
     | FetchManifest
+    | ReadRollout
+    | WriteRollout
     | StopAccepting
     | StopNode
     | WriteRecord
--- a/packages/core/marjoramledge_core/_directory.py
+++ b/packages/core/marjoramledge_core/_directory.py
@@ -78,18 +78,32 @@
     ) -> None:
         """Rebuild the candidate lists from membership and configuration."""
         by_service: dict[_ids.ServiceName, list[_members.Member]] = {}
+        by_new_version: dict[_ids.ServiceName, list[_members.Member]] = {}
         present: set[_ids.NodeId] = set()
         for member in members:
             present.add(member.node)
             if member.accepts_work and configuration.zone_takes_work(
                 member.zone
             ):
-                by_service.setdefault(member.service, []).append(member)
+                order = configuration.rollouts.get(member.service)
+                # Each version of a roll-out has a subset of its own.
+                is_new = order is not None and (
+                    order.version == member.server_version
+                )
+                group = by_new_version if is_new else by_service
+                group.setdefault(member.service, []).append(member)
         for node in self._loads.keys() - present:
             del self._loads[node]
         self._services = {
-            service: self._select(service, available, configuration)
-            for service, available in by_service.items()
+            service: tuple(
+                server
+                for group in (by_service, by_new_version)
+                if service in group
+                for server in self._select(
+                    service, group[service], configuration
+                )
+            )
+            for service in by_service.keys() | by_new_version.keys()
         }
 
     def _select(
@@ -149,6 +163,8 @@
             )
             self._loads[member.node] = load
         load.slots = member.slots
+        load.version = member.server_version
+        load.is_cold = member.server is _members.ServerState.COLD
         if load.reported_at == 0.0:
             load.limit = float(max(1, member.slots))
             # A server without a load report must not appear faster than those
--- a/packages/core/marjoramledge_core/_dispatch.py
+++ b/packages/core/marjoramledge_core/_dispatch.py
@@ -18,6 +18,7 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _load
 from marjoramledge_core import _outcomes
+from marjoramledge_core import _rollouts
 from marjoramledge_core import _routing
 from marjoramledge_core import _state
 
@@ -52,12 +53,16 @@
     state = step.state
     directory = _refresh_directory(step)
     gate = state.gate
+    groups = _rollouts.split_servers(
+        step, call, directory.candidates(call.service)
+    )
     local = directory.loads.get(state.node)
     if (
         local is not None
         and gate.server is not None
         and gate.server.service == call.service
         and local.node not in call.tried
+        and any(server is local for server in groups[0])
         and _gate_handlers.reason_to_refuse(step) is None
     ):
         report = gate.report(step.now)
@@ -75,12 +80,11 @@
         # The attempt may queue, and a gate that refused the call before may
         # have the shortest queue now: exclude only faulty servers.
         excluded = call.faulty
-    return _routing.choose_server(
-        directory.candidates(call.service),
-        excluded,
-        step.now,
-        step.rng,
-    )
+    for servers in groups:
+        server = _routing.choose_server(servers, excluded, step.now, step.rng)
+        if server is not None:
+            return server
+    return None
 
 
 def send(
@@ -102,6 +106,7 @@
         expected_s=server.latency_s,
         estimate_age_s=server.report_age_s(step.now),
     )
+    _rollouts.note_sent(step, call, attempt)
     call.attempts[attempt_id] = attempt
     call.tried.add(server.node)
     server.start_call()
@@ -138,6 +143,7 @@
     """Cancel an open attempt; return whether it certainly has not run."""
     if not attempt.is_open:
         return False
+    _rollouts.note_cancelled(step, attempt)
     close(step, attempt)
     if attempt.server.is_local and step.state.gate.abandon(attempt.attempt):
         return True
@@ -164,7 +170,10 @@
     """
     if len(call.attempts) + 1 >= FIRST_QUEUEING_ATTEMPT:
         return True
-    candidates = step.state.directory.candidates(call.service)
+    groups = _rollouts.split_servers(
+        step, call, step.state.directory.candidates(call.service)
+    )
+    candidates = [other for group in groups for other in group]
     if all(
         other is server or other.node in call.tried for other in candidates
     ):
--- a/packages/core/marjoramledge_core/_document.py
+++ b/packages/core/marjoramledge_core/_document.py
@@ -14,6 +14,7 @@
 from returns import result
 
 from marjoramledge_core import _ids
+from marjoramledge_core import _rollout_orders
 from marjoramledge_core import _routes
 from marjoramledge_core import _settings
 
@@ -25,6 +26,7 @@
     {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 )
 _MAX_DEADLINE_MS: typing.Final = 3_600_000
+_MIN_ROLLOUT_MS: typing.Final = 1000
 _MAX_RUNS: typing.Final = 10
 _MAX_WEIGHT: typing.Final = 1_000_000
 _MAX_COLD_RATE: typing.Final = 100_000
@@ -251,6 +253,7 @@
     organisation = inventory.string("organisation")
     zones = _read_zones(inventory)
     services = _read_services(inventory)
+    rollouts = _read_rollouts(inventory, services)
     inventory.reject_unknown()
     defaults = rules.table("defaults")
     default_deadline_ms = defaults.integer(
@@ -275,6 +278,7 @@
             measuring=measuring,
             default_deadline_s=default_deadline_ms / 1000,
             routes=_routes.RouteTable(routes),
+            rollouts=rollouts,
         )
     )
 
@@ -346,6 +350,37 @@
     return tuple(services)
 
 
+def _read_rollouts(
+    inventory: _TableReader, services: tuple[_settings.Service, ...]
+) -> tuple[_rollout_orders.RolloutOrder, ...]:
+    """Read the orders of roll-outs; a service has at most one."""
+    declared = {service.name for service in services}
+    orders: dict[str, _rollout_orders.RolloutOrder] = {}
+    for reader in inventory.array("rollout"):
+        service = _ids.ServiceName(reader.string("service"))
+        version = reader.string("version")
+        duration_ms = reader.integer(
+            "duration_ms", _MIN_ROLLOUT_MS, _MAX_DEADLINE_MS
+        )
+        name = f"{version}/{duration_ms}"
+        if reader.is_given("order"):
+            name = reader.string("order")
+        if service and service not in declared:
+            reader.report("service", "must be a service of the inventory")
+        if service in orders:
+            reader.report("service", f"{service} has another order")
+        if len(version.encode()) > _ids.MAX_SERVER_VERSION_BYTES:
+            reader.report("version", "is too long")
+        reader.reject_unknown()
+        orders[service] = _rollout_orders.RolloutOrder(
+            service=service,
+            version=_ids.ServerVersion(version),
+            duration_s=duration_ms / 1000,
+            order=_ids.OrderId(name),
+        )
+    return tuple(orders.values())
+
+
 def _read_cold_rate(reader: _TableReader) -> float | None:
     if not reader.is_given("cold_calls_per_s"):
         return None
--- a/packages/core/marjoramledge_core/_events.py
+++ b/packages/core/marjoramledge_core/_events.py
@@ -11,6 +11,7 @@
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _reports
+from marjoramledge_core import _rollout_orders
 from marjoramledge_core import _server_status
 from marjoramledge_core import _settings
 from marjoramledge_core import _signals
@@ -283,6 +284,31 @@
     is_unreadable: bool = False
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RolloutRead:
+    """A read of the row of a service's roll-out ended.
+
+    ``row`` is None if there is no row, or the read failed.
+    """
+
+    service: _ids.ServiceName
+    row: _rollout_orders.RolloutRow | None
+    is_success: bool
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RolloutWritten:
+    """A write of the row of a service's roll-out ended.
+
+    ``row`` is what was written, or None if that is not known;
+    ``is_conflict`` is true if the row had changed before.
+    """
+
+    service: _ids.ServiceName
+    row: _rollout_orders.RolloutRow | None
+    is_conflict: bool = False
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class DrainOrdered:
     """An operator started or ended the draining of this node's gate.
@@ -334,6 +360,8 @@
     | VersionReadEnded
     | ManifestFetched
     | ManifestFailed
+    | RolloutRead
+    | RolloutWritten
     | DrainOrdered
     | OptionsChanged
     | StopRequested
--- a/packages/core/marjoramledge_core/_gate.py
+++ b/packages/core/marjoramledge_core/_gate.py
@@ -64,7 +64,8 @@
     """A backend server, as it announced itself.
 
     ``start`` and ``sequence`` order announcements, so that delayed ones can
-    be ignored.  ``cold_left_s`` is the time until the server is warm.
+    be ignored.  ``cold_left_s`` is the time until the server is warm, and
+    ``version`` its software version, if it tells one.
     """
 
     service: _ids.ServiceName
@@ -78,6 +79,7 @@
     start: _server_status.ServerStart = _server_status.ANY_START
     sequence: int = 0
     cold_left_s: float = 0.0
+    version: _ids.ServerVersion = _ids.NO_SERVER_VERSION
 
 
 class Admission(enum.Enum):
--- a/packages/core/marjoramledge_core/_ids.py
+++ b/packages/core/marjoramledge_core/_ids.py
@@ -19,13 +19,19 @@
 ConfigVersion = typing.NewType("ConfigVersion", int)
 Digest = typing.NewType("Digest", str)
 WorkspaceName = typing.NewType("WorkspaceName", str)
+ServerVersion = typing.NewType("ServerVersion", str)
+OrderId = typing.NewType("OrderId", str)
 
 NO_SERVICE: typing.Final = ServiceName("")
 NO_CALL: typing.Final = CallId("")
 NO_FINGERPRINT: typing.Final = Fingerprint("")
 NO_NODE: typing.Final = NodeId("")
 NO_WORKSPACE: typing.Final = WorkspaceName("")
+NO_ORDER: typing.Final = OrderId("")
+NO_SERVER_VERSION: typing.Final = ServerVersion("")
 NO_SERVER_ID: typing.Final = ServerId("")
 # A server's id is part of a row's key and of membership messages.
 MAX_SERVER_ID_BYTES: typing.Final = 180
+# A version is part of member records and of roll-out messages.
+MAX_SERVER_VERSION_BYTES: typing.Final = 120
 NO_CONFIGURATION: typing.Final = ConfigVersion(0)
--- a/packages/core/marjoramledge_core/_load.py
+++ b/packages/core/marjoramledge_core/_load.py
@@ -40,6 +40,8 @@
     zone, and ``ejections`` counts the ejections since the server
     last recovered.  ``status`` is what its gate has told about it, and until
     ``paused_until`` its rate limit leaves no room for a call of this entry.
+    ``version`` is the software version of the server, and ``is_cold`` whether
+    its node has published it as cold.
     """
 
     node: _ids.NodeId
@@ -60,6 +62,8 @@
     readmitted_at: float = -READMISSION_RAMP_S
     status: _server_status.ServerStatus | None = None
     paused_until: float = 0.0
+    version: _ids.ServerVersion = _ids.NO_SERVER_VERSION
+    is_cold: bool = False
 
     def start_call(self) -> None:
         """Record that a call was sent to the server."""
--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -12,6 +12,7 @@
 from marjoramledge_core import _manifest
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _reports
+from marjoramledge_core import _rollout_orders
 from marjoramledge_core import _server_status
 
 
@@ -68,7 +69,8 @@
     Only the node itself raises its ``incarnation``: whenever its record
     changes, and to refute a suspicion.  ``departed`` is the start of its
     backend server whose departure it acknowledged last: other nodes return it
-    to a process that takes the node's place.
+    to a process that takes the node's place.  ``server_version`` is the
+    software version of the backend server, if it tells one.
     """
 
     node: _ids.NodeId
@@ -80,6 +82,7 @@
     server: ServerState
     slots: int
     departed: _server_status.ServerStart = _server_status.ANY_START
+    server_version: _ids.ServerVersion = _ids.NO_SERVER_VERSION
 
     @property
     def accepts_work(self) -> bool:
@@ -112,6 +115,7 @@
     zone: _ids.ZoneName,
     service: _ids.ServiceName,
     slots: int,
+    server_version: _ids.ServerVersion = _ids.NO_SERVER_VERSION,
 ) -> Member:
     """Build the record of a node as read from the store.
 
@@ -126,6 +130,7 @@
         service=service,
         server=ServerState.WARM if service else ServerState.ABSENT,
         slots=slots,
+        server_version=server_version,
     )
 
 
@@ -167,7 +172,7 @@
     """Kinds of membership message.
 
     ``NEWS`` carries updates or suspicions without a probe, and ``LOAD`` a
-    changed load report.
+    changed load report.  ``ROLLOUT`` carries states of roll-outs and evidence.
     """
 
     PING = 1
@@ -175,6 +180,7 @@
     PING_REQUEST = 3
     NEWS = 4
     LOAD = 5
+    ROLLOUT = 7
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -187,7 +193,7 @@
     version, or ``NO_VERSION`` in messages that carry only suspicions or load.
     ``config_known_at`` is the monotonic time at which the fleet first knew
     that version, in the clock of the node that holds this value; None if the
-    sender did not tell.
+    sender did not tell.  ``rollouts`` are states of roll-outs.
     """
 
     kind: MessageKind
@@ -200,3 +206,4 @@
     suspicions: tuple[_quarantine.Suspicion, ...]
     load: _reports.LoadReport | None = None
     config_known_at: float | None = None
+    rollouts: tuple[_rollout_orders.RolloutNotice, ...] = ()
--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -267,6 +267,7 @@
         server: _members.ServerState,
         slots: int,
         departed: _server_status.ServerStart | None = None,
+        server_version: _ids.ServerVersion | None = None,
         now: float,
     ) -> None:
         """Publish a change of this node or of its backend server."""
@@ -278,6 +279,11 @@
             server=server,
             slots=slots,
             departed=departed or myself.departed,
+            server_version=(
+                myself.server_version
+                if server_version is None
+                else server_version
+            ),
         )
         if changed != myself:
             raised = myself.incarnation + 1
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -27,6 +27,7 @@
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _records
+from marjoramledge_core import _rollouts
 from marjoramledge_core import _server_status
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
@@ -162,6 +163,7 @@
     while step.returned_work:
         work, reason = step.returned_work.pop()
         _calls.work_returned(step, work, reason)
+    _rollouts.attach_states(step)
     return step.out
 
 
@@ -175,6 +177,7 @@
     recalled = step.state.membership.myself.departed
     step.state.membership.receive_message(message, step.now, step.out)
     _apply_recalled_departure(step, recalled)
+    _rollouts.receive(step, message)
     step.publish_suspicions(
         step.state.quarantine.record_suspicions(message.suspicions, step.now),
         is_relayed=True,
@@ -255,6 +258,7 @@
     )
     if before == _version_numbers.UNKNOWN_ERA:
         return
+    _rollouts.enter_era(step)
     spread_s = max(
         MIN_RESTORE_SPREAD_S,
         state.membership.present_count / FLEET_RESTORES_PER_S,
@@ -267,6 +271,7 @@
 def _adopt_manifest(step: _state.Step, event: _events.ManifestFetched) -> None:
     state = step.state
     was_open = step.is_zone_open()
+    is_first = state.versions.configuration is None
     is_adopted = state.versions.adopt(
         event.ref, event.configuration, step.now, requested=event.requested
     )
@@ -279,6 +284,7 @@
         detail=f"version {state.versions.describe()}",
     )
     _gate_handlers.apply_service(step)
+    _rollouts.apply_orders(step, is_first=is_first)
     is_open = step.is_zone_open()
     if was_open and not is_open:
         step.record(_records.RecordKind.ZONE_CLOSED, detail=state.zone)
@@ -307,6 +313,7 @@
     if event.options == step.state.options:
         return
     step.state.options = event.options
+    _rollouts.apply_orders(step, is_first=True)
     step.record(
         _records.RecordKind.OPTIONS_CHANGED, detail=repr(event.options)
     )
@@ -424,6 +431,8 @@
     ),
     _events.ManifestFetched: _adopt_manifest,
     _events.ManifestFailed: _handle_failed_fetch,
+    _events.RolloutRead: _rollouts.row_read,
+    _events.RolloutWritten: _rollouts.row_written,
     _events.DrainOrdered: _gate_handlers.order_drain,
     _events.OptionsChanged: _change_options,
     _events.StopRequested: _begin_stop,
@@ -479,5 +488,6 @@
         )
     ),
     _timers.TimerKind.CONFIG_FETCH: _retry_fetch,
+    _timers.TimerKind.ROLLOUT_TICK: lambda step, timer: _rollouts.tick(step),
     _timers.TimerKind.STOP_STEP: lambda step, timer: _continue_stop(step),
 }
--- a/packages/core/marjoramledge_core/_options.py
+++ b/packages/core/marjoramledge_core/_options.py
@@ -4,6 +4,7 @@
 import typing
 
 from marjoramledge_core import _budget
+from marjoramledge_core import _rollout_orders
 
 # About one round trip between zones.
 DEFAULT_OTHER_ZONE_COST_S: typing.Final = 0.0025
@@ -34,6 +35,7 @@
     region; it accepts at least ``other_zone_cost_share`` times the service
     time of the other server.  A node refuses calls while the fleet has known
     a newer configuration than its own for ``outdated_limit_s``.
+    Without ``rollouts``, orders of roll-outs are ignored.
     """
 
     stop_limit_s: float
@@ -45,3 +47,4 @@
     other_zone_cost_s: float = DEFAULT_OTHER_ZONE_COST_S
     other_zone_cost_share: float = 0.0
     outdated_limit_s: float = DEFAULT_OUTDATED_LIMIT_S
+    rollouts: _rollout_orders.RolloutOptions | None = None
--- a/packages/core/marjoramledge_core/_plan.py
+++ b/packages/core/marjoramledge_core/_plan.py
@@ -8,6 +8,7 @@
 import dataclasses
 import enum
 
+from marjoramledge_core import _rollout_orders
 from marjoramledge_core import _settings
 
 
@@ -86,13 +87,20 @@
         location = f"routes.{route.host}{route.prefix}"
         items[f"{location}.name"] = route.target.name
         _add_fields(items, location, route.target)
+    for order in configuration.rollouts.values():
+        _add_fields(items, f"rollouts.{order.service}", order)
     return items
 
 
 def _add_fields(
     items: dict[str, str],
     prefix: str,
-    value: _settings.Zone | _settings.Service | _settings.RequestKind,
+    value: (
+        _settings.Zone
+        | _settings.Service
+        | _settings.RequestKind
+        | _rollout_orders.RolloutOrder
+    ),
 ) -> None:
     for field in dataclasses.fields(value):
         if field.name != "name":
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -21,6 +21,7 @@
     configuration.
     ``LIMIT_CHANGED`` concerns the gate's own limit of concurrent calls, and
     the ``RATE_LIMIT`` kinds the limit that the server names in its answers.
+    The ``ROLLOUT`` kinds are the phases of a roll-out, with its reason.
     ``LEAVING_INVALID`` is an answer that says unreadably whether the server
     leaves.
     """
@@ -64,6 +65,10 @@
     STORE_FAILED = "store-failed"
     STORE_RECOVERED = "store-recovered"
     STORE_ERA = "store-era"
+    ROLLOUT_STARTED = "rollout-started"
+    ROLLOUT_PROMOTED = "rollout-promoted"
+    ROLLOUT_COMPLETED = "rollout-completed"
+    ROLLOUT_REVERTED = "rollout-reverted"
     LOOP_STALLED = "loop-stalled"
     OPTIONS_CHANGED = "options-changed"
     STOP_BEGUN = "stop-begun"
--- a/packages/core/marjoramledge_core/_settings.py
+++ b/packages/core/marjoramledge_core/_settings.py
@@ -11,6 +11,7 @@
 
 from marjoramledge_core import _ids
 from marjoramledge_core import _priority
+from marjoramledge_core import _rollout_orders
 from marjoramledge_core import _routes
 from marjoramledge_core import _workspaces
 
@@ -140,6 +141,8 @@
         Kinds that are selected by host and path prefix alone.
     workspaces
         Workspaces of callers; without any, requests need no key.
+    rollouts
+        Orders to move a service to another version, at most one a service.
     """
 
     def __init__(
@@ -153,7 +156,9 @@
         default_deadline_s: float,
         routes: _routes.RouteTable[RequestKind] | None = None,
         workspaces: _workspaces.WorkspaceTable | None = None,
+        rollouts: tuple[_rollout_orders.RolloutOrder, ...] = (),
     ) -> None:
+        self._rollouts = {order.service: order for order in rollouts}
         self._workspaces = workspaces or _workspaces.WorkspaceTable(())
         self._routes = _routes.RouteTable(()) if routes is None else routes
         self._organisation = organisation
@@ -216,6 +221,13 @@
         """Workspaces of callers; without any, requests need no key."""
         return self._workspaces
 
+    @property
+    def rollouts(
+        self,
+    ) -> typing.Mapping[_ids.ServiceName, _rollout_orders.RolloutOrder]:
+        """Orders of roll-outs by service."""
+        return self._rollouts
+
     def find_kind(
         self, host: str, method: str, path: str
     ) -> RequestKind | None:
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -21,6 +21,8 @@
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _queue
 from marjoramledge_core import _records
+from marjoramledge_core import _rollout_evidence
+from marjoramledge_core import _rollout_state
 from marjoramledge_core import _settings
 from marjoramledge_core import _timers
 from marjoramledge_core import _version_numbers
@@ -107,7 +109,8 @@
     which the call can be sent to another server if this one refuses it.
     ``expected_s`` is the latency that was expected of the server, and
     ``estimate_age_s`` the age of the load report behind that estimate; None
-    if there was no report.
+    if there was no report.  ``sample`` is how the attempt will be counted in a
+    roll-out; None if it is not, or has been.
     """
 
     attempt: _ids.AttemptId
@@ -118,6 +121,7 @@
     expected_s: float
     estimate_age_s: float | None
     is_open: bool = True
+    sample: _rollout_evidence.Sample | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -127,7 +131,8 @@
     ``tried`` are the nodes that an attempt was sent to, and ``faulty`` those
     where one failed for another reason than overload.  ``failed_runs``
     counts the failed attempts that ran or may have run.  ``workspace`` is the
-    caller's workspace, if it showed a key.
+    caller's workspace, if it showed a key.  ``is_exposed`` is true if the
+    first attempt may go to a version under test.
     """
 
     call: _ids.CallId
@@ -149,6 +154,7 @@
     may_have_run: bool = False
     failed_runs: int = 0
     workspace: _ids.WorkspaceName = _ids.NO_WORKSPACE
+    is_exposed: bool = False
 
     def advance(self, phase: CallPhase) -> None:
         """Enter another phase; the transition must be an allowed one."""
@@ -214,6 +220,9 @@
         tuple[_ids.ServiceName, _ids.KindName], _latency.QuantileEstimate
     ]
     budgets: dict[_ids.ServiceName, _budget.RetryBudget]
+    rollouts: _rollout_state.RolloutTable = dataclasses.field(
+        default_factory=_rollout_state.RolloutTable
+    )
     deaths: int = 0
     ordinary_answers: int = 0
     presumed_death: PresumedDeath | None = None
@@ -305,6 +314,7 @@
             server=server_state,
             slots=myself.slots if server is None else server.slots,
             departed=gate.starts.last_departed,
+            server_version=None if server is None else server.version,
             now=self.now,
         )
 
--- a/packages/core/marjoramledge_core/_timers.py
+++ b/packages/core/marjoramledge_core/_timers.py
@@ -26,6 +26,7 @@
     MEMBER_REGISTER = enum.auto()
     CONFIG_READ = enum.auto()
     CONFIG_FETCH = enum.auto()
+    ROLLOUT_TICK = enum.auto()
     STOP_STEP = enum.auto()
 
 
--- a/packages/core/marjoramledge_core/configuration.py
+++ b/packages/core/marjoramledge_core/configuration.py
@@ -3,6 +3,7 @@
 from marjoramledge_core import _document
 from marjoramledge_core import _manifest
 from marjoramledge_core import _plan
+from marjoramledge_core import _rollout_orders
 from marjoramledge_core import _routes
 from marjoramledge_core import _settings
 from marjoramledge_core import _version_numbers
@@ -23,6 +24,7 @@
 ProbeBudget = _settings.ProbeBudget
 Priority = _settings.Priority
 Problem = _document.Problem
+RolloutOrder = _rollout_orders.RolloutOrder
 RequestKind = _settings.RequestKind
 Route = _routes.Route
 RouteTable = _routes.RouteTable
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -13,6 +13,8 @@
 from marjoramledge_core import _records
 from marjoramledge_core import _replay
 from marjoramledge_core import _reports
+from marjoramledge_core import _rollout_orders
+from marjoramledge_core import _rollout_status
 from marjoramledge_core import _server_status
 from marjoramledge_core import _signals
 from marjoramledge_core import _state
@@ -39,6 +41,15 @@
 ReplayGuard = _replay.ReplayGuard
 RecordKind = _records.RecordKind
 Suspicion = _quarantine.Suspicion
+DEFAULT_EXPOSE_SHARE = _rollout_orders.DEFAULT_EXPOSE_SHARE
+RolloutNotice = _rollout_orders.RolloutNotice
+RolloutOptions = _rollout_orders.RolloutOptions
+RolloutPhase = _rollout_orders.RolloutPhase
+RolloutRow = _rollout_orders.RolloutRow
+RolloutState = _rollout_orders.RolloutState
+EvidenceReport = _rollout_orders.EvidenceReport
+KindEvidence = _rollout_orders.KindEvidence
+ResponseCounts = _rollout_orders.ResponseCounts
 RunState = _outcomes.RunState
 Server = _gate.Server
 ServerStart = _server_status.ServerStart
@@ -60,6 +71,9 @@
 ManifestFailed = _events.ManifestFailed
 ManifestFetched = _events.ManifestFetched
 MembersReceived = _events.MembersReceived
+describe_rollouts = _rollout_status.describe_rollouts
+RolloutRead = _events.RolloutRead
+RolloutWritten = _events.RolloutWritten
 DrainOrdered = _events.DrainOrdered
 MessageReceived = _events.MessageReceived
 ProbeEnded = _events.ProbeEnded
@@ -86,6 +100,8 @@
 FetchManifest = _commands.FetchManifest
 ProbeServer = _commands.ProbeServer
 ReadVersion = _commands.ReadVersion
+ReadRollout = _commands.ReadRollout
+WriteRollout = _commands.WriteRollout
 RefuseCall = _commands.RefuseCall
 RefuseWork = _commands.RefuseWork
 RegisterMember = _commands.RegisterMember
--- a/packages/node/marjoramledge_node/_announcements.py
+++ b/packages/node/marjoramledge_node/_announcements.py
@@ -20,6 +20,7 @@
     "cold_concurrency",
     "cold_left_ms",
     "health_path",
+    "version",
 }
 _MAX_COUNT: typing.Final = 100_000
 _MAX_COLD_MS: typing.Final = 3_600_000
@@ -70,6 +71,7 @@
         is_cold=fields["state"] == "cold",
         health_path=fields.get("health_path", "/"),
         cold_left_s=fields.get("cold_left_ms", 0) / 1000,
+        version=ids.ServerVersion(fields.get("version", "")),
     )
 
 
@@ -88,6 +90,15 @@
     for key in ("service", "host"):
         if key in fields and not _is_text(fields[key]):
             problems.append(f"{key}: must be a non-empty string")
+    version = fields.get("version", "")
+    if (
+        not isinstance(version, str)
+        or len(version.encode()) > ids.MAX_SERVER_VERSION_BYTES
+    ):
+        problems.append(
+            "version: must be a string of at most "
+            f"{ids.MAX_SERVER_VERSION_BYTES} bytes"
+        )
     if "state" in fields and fields["state"] not in _STATES:
         problems.append(f"state: must be one of: {', '.join(_STATES)}")
     path = fields.get("health_path", "/")
--- a/packages/node/marjoramledge_node/_document_exchange.py
+++ b/packages/node/marjoramledge_node/_document_exchange.py
@@ -212,6 +212,20 @@
             self._read_version,
             lambda _command: node.VersionReadEnded(is_success=False),
         )
+        self._connect(
+            node.ReadRollout,
+            self._read_rollout,
+            lambda command: node.RolloutRead(
+                service=command.service, row=None, is_success=False
+            ),
+        )
+        self._connect(
+            node.WriteRollout,
+            self._write_rollout,
+            lambda command: node.RolloutWritten(
+                service=command.service, row=None
+            ),
+        )
         self._connect(
             node.FetchManifest,
             self._fetch_manifest,
@@ -398,7 +412,10 @@
         for member in stored.members:
             # A node that has just started does not know its server's slots.
             slots = myself.slots or member.slots
-            if member == dataclasses.replace(myself, slots=slots):
+            version = myself.server_version or member.server_version
+            if member == dataclasses.replace(
+                myself, slots=slots, server_version=version
+            ):
                 return
         await self._write_member(self._store)
 
@@ -446,6 +463,7 @@
             zone=myself.zone,
             service=service,
             slots=myself.slots,
+            server_version=myself.server_version,
         )
 
     async def _keep_departure(self, command: node.StoreDeparture) -> None:
@@ -688,6 +706,39 @@
             )
         )
 
+    async def _read_rollout(self, command: node.ReadRollout) -> None:
+        """Read the row of a roll-out; without a store there is none."""
+        row: node.RolloutRow | None = None
+        is_success = True
+        if self._store is not None:
+            found = await self._store.read_rollout(command.service)
+            self._count_store_call("read-rollout", found)
+            is_success = isinstance(found, result.Success)
+            row = found.value_or(None)
+        self._engine.submit(
+            node.RolloutRead(
+                service=command.service, row=row, is_success=is_success
+            )
+        )
+
+    async def _write_rollout(self, command: node.WriteRollout) -> None:
+        """Write the row of a roll-out; without a store, nodes keep it."""
+        written: result.Result[node.RolloutRow, client.StoreError]
+        written = result.Success(command.row)
+        if self._store is not None:
+            written = await self._store.write_rollout(
+                command.service, command.row, command.etag
+            )
+            self._count_store_call("write-rollout", written)
+        is_conflict = written == result.Failure(client.StoreError.CONFLICT)
+        self._engine.submit(
+            node.RolloutWritten(
+                service=command.service,
+                row=written.value_or(None),
+                is_conflict=is_conflict,
+            )
+        )
+
     async def _probe_server(self, command: node.ProbeServer) -> None:
         server = command.server
         began_at = self._engine.now()
@@ -778,6 +829,7 @@
                 _describe_member(member)
                 for member in state.membership.members.values()
             ],
+            "rollouts": node.describe_rollouts(state, self._engine.now()),
         }
 
 
@@ -791,6 +843,7 @@
         "service": member.service,
         "server": member.server.name.lower(),
         "slots": member.slots,
+        "version": member.server_version,
     }
 
 
--- a/packages/node/marjoramledge_node/_main.py
+++ b/packages/node/marjoramledge_node/_main.py
@@ -197,6 +197,17 @@
             help="Prefix of all statsd metric names.",
         ),
     ] = "marjoramledge",
+    expose_share: typing.Annotated[
+        float,
+        typer.Option(
+            "--expose-share",
+            envvar="MARJORAMLEDGE_EXPOSE_SHARE",
+            min=0.0,
+            max=1.0,
+            help="Largest share of a service's requests that a version "
+            "receives while its roll-out runs.",
+        ),
+    ] = node.DEFAULT_EXPOSE_SHARE,
 ) -> None:
     """Run the load balancer node of a backend server's VM.
 
@@ -223,7 +234,9 @@
         seeds=_parse_addresses(seed, "--seeds"),
         keys=_parse_option(_auth.parse_keys, keys, "--keys"),
         core_options=node.Options(
-            stop_limit_s=stop_limit_s, outdated_limit_s=outdated_limit_s
+            stop_limit_s=stop_limit_s,
+            outdated_limit_s=outdated_limit_s,
+            rollouts=node.RolloutOptions(expose_share=expose_share),
         ),
         log_format=log_format,
         log_level=log_level,
--- a/packages/node/marjoramledge_node/_metrics_port.py
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -177,6 +177,26 @@
             "Log lines suppressed by rate limiting.",
             self._count_suppressed_lines(),
         )
+        for rollout, exposure in state.rollouts.exposures.items():
+            name = _sanitize_name(rollout[0])
+            yield (
+                f"rollout_calls_{name}",
+                "Calls to a service since its roll-out began.",
+                exposure.calls,
+            )
+            yield (
+                f"rollout_exposed_{name}",
+                "Calls that were sent to the version under test.",
+                exposure.spent,
+            )
+        for service in state.rollouts.services():
+            key = state.rollouts.current_key(service)
+            known = None if key is None else state.rollouts.states.get(key)
+            yield (
+                f"rollout_phase_{_sanitize_name(service)}",
+                "0 unknown, 1 running, 2 promoting, 3 reverted, 4 completed.",
+                0.0 if known is None else float(known.phase),
+            )
         for service, budget in state.budgets.items():
             yield (
                 f"repeats_left_{_sanitize_name(service)}",
--- a/packages/node/marjoramledge_node/_wire.py
+++ b/packages/node/marjoramledge_node/_wire.py
@@ -20,9 +20,12 @@
 from marjoramledge_node import _auth
 
 MAX_DATAGRAM_BYTES: typing.Final = 8192
+# Characters of the reason of a roll-out's decision that are sent.
+MAX_REASON_CHARS: typing.Final = 240
 
 _STRING: typing.Final = thrift.TType.STRING
 _BINARY: typing.Final = thrift.TType.BINARY
+_BOOL: typing.Final = thrift.TType.BOOL
 _I32: typing.Final = thrift.TType.I32
 _I64: typing.Final = thrift.TType.I64
 _STRUCT: typing.Final = thrift.TType.STRUCT
@@ -42,6 +45,7 @@
         9: (_I32, "slots", False),
         10: (_STRING, "departed_server", False),
         11: (_I64, "departed_born", False),
+        12: (_STRING, "server_version", False),
     }
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
@@ -65,6 +69,36 @@
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
 
+class _CountsStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
+    thrift_spec = {
+        1: (_STRING, "kind", False),
+        2: (_I64, "old_responses", False),
+        3: (_I64, "old_failures", False),
+        4: (_I64, "old_slow", False),
+        5: (_I64, "new_responses", False),
+        6: (_I64, "new_failures", False),
+        7: (_I64, "new_slow", False),
+    }
+    default_spec = [(field[1], None) for field in thrift_spec.values()]
+
+
+class _RolloutStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
+    thrift_spec = {
+        1: (_STRING, "service", False),
+        2: (_STRING, "version", False),
+        3: (_STRING, "order", False),
+        4: (_I32, "phase", False),
+        5: (_I64, "started_age_ms", False),
+        6: (_I64, "changed_age_ms", False),
+        7: (_BOOL, "is_stored", False),
+        8: (_STRING, "reason", False),
+        9: (_I64, "run", False),
+        10: (_I64, "number", False),
+        11: (_LIST, "counts", (_STRUCT, _CountsStruct), False),
+    }
+    default_spec = [(field[1], None) for field in thrift_spec.values()]
+
+
 class _MessageStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
     thrift_spec = {
         1: (_I32, "kind", False),
@@ -80,6 +114,7 @@
         11: (_STRUCT, "load", _LoadStruct, False),
         12: (_I64, "config_age_ms", False),
         13: (_I32, "config_era", False),
+        14: (_LIST, "rollouts", (_STRUCT, _RolloutStruct), False),
     }
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
@@ -129,6 +164,8 @@
                 None if known_at is None else round(1000 * (now - known_at))
             ),
             config_era=configuration.era_of(message.config.version) or None,
+            rollouts=[_to_rollout(notice, now) for notice in message.rollouts]
+            or None,
         )
     )
 
@@ -168,6 +205,10 @@
                     if struct.config_age_ms is None
                     else now - max(0, struct.config_age_ms) / 1000
                 ),
+                rollouts=tuple(
+                    _from_rollout(entry, now)
+                    for entry in struct.rollouts or ()
+                ),
             )
         )
     except Exception as error:  # Decoding raises many error types.
@@ -284,6 +325,74 @@
     )
 
 
+def _to_rollout(notice: node.RolloutNotice, now: float) -> _RolloutStruct:
+    state, report = notice.state, notice.report
+    struct = _RolloutStruct(
+        service=state.service,
+        version=state.version,
+        order=state.order,
+        phase=state.phase,
+        started_age_ms=round(1000 * (now - state.started_at)),
+        changed_age_ms=round(1000 * (now - state.changed_at)),
+        is_stored=state.is_stored,
+        reason=state.reason[:MAX_REASON_CHARS] or None,
+    )
+    if report is not None:
+        struct.run = report.run
+        struct.number = report.number
+        struct.counts = [
+            _CountsStruct(
+                kind=counts.kind,
+                old_responses=counts.old.responses,
+                old_failures=counts.old.failures,
+                old_slow=counts.old.slow,
+                new_responses=counts.new.responses,
+                new_failures=counts.new.failures,
+                new_slow=counts.new.slow,
+            )
+            for counts in report.kinds
+        ]
+    return struct
+
+
+def _from_rollout(struct: _RolloutStruct, now: float) -> node.RolloutNotice:
+    report = None
+    if struct.number:
+        report = node.EvidenceReport(
+            run=struct.run,
+            number=struct.number,
+            kinds=tuple(
+                node.KindEvidence(
+                    kind=ids.KindName(counts.kind),
+                    old=node.ResponseCounts(
+                        responses=counts.old_responses,
+                        failures=counts.old_failures,
+                        slow=counts.old_slow,
+                    ),
+                    new=node.ResponseCounts(
+                        responses=counts.new_responses,
+                        failures=counts.new_failures,
+                        slow=counts.new_slow,
+                    ),
+                )
+                for counts in struct.counts
+            ),
+        )
+    return node.RolloutNotice(
+        state=node.RolloutState(
+            service=ids.ServiceName(struct.service),
+            version=ids.ServerVersion(struct.version),
+            order=ids.OrderId(struct.order),
+            phase=node.RolloutPhase(struct.phase),
+            started_at=now - max(0, struct.started_age_ms) / 1000,
+            changed_at=now - max(0, struct.changed_age_ms) / 1000,
+            is_stored=bool(struct.is_stored),
+            reason=struct.reason or "",
+        ),
+        report=report,
+    )
+
+
 def _to_struct(member: node.Member) -> _MemberStruct:
     return _MemberStruct(
         node=member.node,
@@ -297,6 +406,7 @@
         slots=member.slots,
         departed_server=member.departed.server or None,
         departed_born=member.departed.born or None,
+        server_version=member.server_version or None,
     )
 
 
@@ -314,4 +424,5 @@
             server=ids.ServerId(struct.departed_server or ""),
             born=struct.departed_born or 0,
         ),
+        server_version=ids.ServerVersion(struct.server_version or ""),
     )
--- a/packages/store/marjoramledge_store/_change_feed.py
+++ b/packages/store/marjoramledge_store/_change_feed.py
@@ -57,6 +57,8 @@
     is_later
         Tells from the texts of two documents with the same key whether the
         second one is known to be later.
+    rollout_rows
+        Rows of roll-outs; without them, roll-outs are not stored.
     """
 
     def __init__(
@@ -65,7 +67,9 @@
         tables: _ports.RowTables,
         operator_table: str,
         is_later: _table_merge.LaterCheck = _table_merge.never_later,
+        rollout_rows: _ports.RolloutRows | None = None,
     ) -> None:
+        self._rollout_rows = rollout_rows
         self._tables = tables
         self._operator_table = operator_table
         self._is_later = is_later
@@ -177,6 +181,11 @@
                 "zone": member.zone,
                 "service": member.service,
                 "slots": member.slots,
+                **(
+                    {"version": member.server_version}
+                    if member.server_version
+                    else {}
+                ),
             },
         )
 
@@ -203,6 +212,27 @@
             return read
         return result.Success(_decode_fleet(read.unwrap().rows, reader, count))
 
+    async def read_rollout(
+        self, service: ids.ServiceName
+    ) -> _ports.Outcome[node.RolloutRow | None]:
+        """Read how the roll-out of a service stands; None without a row."""
+        if self._rollout_rows is None:
+            return result.Failure(_errors.StoreError.REJECTED)
+        return await _limit_time(
+            self._rollout_rows.read_rollout(service), CALL_TIMEOUT_S
+        )
+
+    async def write_rollout(
+        self, service: ids.ServiceName, row: node.RolloutRow, etag: str
+    ) -> _ports.Outcome[node.RolloutRow]:
+        """Write how a roll-out stands, if the row still has ``etag``."""
+        if self._rollout_rows is None:
+            return result.Failure(_errors.StoreError.REJECTED)
+        return await _limit_time(
+            self._rollout_rows.write_rollout(service, row, etag),
+            CALL_TIMEOUT_S,
+        )
+
     async def _read_table(self) -> _ports.Outcome[_ports.Rows]:
         return await _limit_time(
             self._tables.list_rows(self._operator_table), CALL_TIMEOUT_S
@@ -488,6 +518,7 @@
             zone=fields["zone"],
             service=fields.get("service", ""),
             slots=fields.get("slots", 0),
+            version=fields.get("version", ""),
         )
     if key.startswith(_DEPARTURE_PREFIX):
         return _member_rows.parse_departure(
--- a/packages/store/marjoramledge_store/_client.py
+++ b/packages/store/marjoramledge_store/_client.py
@@ -32,10 +32,14 @@
 CONFIG_TABLE: typing.Final = "configuration"
 MEMBERS_TABLE: typing.Final = "members"
 DEPARTURES_TABLE: typing.Final = "departures"
+ROLLOUTS_TABLE: typing.Final = "rollouts"
 # Manifests are the largest documents.
 MAX_REPLY_BYTES: typing.Final = configuration.MAX_MANIFEST_BYTES
 MANIFESTS_CONTAINER: typing.Final = "manifests"
 _CURRENT_KEY: typing.Final = "current"
+_PHASES: typing.Final = {
+    phase.name.lower(): phase for phase in node.RolloutPhase
+}
 
 
 ParsedT = typing.TypeVar("ParsedT")
@@ -196,6 +200,11 @@
                 "Zone": member.zone,
                 "Service": member.service,
                 "Slots": member.slots,
+                **(
+                    {"Version": member.server_version}
+                    if member.server_version
+                    else {}
+                ),
             },
         )
         return reply_result.bind(_check_written)
@@ -233,6 +242,66 @@
         )
         return reply_result.bind(_check_written)
 
+    async def read_rollout(
+        self, service: ids.ServiceName
+    ) -> _ports.Outcome[node.RolloutRow | None]:
+        """Read how the roll-out of a service stands; None without a row."""
+        reply_result = await self._request(
+            "GET", _entity_path(ROLLOUTS_TABLE, "rollouts", service)
+        )
+        if isinstance(reply_result, result.Failure):
+            return reply_result
+        reply = reply_result.unwrap()
+        if reply.status == 404:
+            return result.Success(None)
+        if reply.status != 200:
+            return result.Failure(_errors.StoreError.REJECTED)
+        try:
+            entity = json.loads(reply.body)
+            return result.Success(
+                node.RolloutRow(
+                    service=service,
+                    version=ids.ServerVersion(str(entity["Version"])),
+                    phase=_PHASES[entity["Phase"]],
+                    order=ids.OrderId(str(entity["Order"])),
+                    etag=reply.etag,
+                )
+            )
+        except (ValueError, KeyError, TypeError):
+            return result.Failure(_errors.StoreError.REJECTED)
+
+    async def write_rollout(
+        self, service: ids.ServiceName, row: node.RolloutRow, etag: str
+    ) -> _ports.Outcome[node.RolloutRow]:
+        """Write how a roll-out stands, if the row still has ``etag``."""
+        entity: dict[str, object] = {
+            "PartitionKey": "rollouts",
+            "RowKey": service,
+            "Version": row.version,
+            "Phase": row.phase.name.lower(),
+            "Order": row.order,
+        }
+        if etag:
+            reply_result = await self._request(
+                "PUT",
+                _entity_path(ROLLOUTS_TABLE, "rollouts", service),
+                entity=entity,
+                headers={"If-Match": etag},
+            )
+        else:
+            reply_result = await self._request(
+                "POST", f"/tables/{ROLLOUTS_TABLE}", entity=entity
+            )
+        if isinstance(reply_result, result.Failure):
+            return reply_result
+        reply = reply_result.unwrap()
+        if reply.status == 404:
+            # The row that was read is gone.
+            return result.Failure(_errors.StoreError.CONFLICT)
+        return _check_written(reply).map(
+            lambda _written: dataclasses.replace(row, etag=reply.etag)
+        )
+
     async def read_fleet(
         self, reader: ids.NodeId, count: int
     ) -> _ports.Outcome[_ports.FleetRows]:
@@ -363,6 +432,7 @@
         zone=row["Zone"],
         service=row.get("Service", ""),
         slots=row.get("Slots", 0),
+        version=row.get("Version", ""),
     )
 
 
--- a/packages/store/marjoramledge_store/_member_rows.py
+++ b/packages/store/marjoramledge_store/_member_rows.py
@@ -60,10 +60,12 @@
     zone: object,
     service: object = "",
     slots: object = 0,
+    version: object = "",
 ) -> node.Member:
     """Build a member from the fields of its row.
 
-    Rows that earlier versions wrote lack ``service`` and ``slots``.
+    Rows that earlier versions wrote lack ``service`` and ``slots``; those of
+    servers that tell no version lack ``version``.
 
     Raises
     ------
@@ -79,6 +81,9 @@
         zone=ids.ZoneName(str(zone)),
         service=ids.ServiceName(str(service)),
         slots=_parse_count(slots, 0, node.MAX_SLOTS),
+        server_version=ids.ServerVersion(
+            str(version)[: ids.MAX_SERVER_VERSION_BYTES]
+        ),
     )
 
 
--- a/packages/store/marjoramledge_store/_ports.py
+++ b/packages/store/marjoramledge_store/_ports.py
@@ -86,10 +86,38 @@
         The row of ``reader`` itself, if there is one, is always included.
         """
 
+    async def read_rollout(
+        self, service: ids.ServiceName
+    ) -> Outcome[node.RolloutRow | None]:
+        """Read how the roll-out of a service stands; None without a row."""
+
+    async def write_rollout(
+        self, service: ids.ServiceName, row: node.RolloutRow, etag: str
+    ) -> Outcome[node.RolloutRow]:
+        """Write how a roll-out stands, if the row still has ``etag``.
+
+        An empty ``etag`` requires that there is no row.  The result is the
+        row with its new condition; ``CONFLICT`` if another one was written.
+        """
+
     async def close(self) -> None:
         """Close all connections."""
 
 
+class RolloutRows(typing.Protocol):
+    """Access to the rows of roll-outs; see ``NodeStore``."""
+
+    async def read_rollout(
+        self, service: ids.ServiceName
+    ) -> Outcome[node.RolloutRow | None]:
+        """Read the row of a service."""
+
+    async def write_rollout(
+        self, service: ids.ServiceName, row: node.RolloutRow, etag: str
+    ) -> Outcome[node.RolloutRow]:
+        """Write the row of a service if it still has ``etag``."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Rows:
     """Rows of one table as of one version of the store.
--- a/packages/store/marjoramledge_store/followed.py
+++ b/packages/store/marjoramledge_store/followed.py
@@ -7,6 +7,7 @@
 CALL_TIMEOUT_S = _change_feed.CALL_TIMEOUT_S
 ChangeFeedStore = _change_feed.ChangeFeedStore
 Rows = _ports.Rows
+RolloutRows = _ports.RolloutRows
 RowTables = _ports.RowTables
 
 decode_rows = _table_document.decode_texts
