--- a/packages/core/marjoramledge_core/_rollout_verdict.py
+++ b/packages/core/marjoramledge_core/_rollout_verdict.py
@@ -24,6 +24,9 @@
 BLOCK_S: typing.Final = 0.5
 # Weight of the old version's responses halves in this time.
 BASELINE_HALF_LIFE_S: typing.Final = 1.0
+# With a larger share of bad responses of the old version, nothing can be
+# concluded from those of the new one.
+MAX_EXPECTED: typing.Final = 0.75
 # Good responses that are assumed of the old version, so that its share of bad
 # ones is defined without traffic.
 BASELINE_PRIOR: typing.Final = 10.0
@@ -63,9 +66,9 @@
 
     def score(self, bad: int, good: int, baseline: float) -> float:
         """Return the log-likelihood ratio of one block."""
-        expected = min(
-            0.9, self.baseline_times * baseline + self.baseline_margin
-        )
+        expected = self.baseline_times * baseline + self.baseline_margin
+        if expected > MAX_EXPECTED:
+            return 0.0
         faulty = expected + self.least_excess * (1.0 - expected)
         ratio = bad * math.log(faulty / expected) + good * math.log(
             (1.0 - faulty) / (1.0 - expected)
