--- a/packages/core/marjoramledge_core/_options.py
+++ b/packages/core/marjoramledge_core/_options.py
@@ -4,6 +4,7 @@
 import typing
 
 from marjoramledge_core import _budget
+from marjoramledge_core import _rollout_orders
 
 # About one round trip between zones.
 DEFAULT_OTHER_ZONE_COST_S: typing.Final = 0.0025
@@ -36,6 +37,7 @@
     a newer configuration than its own for ``outdated_limit_s``.  It refuses
     requests with keys unless its configuration was the newest one
     ``revocation_limit_s`` ago or later; None means no bound.
+    Without ``rollouts``, orders of roll-outs are ignored.
     """
 
     stop_limit_s: float
@@ -48,3 +50,4 @@
     other_zone_cost_share: float = 0.0
     outdated_limit_s: float = DEFAULT_OUTDATED_LIMIT_S
     revocation_limit_s: float | None = None
+    rollouts: _rollout_orders.RolloutOptions | None = None
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -23,6 +23,8 @@
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _queue
 from marjoramledge_core import _records
+from marjoramledge_core import _rollout_evidence
+from marjoramledge_core import _rollout_state
 from marjoramledge_core import _settings
 from marjoramledge_core import _timers
 from marjoramledge_core import _version_numbers
@@ -109,7 +111,8 @@
     which the call can be sent to another server if this one refuses it.
     ``expected_s`` is the latency that was expected of the server, and
     ``estimate_age_s`` the age of the load report behind that estimate; None
-    if there was no report.
+    if there was no report.  ``sample`` is how the attempt will be counted in a
+    roll-out; None if it is not, or has been.
     """
 
     attempt: _ids.AttemptId
@@ -120,6 +123,7 @@
     expected_s: float
     estimate_age_s: float | None
     is_open: bool = True
+    sample: _rollout_evidence.Sample | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -130,7 +134,8 @@
     where one failed for another reason than overload.  ``failed_runs``
     counts the failed attempts that ran or may have run.  ``workspace`` is the
     caller's workspace: empty if it has none, and None if the configuration
-    lists no workspaces.
+    lists no workspaces.  ``is_exposed`` is true if the first attempt may go to
+    a version under test.
     """
 
     call: _ids.CallId
@@ -152,6 +157,7 @@
     may_have_run: bool = False
     failed_runs: int = 0
     workspace: _ids.WorkspaceName | None = None
+    is_exposed: bool = False
 
     def advance(self, phase: CallPhase) -> None:
         """Enter another phase; the transition must be an allowed one."""
@@ -220,6 +226,9 @@
     prioritized_kinds: _kind_priorities.PrioritizedKinds
     confirmation: _confirmation.Confirmation
     confirmation_rounds: _confirmation.ConfirmationRounds
+    rollouts: _rollout_state.RolloutTable = dataclasses.field(
+        default_factory=_rollout_state.RolloutTable
+    )
     deaths: int = 0
     ordinary_answers: int = 0
     presumed_death: PresumedDeath | None = None
@@ -311,6 +320,7 @@
             server=server_state,
             slots=myself.slots if server is None else server.slots,
             departed=gate.starts.last_departed,
+            server_version=None if server is None else server.version,
             now=self.now,
         )
 
--- a/packages/core/marjoramledge_core/_timers.py
+++ b/packages/core/marjoramledge_core/_timers.py
@@ -27,6 +27,7 @@
     CONFIG_READ = enum.auto()
     CONFIG_FETCH = enum.auto()
     CONFIRMATION = enum.auto()
+    ROLLOUT_TICK = enum.auto()
     STOP_STEP = enum.auto()
 
 
