Apply limits of workspaces over the whole fleet

An entry asks the owner of a workspace's group before it dispatches a call, and the owner grants whole requests from a token bucket. An owner earns tokens in proportion to the shares that voters have delegated to it. Refusals have the reason workspace-limit and the status 429.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -22,6 +22,7 @@
 from marjoramledge_core import _manifest
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _queue
+from marjoramledge_core import _quota
 from marjoramledge_core import _records
 from marjoramledge_core import _reports
 from marjoramledge_core import _settings
@@ -120,8 +121,35 @@
         return
     call = _build_call(step, event, kind, deadline_s)
     step.state.calls[call.call] = call
-    step.budget_of(call.service).earn()
     _set_timer(step, call, call.deadline_at, _timers.TimerKind.CALL_DEADLINE)
+    if not _quota.is_limited(step, call.workspace):
+        start_call(step, call)
+        return
+    decision = _quota.admit(step, call)
+    if decision is not None:
+        apply_decision(step, decision)
+
+
+def apply_decision(step: _state.Step, decision: _quota.Decision) -> None:
+    """Start or refuse a call when it is known if its limit allows it."""
+    call = step.state.calls.get(decision.call)
+    if call is None:
+        return
+    if decision.is_admitted:
+        start_call(step, call)
+        return
+    _refuse(
+        step,
+        call,
+        _outcomes.Reason.WORKSPACE_LIMIT,
+        retry_after_s=decision.retry_after_s,
+    )
+
+
+def start_call(step: _state.Step, call: _state.Call) -> None:
+    """Dispatch an accepted call for the first time, or refuse it."""
+    kind = call.kind
+    step.budget_of(call.service).earn()
     if kind.hedging:
         hedge_s = _hedge_delay_s(step, kind)
         if kind.target_s is not None:
@@ -519,7 +547,11 @@
 
 
 def _refuse(
-    step: _state.Step, call: _state.Call, reason: _outcomes.Reason
+    step: _state.Step,
+    call: _state.Call,
+    reason: _outcomes.Reason,
+    *,
+    retry_after_s: float | None = None,
 ) -> None:
     """Answer a call as refused, or as unknown if it may have run."""
     _remove_call(step, call.call)
@@ -529,6 +561,7 @@
         kind = _records.RecordKind.CALL_UNKNOWN
     else:
         call.advance(_state.CallPhase.REFUSED)
+        _quota.give_back(step, call)
         run = _outcomes.RunState.NOT_RUN
         kind = _records.RecordKind.CALL_REFUSED
     _record(
@@ -537,7 +570,14 @@
         kind,
         detail=f"{reason.value}; {_describe_call(step, call)}",
     )
-    _send_refusal(step, call.call, reason, run, kind=call.kind.name)
+    _send_refusal(
+        step,
+        call.call,
+        reason,
+        run,
+        kind=call.kind.name,
+        retry_after_s=retry_after_s,
+    )
 
 
 def _should_record_answer(step: _state.Step, call: _state.Call) -> bool:
--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -11,6 +11,7 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _manifest
 from marjoramledge_core import _quarantine
+from marjoramledge_core import _quota_messages
 from marjoramledge_core import _reports
 from marjoramledge_core import _server_status
 
@@ -167,7 +168,7 @@
     """Kinds of membership message.
 
     ``NEWS`` carries updates or suspicions without a probe, and ``LOAD`` a
-    changed load report.
+    changed load report.  ``QUOTA`` concerns limits of workspaces.
     """
 
     PING = 1
@@ -175,6 +176,7 @@
     PING_REQUEST = 3
     NEWS = 4
     LOAD = 5
+    QUOTA = 6
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -187,7 +189,8 @@
     version, or ``NO_VERSION`` in messages that carry only suspicions or load.
     ``config_known_at`` is the monotonic time at which the fleet first knew
     that version, in the clock of the node that holds this value; None if the
-    sender did not tell.
+    sender did not tell.  ``quota_reports`` go to the node that decides on the
+    limits of a group of workspaces, and ``quota_shares`` come from it.
     """
 
     kind: MessageKind
@@ -200,3 +203,5 @@
     suspicions: tuple[_quarantine.Suspicion, ...]
     load: _reports.LoadReport | None = None
     config_known_at: float | None = None
+    quota_reports: tuple[_quota_messages.QuotaReport, ...] = ()
+    quota_shares: tuple[_quota_messages.QuotaShare, ...] = ()
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -26,6 +26,7 @@
 from marjoramledge_core import _options
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _quarantine
+from marjoramledge_core import _quota
 from marjoramledge_core import _records
 from marjoramledge_core import _server_status
 from marjoramledge_core import _state
@@ -121,6 +122,7 @@
         latencies={},
         budgets={},
     )
+    state.quota.started_at = now
     state.membership.start(now)
     state.versions.start(now)
     timers.set(now, _timers.TimerKind.SERVER_PROBE)
@@ -172,6 +174,9 @@
 
 def _handle_message(step: _state.Step, event: _events.MessageReceived) -> None:
     message = event.message
+    if message.kind is _members.MessageKind.QUOTA:
+        _decide_calls(step, _quota.receive(step, message))
+        return
     recalled = step.state.membership.myself.departed
     step.state.membership.receive_message(message, step.now, step.out)
     _apply_recalled_departure(step, recalled)
@@ -380,6 +385,11 @@
         _TIMER_HANDLERS[timer.kind](step, timer)
 
 
+def _decide_calls(step: _state.Step, decisions: list[_quota.Decision]) -> None:
+    for decision in decisions:
+        _calls.apply_decision(step, decision)
+
+
 def _retry_fetch(step: _state.Step, timer: _timers.Timer) -> None:
     alive = [
         member
@@ -480,4 +490,10 @@
     ),
     _timers.TimerKind.CONFIG_FETCH: _retry_fetch,
     _timers.TimerKind.STOP_STEP: lambda step, timer: _continue_stop(step),
+    _timers.TimerKind.QUOTA_ASK: lambda step, timer: _decide_calls(
+        step, _quota.ask_due(step, timer.number)
+    ),
+    _timers.TimerKind.QUOTA_POLL: lambda step, timer: _decide_calls(
+        step, _quota.poll_due(step, timer.number)
+    ),
 }
--- a/packages/core/marjoramledge_core/_options.py
+++ b/packages/core/marjoramledge_core/_options.py
@@ -4,6 +4,7 @@
 import typing
 
 from marjoramledge_core import _budget
+from marjoramledge_core import _quota_bound
 
 # About one round trip between zones.
 DEFAULT_OTHER_ZONE_COST_S: typing.Final = 0.0025
@@ -14,6 +15,7 @@
 
 # An accepted configuration is promised to be in force within a few seconds.
 DEFAULT_OUTDATED_LIMIT_S: typing.Final = 4.0
+DEFAULT_QUOTA_BOUND: typing.Final = _quota_bound.QuotaBound()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -33,7 +35,8 @@
     extra wait that a call accepts before it is sent to another zone of the
     region; it accepts at least ``other_zone_cost_share`` times the service
     time of the other server.  A node refuses calls while the fleet has known
-    a newer configuration than its own for ``outdated_limit_s``.
+    a newer configuration than its own for ``outdated_limit_s``.  ``quota`` is
+    the bound on what workspaces may exceed their limits by.
     """
 
     stop_limit_s: float
@@ -45,3 +48,4 @@
     other_zone_cost_s: float = DEFAULT_OTHER_ZONE_COST_S
     other_zone_cost_share: float = 0.0
     outdated_limit_s: float = DEFAULT_OUTDATED_LIMIT_S
+    quota: _quota_bound.QuotaBound = DEFAULT_QUOTA_BOUND
--- a/packages/core/marjoramledge_core/_outcomes.py
+++ b/packages/core/marjoramledge_core/_outcomes.py
@@ -38,6 +38,7 @@
     BAD_REQUEST = "bad-request"
     BODY_STALLED = "body-stalled"
     NOT_A_MEMBER = "not-a-member"
+    WORKSPACE_LIMIT = "workspace-limit"
 
 
 class ServerOutcome(enum.Enum):
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -22,7 +22,9 @@
     ``LIMIT_CHANGED`` concerns the gate's own limit of concurrent calls, and
     the ``RATE_LIMIT`` kinds the limit that the server names in its answers.
     ``LEAVING_INVALID`` is an answer that says unreadably whether the server
-    leaves.
+    leaves.  ``QUOTA_PRESSED`` summarises the calls that an entry refused
+    because of a workspace's limit, and ``QUOTA_OWNER_SILENT`` is a node that
+    decides on limits and does not answer.
     """
 
     CALL_REFUSED = "call-refused"
@@ -43,6 +45,8 @@
     RATE_LIMIT_ENDED = "rate-limit-ended"
     RATE_LIMIT_INVALID = "rate-limit-invalid"
     LEAVING_INVALID = "leaving-invalid"
+    QUOTA_PRESSED = "quota-pressed"
+    QUOTA_OWNER_SILENT = "quota-owner-silent"
     SERVER_DIED = "server-died"
     DEATH_WITHDRAWN = "death-withdrawn"
     SUSPICION_LEARNED = "suspicion-learned"
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -20,6 +20,7 @@
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _queue
+from marjoramledge_core import _quota_state
 from marjoramledge_core import _records
 from marjoramledge_core import _settings
 from marjoramledge_core import _timers
@@ -127,7 +128,8 @@
     ``tried`` are the nodes that an attempt was sent to, and ``faulty`` those
     where one failed for another reason than overload.  ``failed_runs``
     counts the failed attempts that ran or may have run.  ``workspace`` is the
-    caller's workspace, if it showed a key.
+    caller's workspace, if it showed a key, and ``quota_at`` the time at which
+    the workspace's limit was charged for the call.
     """
 
     call: _ids.CallId
@@ -149,6 +151,7 @@
     may_have_run: bool = False
     failed_runs: int = 0
     workspace: _ids.WorkspaceName = _ids.NO_WORKSPACE
+    quota_at: float | None = None
 
     def advance(self, phase: CallPhase) -> None:
         """Enter another phase; the transition must be an allowed one."""
@@ -222,6 +225,9 @@
     rate_start_timer: _timers.Timer | None = None
     stop_phase: StopPhase = StopPhase.RUNNING
     stop_begun_at: float = 0.0
+    quota: _quota_state.QuotaState = dataclasses.field(
+        default_factory=_quota_state.QuotaState
+    )
 
     @property
     def is_server_released(self) -> bool:
--- a/packages/core/marjoramledge_core/_timers.py
+++ b/packages/core/marjoramledge_core/_timers.py
@@ -27,6 +27,8 @@
     CONFIG_READ = enum.auto()
     CONFIG_FETCH = enum.auto()
     STOP_STEP = enum.auto()
+    QUOTA_ASK = enum.auto()
+    QUOTA_POLL = enum.auto()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -10,6 +10,8 @@
 from marjoramledge_core import _options
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _quarantine
+from marjoramledge_core import _quota_bound
+from marjoramledge_core import _quota_messages
 from marjoramledge_core import _records
 from marjoramledge_core import _replay
 from marjoramledge_core import _reports
@@ -22,6 +24,10 @@
 StopPhase = _state.StopPhase
 FleetRetryBudget = _budget.FleetRetryBudget
 Options = _options.Options
+QuotaBound = _quota_bound.QuotaBound
+QuotaReport = _quota_messages.QuotaReport
+QuotaShare = _quota_messages.QuotaShare
+Vote = _quota_messages.Vote
 DEFAULT_OUTDATED_LIMIT_S = _options.DEFAULT_OUTDATED_LIMIT_S
 create_state = _node.create_state
 handle = _node.handle
--- a/packages/node/marjoramledge_node/_refusals.py
+++ b/packages/node/marjoramledge_node/_refusals.py
@@ -34,6 +34,7 @@
     node.Reason.BAD_REQUEST: 400,
     node.Reason.BODY_STALLED: 408,
     node.Reason.NOT_A_MEMBER: 403,
+    node.Reason.WORKSPACE_LIMIT: 429,
 }
 
 
--- a/packages/node/marjoramledge_node/_wire.py
+++ b/packages/node/marjoramledge_node/_wire.py
@@ -65,6 +65,29 @@
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
 
+class _QuotaReportStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
+    thrift_spec = {
+        1: (_I32, "group", False),
+        2: (_STRING, "workspace", False),
+        3: (_I32, "wanted", False),
+        4: (_I32, "returned", False),
+        5: (_I32, "vote", False),
+    }
+    default_spec = [(field[1], None) for field in thrift_spec.values()]
+
+
+class _QuotaShareStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
+    thrift_spec = {
+        1: (_I32, "group", False),
+        2: (_STRING, "workspace", False),
+        3: (_I32, "granted", False),
+        4: (_I32, "wait_ms", False),
+        5: (_I32, "retry_after_ms", False),
+        6: (_I32, "poll", False),
+    }
+    default_spec = [(field[1], None) for field in thrift_spec.values()]
+
+
 class _MessageStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
     thrift_spec = {
         1: (_I32, "kind", False),
@@ -80,6 +103,8 @@
         11: (_STRUCT, "load", _LoadStruct, False),
         12: (_I64, "config_age_ms", False),
         13: (_I32, "config_era", False),
+        15: (_LIST, "quota_reports", (_STRUCT, _QuotaReportStruct), False),
+        16: (_LIST, "quota_shares", (_STRUCT, _QuotaShareStruct), False),
     }
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
@@ -129,6 +154,8 @@
                 None if known_at is None else round(1000 * (now - known_at))
             ),
             config_era=configuration.era_of(message.config.version) or None,
+            quota_reports=list(map(_to_report, message.quota_reports)) or None,
+            quota_shares=list(map(_to_share, message.quota_shares)) or None,
         )
     )
 
@@ -168,6 +195,12 @@
                     if struct.config_age_ms is None
                     else now - max(0, struct.config_age_ms) / 1000
                 ),
+                quota_reports=tuple(
+                    map(_from_report, struct.quota_reports or ())
+                ),
+                quota_shares=tuple(
+                    map(_from_share, struct.quota_shares or ())
+                ),
             )
         )
     except Exception as error:  # Decoding raises many error types.
@@ -268,6 +301,48 @@
     )
 
 
+def _to_report(report: node.QuotaReport) -> _QuotaReportStruct:
+    return _QuotaReportStruct(
+        group=report.group,
+        workspace=report.workspace or None,
+        wanted=report.wanted or None,
+        returned=report.returned or None,
+        vote=report.vote or None,
+    )
+
+
+def _from_report(struct: _QuotaReportStruct) -> node.QuotaReport:
+    return node.QuotaReport(
+        group=int(struct.group),
+        workspace=ids.WorkspaceName(struct.workspace or ""),
+        wanted=max(0, struct.wanted or 0),
+        returned=max(0, struct.returned or 0),
+        vote=node.Vote(struct.vote or 0),
+    )
+
+
+def _to_share(share: node.QuotaShare) -> _QuotaShareStruct:
+    return _QuotaShareStruct(
+        group=share.group,
+        workspace=share.workspace or None,
+        granted=share.granted or None,
+        wait_ms=round(1000 * share.wait_s) or None,
+        retry_after_ms=round(1000 * share.retry_after_s) or None,
+        poll=int(share.is_poll) or None,
+    )
+
+
+def _from_share(struct: _QuotaShareStruct) -> node.QuotaShare:
+    return node.QuotaShare(
+        group=int(struct.group),
+        is_poll=bool(struct.poll),
+        workspace=ids.WorkspaceName(struct.workspace or ""),
+        granted=max(0, struct.granted or 0),
+        wait_s=max(0, struct.wait_ms or 0) / 1000,
+        retry_after_s=max(0, struct.retry_after_ms or 0) / 1000,
+    )
+
+
 def _to_load(load: node.LoadReport) -> _LoadStruct:
     return _LoadStruct(
         in_flight=load.in_flight,
