--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -11,6 +11,7 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _manifest
 from marjoramledge_core import _quarantine
+from marjoramledge_core import _quota_messages
 from marjoramledge_core import _reports
 from marjoramledge_core import _rollout_orders
 from marjoramledge_core import _server_status
@@ -172,7 +173,8 @@
     """Kinds of membership message.
 
     ``NEWS`` carries updates or suspicions without a probe, and ``LOAD`` a
-    changed load report.  ``ROLLOUT`` carries states of roll-outs and evidence.
+    changed load report.  ``QUOTA`` concerns limits of workspaces, and
+    ``ROLLOUT`` carries states of roll-outs and evidence.
     """
 
     PING = 1
@@ -180,6 +182,7 @@
     PING_REQUEST = 3
     NEWS = 4
     LOAD = 5
+    QUOTA = 6
     ROLLOUT = 7
 
 
@@ -196,7 +199,9 @@
     sender did not tell.  ``confirmed_age_s`` is how long before this message
     ``config`` was known to be the newest version, by a read of the store by
     ``confirmed_by``.  A PING names there a node that reads the store.
-    ``rollouts`` are states of roll-outs.
+    ``rollouts`` are states of roll-outs.  ``quota_reports`` go to the node that
+    decides on the limits of a group of workspaces, and ``quota_shares`` come
+    from it.
     """
 
     kind: MessageKind
@@ -212,3 +217,5 @@
     confirmed_age_s: float | None = None
     confirmed_by: _ids.NodeId | None = None
     rollouts: tuple[_rollout_orders.RolloutNotice, ...] = ()
+    quota_reports: tuple[_quota_messages.QuotaReport, ...] = ()
+    quota_shares: tuple[_quota_messages.QuotaShare, ...] = ()
--- a/packages/core/marjoramledge_core/_options.py
+++ b/packages/core/marjoramledge_core/_options.py
@@ -4,6 +4,7 @@
 import typing
 
 from marjoramledge_core import _budget
+from marjoramledge_core import _quota_bound
 from marjoramledge_core import _rollout_orders
 
 # About one round trip between zones.
@@ -15,6 +16,7 @@
 
 # An accepted configuration is promised to be in force within a few seconds.
 DEFAULT_OUTDATED_LIMIT_S: typing.Final = 4.0
+DEFAULT_QUOTA_BOUND: typing.Final = _quota_bound.QuotaBound()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,7 +39,8 @@
     a newer configuration than its own for ``outdated_limit_s``.  It refuses
     requests with keys unless its configuration was the newest one
     ``revocation_limit_s`` ago or later; None means no bound.
-    Without ``rollouts``, orders of roll-outs are ignored.
+    Without ``rollouts``, orders of roll-outs are ignored.  ``quota`` is
+    the bound on what workspaces may exceed their limits by.
     """
 
     stop_limit_s: float
@@ -51,3 +54,4 @@
     outdated_limit_s: float = DEFAULT_OUTDATED_LIMIT_S
     revocation_limit_s: float | None = None
     rollouts: _rollout_orders.RolloutOptions | None = None
+    quota: _quota_bound.QuotaBound = DEFAULT_QUOTA_BOUND
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -22,6 +22,7 @@
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _queue
+from marjoramledge_core import _quota_state
 from marjoramledge_core import _records
 from marjoramledge_core import _rollout_evidence
 from marjoramledge_core import _rollout_state
@@ -135,7 +136,8 @@
     counts the failed attempts that ran or may have run.  ``workspace`` is the
     caller's workspace: empty if it has none, and None if the configuration
     lists no workspaces.  ``is_exposed`` is true if the first attempt may go to
-    a version under test.
+    a version under test.  ``quota_at`` is the time at which the
+    workspace's limit was charged for the call.
     """
 
     call: _ids.CallId
@@ -158,6 +160,7 @@
     failed_runs: int = 0
     workspace: _ids.WorkspaceName | None = None
     is_exposed: bool = False
+    quota_at: float | None = None
 
     def advance(self, phase: CallPhase) -> None:
         """Enter another phase; the transition must be an allowed one."""
@@ -237,6 +240,9 @@
     rate_start_timer: _timers.Timer | None = None
     stop_phase: StopPhase = StopPhase.RUNNING
     stop_begun_at: float = 0.0
+    quota: _quota_state.QuotaState = dataclasses.field(
+        default_factory=_quota_state.QuotaState
+    )
 
     @property
     def is_server_released(self) -> bool:
--- a/packages/core/marjoramledge_core/_timers.py
+++ b/packages/core/marjoramledge_core/_timers.py
@@ -29,6 +29,8 @@
     CONFIRMATION = enum.auto()
     ROLLOUT_TICK = enum.auto()
     STOP_STEP = enum.auto()
+    QUOTA_ASK = enum.auto()
+    QUOTA_POLL = enum.auto()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/node/marjoramledge_node/_wire.py
+++ b/packages/node/marjoramledge_node/_wire.py
@@ -83,6 +83,17 @@
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
 
+class _QuotaReportStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
+    thrift_spec = {
+        1: (_I32, "group", False),
+        2: (_STRING, "workspace", False),
+        3: (_I32, "wanted", False),
+        4: (_I32, "returned", False),
+        5: (_I32, "vote", False),
+    }
+    default_spec = [(field[1], None) for field in thrift_spec.values()]
+
+
 class _RolloutStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
     thrift_spec = {
         1: (_STRING, "service", False),
@@ -100,6 +111,18 @@
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
 
+class _QuotaShareStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
+    thrift_spec = {
+        1: (_I32, "group", False),
+        2: (_STRING, "workspace", False),
+        3: (_I32, "granted", False),
+        4: (_I32, "wait_ms", False),
+        5: (_I32, "retry_after_ms", False),
+        6: (_I32, "poll", False),
+    }
+    default_spec = [(field[1], None) for field in thrift_spec.values()]
+
+
 class _MessageStruct(thrift.TPayload, metaclass=thrift.TPayloadMeta):
     thrift_spec = {
         1: (_I32, "kind", False),
@@ -115,9 +138,11 @@
         11: (_STRUCT, "load", _LoadStruct, False),
         12: (_I64, "config_age_ms", False),
         13: (_I32, "config_era", False),
+        14: (_LIST, "rollouts", (_STRUCT, _RolloutStruct), False),
+        15: (_LIST, "quota_reports", (_STRUCT, _QuotaReportStruct), False),
+        16: (_LIST, "quota_shares", (_STRUCT, _QuotaShareStruct), False),
         17: (_I64, "confirmed_age_ms", False),
         18: (_STRING, "confirmed_by", False),
-        14: (_LIST, "rollouts", (_STRUCT, _RolloutStruct), False),
     }
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
@@ -176,6 +201,8 @@
             confirmed_by=message.confirmed_by,
             rollouts=[_to_rollout(notice, now) for notice in message.rollouts]
             or None,
+            quota_reports=list(map(_to_report, message.quota_reports)) or None,
+            quota_shares=list(map(_to_share, message.quota_shares)) or None,
         )
     )
 
@@ -229,6 +256,12 @@
                     _from_rollout(entry, now)
                     for entry in struct.rollouts or ()
                 ),
+                quota_reports=tuple(
+                    map(_from_report, struct.quota_reports or ())
+                ),
+                quota_shares=tuple(
+                    map(_from_share, struct.quota_shares or ())
+                ),
             )
         )
     except Exception as error:  # Decoding raises many error types.
@@ -329,6 +362,48 @@
     )
 
 
+def _to_report(report: node.QuotaReport) -> _QuotaReportStruct:
+    return _QuotaReportStruct(
+        group=report.group,
+        workspace=report.workspace or None,
+        wanted=report.wanted or None,
+        returned=report.returned or None,
+        vote=report.vote or None,
+    )
+
+
+def _from_report(struct: _QuotaReportStruct) -> node.QuotaReport:
+    return node.QuotaReport(
+        group=int(struct.group),
+        workspace=ids.WorkspaceName(struct.workspace or ""),
+        wanted=max(0, struct.wanted or 0),
+        returned=max(0, struct.returned or 0),
+        vote=node.Vote(struct.vote or 0),
+    )
+
+
+def _to_share(share: node.QuotaShare) -> _QuotaShareStruct:
+    return _QuotaShareStruct(
+        group=share.group,
+        workspace=share.workspace or None,
+        granted=share.granted or None,
+        wait_ms=round(1000 * share.wait_s) or None,
+        retry_after_ms=round(1000 * share.retry_after_s) or None,
+        poll=int(share.is_poll) or None,
+    )
+
+
+def _from_share(struct: _QuotaShareStruct) -> node.QuotaShare:
+    return node.QuotaShare(
+        group=int(struct.group),
+        is_poll=bool(struct.poll),
+        workspace=ids.WorkspaceName(struct.workspace or ""),
+        granted=max(0, struct.granted or 0),
+        wait_s=max(0, struct.wait_ms or 0) / 1000,
+        retry_after_s=max(0, struct.retry_after_ms or 0) / 1000,
+    )
+
+
 def _to_load(load: node.LoadReport) -> _LoadStruct:
     return _LoadStruct(
         in_flight=load.in_flight,
