--- a/packages/core/marjoramledge_core/_quota.py
+++ b/packages/core/marjoramledge_core/_quota.py
@@ -7,13 +7,11 @@
 """
 
 import collections.abc
-import dataclasses
 import typing
 
-from marjoramledge_core import _commands
 from marjoramledge_core import _ids
-from marjoramledge_core import _manifest
 from marjoramledge_core import _members
+from marjoramledge_core import _quota_decisions
 from marjoramledge_core import _quota_groups
 from marjoramledge_core import _quota_messages
 from marjoramledge_core import _quota_owner
@@ -24,37 +22,24 @@
 if typing.TYPE_CHECKING:
     from marjoramledge_core import _state
 
-# An ask is sent again after this: several round trips between zones (9 ms),
-# and less than a tenth of the longest wait for a decision.
-RESEND_S: typing.Final = 0.025
 # Attempts at a candidate before the next one is asked as well.
 ATTEMPTS_PER_CANDIDATE: typing.Final = 2
 # While no candidate replies, one ask per group is sent this often.
 UNHEARD_ASK_PERIOD_S: typing.Final = 0.25
-# Mean Retry-After while no owner replies: a new one has its votes within
-# tenths of a second, and this node's own share is small.
-UNHEARD_RETRY_AFTER_S: typing.Final = 1.0
 # Asks and replies stay below the size of a datagram (8,192 bytes) with its
 # envelope: this many bytes for the names and the fixed part of each entry.
 MAX_CONTENT_BYTES: typing.Final = 6_000
 ENTRY_BYTES: typing.Final = 60
-# Period of the records about refused calls.
-RECORD_PERIOD_S: typing.Final = 1.0
-MAX_RECORDED_WORKSPACES: typing.Final = 8
 
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Decision:
-    """Whether a call may be dispatched, or is refused as not run."""
-
-    call: _ids.CallId
-    is_admitted: bool
-    retry_after_s: float = 0.0
+Decision = _quota_decisions.Decision
 
 
 def is_limited(step: "_state.Step", workspace: _ids.WorkspaceName) -> bool:
     """Return whether a workspace has a limit."""
-    return bool(workspace) and _find_limit(step, workspace) is not None
+    return (
+        bool(workspace)
+        and _quota_decisions.find_limit(step, workspace) is not None
+    )
 
 
 def admit(step: "_state.Step", call: "_state.Call") -> Decision | None:
@@ -63,7 +48,9 @@
     block = state.blocks.get(call.workspace)
     if block is not None:
         if step.now < block.until:
-            return _refuse(step, call.call, call.workspace, block)
+            return _quota_decisions.refuse(
+                step, call.call, call.workspace, block
+            )
         del state.blocks[call.workspace]
     number = _quota_groups.group_of(call.workspace)
     group = state.groups[number]
@@ -71,7 +58,7 @@
         call=call.call, workspace=call.workspace, since=step.now
     )
     if group.is_unheard:
-        decision = _decide_locally(step, number, waiting)
+        decision = _quota_decisions.decide_locally(step, number, waiting)
         _send_ask(step, number, [])
         return decision
     group.waiting.append(waiting)
@@ -152,12 +139,13 @@
             detail=f"group {number}: no owner replied in {hold_s:.2f} s",
         )
     decisions = [
-        _decide_locally(step, number, waiting)
+        _quota_decisions.decide_locally(step, number, waiting)
         for calls in ask.calls.values()
         for waiting in calls
     ]
     decisions += [
-        _decide_locally(step, number, waiting) for waiting in group.waiting
+        _quota_decisions.decide_locally(step, number, waiting)
+        for waiting in group.waiting
     ]
     group.waiting = []
     return decisions
@@ -170,7 +158,7 @@
     if not owner.wants_polls(step.now):
         owner.is_polling = False
         return []
-    view = _refresh_view(step)
+    view = _quota_decisions.refresh_view(step)
     poll = owner.begin_poll(
         known_shares=len(view.voters),
         present_shares=sum(
@@ -187,7 +175,9 @@
             if report is not None:
                 owner.receive_vote(member.node, poll, report, step.now)
         elif member.status is not _members.MemberStatus.FAILED:
-            _send(step, member.node, member.address, poll, shares=(share,))
+            _quota_decisions.send(
+                step, member.node, member.address, poll, shares=(share,)
+            )
     step.state.timers.set(
         step.now + owner.next_poll_s(step.now),
         _timers.TimerKind.QUOTA_POLL,
@@ -196,101 +186,6 @@
     return _decide_asks(step, number)
 
 
-def _find_limit(
-    step: "_state.Step", name: _ids.WorkspaceName
-) -> _quota_owner.Limit | None:
-    configuration = step.state.versions.configuration
-    if configuration is None:
-        return None
-    workspace = configuration.workspaces.get(name)
-    if workspace is None or not workspace.rate_per_s:
-        return None
-    return _quota_owner.Limit(
-        rate_per_s=workspace.rate_per_s, burst=max(0.0, workspace.burst)
-    )
-
-
-def _refresh_view(step: "_state.Step") -> _quota_groups.GroupView:
-    view = step.state.quota.view
-    membership = step.state.membership
-    view.refresh(membership.members, membership.revision)
-    return view
-
-
-def _refuse(
-    step: "_state.Step",
-    call: _ids.CallId,
-    workspace: _ids.WorkspaceName,
-    block: _quota_state.Block,
-) -> Decision:
-    state = step.state.quota
-    state.refused[workspace] = state.refused.get(workspace, 0) + 1
-    recent = state.refused_since_record
-    recent[workspace] = recent.get(workspace, 0) + 1
-    if step.now - state.recorded_at >= RECORD_PERIOD_S:
-        state.recorded_at = step.now
-        most = sorted(recent, key=lambda name: (-recent[name], name))
-        parts = []
-        for name in most[:MAX_RECORDED_WORKSPACES]:
-            limit = _find_limit(step, name)
-            number = _quota_groups.group_of(name)
-            group = state.groups[number]
-            rate_per_s = 0.0 if limit is None else limit.rate_per_s
-            heard = "no owner" if group.is_unheard else "owner"
-            parts.append(
-                f"{name}: {recent[name]} refused, limit {rate_per_s:g}/s,"
-                f" group {number}, {heard} {group.owner_node}"
-            )
-        recent.clear()
-        step.record(_records.RecordKind.QUOTA_PRESSED, detail="; ".join(parts))
-    # Jitter keeps callers that were refused together from returning together.
-    retry_after_s = block.retry_after_s * step.rng.uniform(0.7, 1.3)
-    return Decision(call=call, is_admitted=False, retry_after_s=retry_after_s)
-
-
-def _note_admitted(
-    step: "_state.Step", waiting: _quota_state.WaitingCall
-) -> Decision:
-    state = step.state.quota
-    name = waiting.workspace
-    state.admitted[name] = state.admitted.get(name, 0) + 1
-    call = step.state.calls.get(waiting.call)
-    if call is None:
-        # Its caller disconnected while it waited.
-        number = _quota_groups.group_of(name)
-        returned = state.groups[number].returned
-        returned.setdefault(name, []).append(step.now)
-    else:
-        call.quota_at = step.now
-    return Decision(call=waiting.call, is_admitted=True)
-
-
-def _decide_locally(
-    step: "_state.Step", number: int, waiting: _quota_state.WaitingCall
-) -> Decision:
-    """Decide by this node's own share, since no owner replies."""
-    limit = _find_limit(step, waiting.workspace)
-    if limit is None:
-        return Decision(call=waiting.call, is_admitted=True)
-    state = step.state.quota
-    view = _refresh_view(step)
-    index = view.index_of(step.state.node)
-    if index is not None and state.groups[number].voter.take_locally(
-        waiting.workspace,
-        limit,
-        step.state.options.quota,
-        index=index,
-        share_count=len(view.voters),
-        started_at=state.started_at,
-        now=step.now,
-    ):
-        return _note_admitted(step, waiting)
-    block = _quota_state.Block(
-        until=step.now, retry_after_s=UNHEARD_RETRY_AFTER_S
-    )
-    return _refuse(step, waiting.call, waiting.workspace, block)
-
-
 def _ask_for_waiting(step: "_state.Step", number: int) -> list[Decision]:
     """Send an ask for the calls that wait, unless one is open."""
     group = step.state.quota.groups[number]
@@ -368,7 +263,9 @@
     if group.ask_timer is not None:
         group.ask_timer.is_cancelled = True
     group.ask_timer = step.state.timers.set(
-        step.now + RESEND_S, _timers.TimerKind.QUOTA_ASK, number=number
+        step.now + _quota_decisions.RESEND_S,
+        _timers.TimerKind.QUOTA_ASK,
+        number=number,
     )
 
 
@@ -377,7 +274,7 @@
 ) -> list[Decision]:
     """Send an ask to the first candidate, and to others if it is silent."""
     group = step.state.quota.groups[number]
-    candidates = _refresh_view(step).candidates(number)
+    candidates = _quota_decisions.refresh_view(step).candidates(number)
     skipped = 0
     for member in candidates:
         if member.node not in group.silent:
@@ -408,7 +305,7 @@
                 ),
             )
         else:
-            _send(
+            _quota_decisions.send(
                 step,
                 member.node,
                 member.address,
@@ -435,7 +332,7 @@
     owner = step.state.quota.groups[number].owner
     limits = {}
     for name in owner.list_waiting():
-        limit = _find_limit(step, name)
+        limit = _quota_decisions.find_limit(step, name)
         if limit is not None:
             limits[name] = limit
     decisions: list[Decision] = []
@@ -452,7 +349,9 @@
         return _receive_grants(
             step, number, ask.number, reply.shares, ask.node
         )
-    _send(step, ask.node, ask.address, ask.number, shares=reply.shares)
+    _quota_decisions.send(
+        step, ask.node, ask.address, ask.number, shares=reply.shares
+    )
     return []
 
 
@@ -472,15 +371,23 @@
     group.ask = None
     group.is_unheard = False
     group.owner_node = sender
+    oldest = (
+        step.now - step.state.options.quota.hold_s - _quota_decisions.RESEND_S
+    )
     granted = {share.workspace: share for share in shares}
     decisions = []
     for name, calls in ask.calls.items():
         share = granted.get(name)
         count = 0 if share is None else share.granted
-        decisions += [_note_admitted(step, call) for call in calls[:count]]
+        # A node that was frozen meanwhile must not admit what came before.
+        timely = [call for call in calls if call.since >= oldest][:count]
+        decisions += [
+            _quota_decisions.note_admitted(step, call) for call in timely
+        ]
         if share is None or count >= len(calls):
             block = _quota_state.Block(
-                until=step.now, retry_after_s=UNHEARD_RETRY_AFTER_S
+                until=step.now,
+                retry_after_s=_quota_decisions.UNHEARD_RETRY_AFTER_S,
             )
         else:
             block = _quota_state.Block(
@@ -489,7 +396,9 @@
             )
             step.state.quota.blocks[name] = block
         decisions += [
-            _refuse(step, call.call, name, block) for call in calls[count:]
+            _quota_decisions.refuse(step, call.call, name, block)
+            for call in calls
+            if call not in timely
         ]
     if group.waiting:
         waiting, group.waiting = group.waiting, []
@@ -497,7 +406,9 @@
             blocked = step.state.quota.blocks.get(call.workspace)
             if blocked is not None and step.now < blocked.until:
                 decisions.append(
-                    _refuse(step, call.call, call.workspace, blocked)
+                    _quota_decisions.refuse(
+                        step, call.call, call.workspace, blocked
+                    )
                 )
             else:
                 group.waiting.append(call)
@@ -510,7 +421,7 @@
 ) -> None:
     report = _vote(step, number, message.sender, message.sequence)
     if report is not None:
-        _send(
+        _quota_decisions.send(
             step,
             message.sender,
             message.sender_address,
@@ -523,7 +434,7 @@
     step: "_state.Step", number: int, node: _ids.NodeId, poll: int
 ) -> _quota_messages.QuotaReport | None:
     state = step.state.quota
-    view = _refresh_view(step)
+    view = _quota_decisions.refresh_view(step)
     if view.index_of(step.state.node) is None:
         return None
     return state.groups[number].voter.vote(
@@ -534,28 +445,3 @@
         state.started_at,
         step.now,
     )
-
-
-def _send(
-    step: "_state.Step",
-    node: _ids.NodeId,
-    address: _members.Address,
-    number: int,
-    *,
-    reports: tuple[_quota_messages.QuotaReport, ...] = (),
-    shares: tuple[_quota_messages.QuotaShare, ...] = (),
-) -> None:
-    myself = step.state.membership.myself
-    message = _members.Message(
-        kind=_members.MessageKind.QUOTA,
-        sender=myself.node,
-        sender_address=myself.address,
-        sequence=number,
-        target=node,
-        config=_manifest.NO_VERSION,
-        updates=(),
-        suspicions=(),
-        quota_reports=reports,
-        quota_shares=shares,
-    )
-    step.out.append(_commands.SendMessage(address=address, message=message))
--- a/packages/core/marjoramledge_core/_quota_messages.py
+++ b/packages/core/marjoramledge_core/_quota_messages.py
@@ -13,13 +13,14 @@
     last voted for the same process.  Otherwise the share has ``MOVED``; the
     owner begins with some tokens for it.  With ``MOVED_EARLY`` it gets none:
     the share moved before within the window of the bound, or was unused for
-    long.
+    long.  ``DECLINED`` tells that another owner holds the share.
     """
 
     NONE = 0
     RENEWED = 1
     MOVED = 2
     MOVED_EARLY = 3
+    DECLINED = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/core/marjoramledge_core/_quota_owner.py
+++ b/packages/core/marjoramledge_core/_quota_owner.py
@@ -107,6 +107,7 @@
         self._present_count = 1
         self._told_count = 1
         self._told_at = 0.0
+        self._declined_at: dict[_ids.NodeId, float] = {}
         self._poll_number = 0
         self._polls: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
@@ -204,6 +205,9 @@
         voter = self._voters.get(node)
         if sent_at is None or (voter is not None and number <= voter.poll):
             return
+        if report.vote is _quota_messages.Vote.DECLINED:
+            self._declined_at[node] = now
+            return
         self._earn(now)
         # A node that has just started knows fewer shares than its voters.
         if report.wanted >= self._told_count:
@@ -236,10 +240,7 @@
         if not self._waiting:
             return []
         self._earn(now)
-        held = self.held_share(now)
-        if held <= 0.0 or (
-            now < self._gathers_until and not self._has_gathered(now)
-        ):
+        if not self._may_decide(now):
             # An entry waits no longer than this for its reply.
             for node, ask in list(self._waiting.items()):
                 if now - ask.at > bound.hold_s:
@@ -257,6 +258,20 @@
         self._waiting.clear()
         return replies
 
+    def _may_decide(self, now: float) -> bool:
+        """Return whether this owner holds more shares than any other.
+
+        Between two owners, the entries need the reply of the one that has
+        more tokens.
+        """
+        declined = sum(
+            now - declined_at <= VOTE_S
+            for declined_at in self._declined_at.values()
+        )
+        if self._count_votes(now) < max(1, declined):
+            return False
+        return now >= self._gathers_until or self._has_gathered(now)
+
     def _has_gathered(self, now: float) -> bool:
         expected = self._present_count
         missing = MISSING_VOTES_SHARE * expected
--- a/packages/core/marjoramledge_core/_quota_voter.py
+++ b/packages/core/marjoramledge_core/_quota_voter.py
@@ -71,8 +71,8 @@
         bound: _quota_bound.QuotaBound,
         started_at: float,
         now: float,
-    ) -> _quota_messages.QuotaReport | None:
-        """Return the vote for a node that polls, or None."""
+    ) -> _quota_messages.QuotaReport:
+        """Return the vote for a node that polls."""
         self._polled_at[node] = now
         for other, polled_at in list(self._polled_at.items()):
             if now - polled_at > _quota_owner.VOTE_S:
@@ -81,6 +81,10 @@
             self._polled_at,
             key=lambda other: _quota_groups.rank(self._group, other),
         )
+        has_moved = now - max(self._moved_at, started_at) < bound.window_s
+        if self._holder in self._polled_at and has_moved:
+            # A move would find an owner without tokens.
+            best = self._holder
         # The process before this one may have voted just before its end.
         free_at = max(self._expires_at, started_at + _quota_owner.VOTE_S)
         is_same = (
@@ -88,7 +92,11 @@
             and 0 < number - self._holder_poll < MAX_POLL_STEP
         )
         if best != node or (now < free_at and not is_same):
-            return None
+            return _quota_messages.QuotaReport(
+                group=self._group,
+                wanted=share_count,
+                vote=_quota_messages.Vote.DECLINED,
+            )
         kind = _quota_messages.Vote.RENEWED
         unused_s = now - max(free_at, self._unused_since)
         if not is_same or self._is_used_here:
--- a/packages/node/marjoramledge_node/_metrics_port.py
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -116,11 +116,39 @@
         for fault_kind, count in self._counts.faults.items():
             faults.add_metric((fault_kind,), count)
         yield faults
+        yield from self._collect_limits()
         for name, help_text, value in self._gauges():
             yield core.GaugeMetricFamily(
                 f"marjoramledge_{name}", help_text, value
             )
 
+    def _collect_limits(self) -> collections.abc.Iterator["core.Metric"]:
+        """Yield the counts of calls of limited workspaces."""
+        from prometheus_client import core
+
+        quota = self._engine.state.quota
+        calls = core.CounterMetricFamily(
+            "marjoramledge_limited_calls",
+            "Calls of workspaces with a limit at this entry.",
+            labels=("workspace", "outcome"),
+        )
+        for outcome, counts in (
+            ("admitted", quota.admitted),
+            ("refused", quota.refused),
+        ):
+            for workspace, count in counts.items():
+                calls.add_metric((workspace, outcome), count)
+        yield calls
+        held = core.GaugeMetricFamily(
+            "marjoramledge_limit_share_held",
+            "Part of the limits that this node decides on as an owner.",
+            labels=("group",),
+        )
+        now = self._engine.now()
+        for number, group in enumerate(quota.groups):
+            held.add_metric((str(number),), group.owner.held_share(now))
+        yield held
+
     def _gauges(self) -> collections.abc.Iterator[tuple[str, str, float]]:
         state, now = self._engine.state, self._engine.now()
         report = state.gate.report(now)
--- a/tests/quota_network.py
+++ b/tests/quota_network.py
@@ -4,6 +4,7 @@
 import collections.abc
 import itertools
 import random
+import sys
 
 from marjoramledge_core import _calls
 from marjoramledge_core import _commands
@@ -45,6 +46,7 @@
         count: int,
         seed: int,
         workspaces: collections.abc.Iterable[configuration.Workspace],
+        max_rows: int = sys.maxsize,
     ) -> None:
         self.sent: dict[str, tuple[float, str]] = {}
         self.admitted: dict[str, list[float]] = {}
@@ -53,6 +55,8 @@
         self.delays_s: list[float] = []
         self._names = itertools.count()
         self.messages = 0
+        self.largest_messages: list[node.Message] = []
+        self.has_servers = True
         patch.setattr(_dispatch, "dispatch", self._dispatch)
         build_call = _calls._build_call
 
@@ -67,7 +71,7 @@
             return call
 
         patch.setattr(_calls, "_build_call", build)
-        super().__init__(count=count, seed=seed)
+        super().__init__(count=count, seed=seed, max_rows=max_rows)
         self.link = virtual_network.Link(
             loss=0.001, min_delay_s=0.0002, max_delay_s=0.0045
         )
@@ -138,7 +142,14 @@
         )
         return refused / max(1, refused + admitted)
 
+    def _note_size(self, message: node.Message) -> None:
+        entries = len(message.quota_reports) + len(message.quota_shares)
+        if entries > 40:
+            self.largest_messages.append(message)
+
     def _dispatch(self, step: _state.Step, call: _state.Call) -> bool:
+        if not self.has_servers:
+            return False
         self.admitted.setdefault(call.workspace, []).append(call.arrived_at)
         self.delays_s.append(step.now - call.arrived_at)
         address = step.state.membership.myself.address
@@ -155,6 +166,7 @@
     ) -> None:
         if isinstance(command, _commands.SendMessage):
             self.messages += command.message.kind is node.MessageKind.QUOTA
+            self._note_size(command.message)
         if isinstance(command, _commands.RefuseCall):
             sent_at, name = self.sent[command.call]
             self.refused.setdefault(name, []).append(sent_at)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -199,6 +199,9 @@
         ratio=0.2, slack=56
     )
     assert settings.store_address.port == 8142
+    assert options.core_options.quota == node.QuotaBound(
+        window_s=5.0, overage=0.1, slack=20.0
+    )
     default_s = node.DEFAULT_OUTDATED_LIMIT_S
     assert options.core_options.outdated_limit_s == default_s
 
@@ -215,6 +218,21 @@
     assert _settings.read_core_options(bounds).outdated_limit_s == 2.0
 
 
+# Guards against limits that are applied by another bound than stated.
+def test_the_bound_of_limits_is_read_from_the_settings() -> None:
+    bounds = {
+        "grace": "6s",
+        "retryBudgetRatio": 0.2,
+        "retryBudgetSlack": 56,
+        "quotaWindow": "2500ms",
+        "quotaOverage": 0.2,
+        "quotaSlack": 8,
+    }
+    assert _settings.read_core_options(bounds).quota == node.QuotaBound(
+        window_s=2.5, overage=0.2, slack=8.0
+    )
+
+
 @pytest.mark.parametrize(
     ("text", "seconds"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)]
 )
