--- a/packages/core/marjoramledge_core/_quota.py
+++ b/packages/core/marjoramledge_core/_quota.py
@@ -218,6 +218,9 @@
             calls[call.workspace] = []
         calls[call.workspace].append(call)
     returned = _take_returned(step, group, size, calls)
+    if not step.state.quota.next_number:
+        # An owner must not take the first ask for one of a former process.
+        step.state.quota.next_number = step.rng.getrandbits(30)
     step.state.quota.next_number += 1
     ask = _quota_state.OpenAsk(
         number=step.state.quota.next_number,
