Give back tokens of calls that no server ran for up to a second

Calls that found no room were charged to their workspace's limit unless they were refused within 0.05 s, so an overload of the servers used the limits up and proper requests got 429. An owner now counts the tokens that may still come back as part of its bucket, so they may come back later within the same bound.

--- a/packages/core/marjoramledge_core/_access.py
+++ b/packages/core/marjoramledge_core/_access.py
@@ -71,6 +71,13 @@
             return _ids.NO_WORKSPACE
         return self.workspace.name
 
+    @property
+    def limited_workspace(self) -> _ids.WorkspaceName | None:
+        """Workspace whose limit applies to the call; None without one."""
+        if self.workspace is None or not self.workspace.rate_per_s:
+            return None
+        return self.workspace.name
+
 
 def authorize(
     step: _state.Step,
--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -109,7 +109,6 @@
             detail=_confirmation_rounds.describe(step),
         )
         return
-    # A workspace's limit over the whole fleet is applied here.
     quarantine_s = _gate_handlers.quarantine_left_s(step, event.fingerprint)
     if quarantine_s is not None:
         _refuse_on_arrival(
@@ -137,10 +136,11 @@
     call = _build_call(step, event, access, deadline_s)
     step.state.calls[call.call] = call
     _set_timer(step, call, call.deadline_at, _timers.TimerKind.CALL_DEADLINE)
-    if not _quota.is_limited(step, call.workspace):
+    workspace = access.limited_workspace
+    if workspace is None:
         start_call(step, call)
         return
-    decision = _quota.admit(step, call)
+    decision = _quota.admit(step, call, workspace)
     if decision is not None:
         apply_decision(step, decision)
 
--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -199,9 +199,9 @@
     sender did not tell.  ``confirmed_age_s`` is how long before this message
     ``config`` was known to be the newest version, by a read of the store by
     ``confirmed_by``.  A PING names there a node that reads the store.
-    ``rollouts`` are states of roll-outs.  ``quota_reports`` go to the node that
-    decides on the limits of a group of workspaces, and ``quota_shares`` come
-    from it.
+    ``rollouts`` are states of roll-outs.  ``quota_reports`` go to the node
+    that decides on the limits of a group of workspaces, and ``quota_shares``
+    come from it.
     """
 
     kind: MessageKind
--- a/packages/core/marjoramledge_core/_quota.py
+++ b/packages/core/marjoramledge_core/_quota.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import math
 import typing
 
 from marjoramledge_core import _ids
@@ -34,28 +35,20 @@
 Decision = _quota_decisions.Decision
 
 
-def is_limited(step: "_state.Step", workspace: _ids.WorkspaceName) -> bool:
-    """Return whether a workspace has a limit."""
-    return (
-        bool(workspace)
-        and _quota_decisions.find_limit(step, workspace) is not None
-    )
-
-
-def admit(step: "_state.Step", call: "_state.Call") -> Decision | None:
+def admit(
+    step: "_state.Step", call: "_state.Call", workspace: _ids.WorkspaceName
+) -> Decision | None:
     """Decide on a call of a limited workspace, or None if it must wait."""
     state = step.state.quota
-    block = state.blocks.get(call.workspace)
+    block = state.blocks.get(workspace)
     if block is not None:
         if step.now < block.until:
-            return _quota_decisions.refuse(
-                step, call.call, call.workspace, block
-            )
-        del state.blocks[call.workspace]
-    number = _quota_groups.group_of(call.workspace)
+            return _quota_decisions.refuse(step, call.call, workspace, block)
+        del state.blocks[workspace]
+    number = _quota_groups.group_of(workspace)
     group = state.groups[number]
     waiting = _quota_state.WaitingCall(
-        call=call.call, workspace=call.workspace, since=step.now
+        call=call.call, workspace=workspace, since=step.now
     )
     if group.is_unheard:
         decision = _quota_decisions.decide_locally(step, number, waiting)
@@ -72,11 +65,10 @@
 
 def give_back(step: "_state.Step", call: "_state.Call") -> None:
     """Return the token of a call that no server ran, if it is recent."""
-    if call.quota_at is None:
+    if call.quota_at is None or call.workspace is None:
         return
     charged_at, call.quota_at = call.quota_at, None
-    bound = step.state.options.quota
-    if step.now - charged_at > bound.give_back_s:
+    if charged_at < _oldest_returnable(step, call.workspace):
         return
     number = _quota_groups.group_of(call.workspace)
     group = step.state.quota.groups[number]
@@ -249,9 +241,9 @@
     calls: collections.abc.Container[_ids.WorkspaceName],
 ) -> dict[_ids.WorkspaceName, int]:
     """Return the tokens to give back that are still recent enough."""
-    oldest = step.now - step.state.options.quota.give_back_s
     returned: dict[_ids.WorkspaceName, int] = {}
     for name, charged in group.returned.items():
+        oldest = _oldest_returnable(step, name)
         count = sum(charged_at >= oldest for charged_at in charged)
         if name not in calls:
             size += ENTRY_BYTES + len(name.encode())
@@ -261,6 +253,17 @@
     return returned
 
 
+def _oldest_returnable(
+    step: "_state.Step", workspace: _ids.WorkspaceName
+) -> float:
+    """Return since when a token must have been charged to be given back."""
+    limit = _quota_decisions.find_limit(step, workspace)
+    if limit is None:
+        return math.inf
+    bound = step.state.options.quota
+    return step.now - bound.give_back_s(limit.rate_per_s, limit.burst)
+
+
 def _set_ask_timer(step: "_state.Step", number: int) -> None:
     group = step.state.quota.groups[number]
     if group.ask_timer is not None:
--- a/packages/core/marjoramledge_core/_quota_bound.py
+++ b/packages/core/marjoramledge_core/_quota_bound.py
@@ -11,11 +11,15 @@
 import typing
 
 # Parts of the ``overage``, which is worth ``overage * window`` seconds of the
-# rate: a request may wait this part for its decision, a token may be given
-# back within the second part, and a new owner begins with the third.
+# rate: a request may wait the first part for its decision, and a new owner
+# begins with the second.
 HOLD_SHARE: typing.Final = 0.6
-GIVE_BACK_SHARE: typing.Final = 0.1
 MOVE_SHARE: typing.Final = 0.3
+# A call that finds no room is refused after a few waits of 0.25 s in queues;
+# its token can be given back until then.  Tokens that may still come back are
+# part of what a bucket holds, so they must be a small part of it.
+MAX_GIVE_BACK_S: typing.Final = 1.0
+GIVE_BACK_BUCKET_SHARE: typing.Final = 0.4
 # Parts of the ``slack``: bursts above the rate, for arrivals are irregular
 # even below it, and what a new owner begins with.  The rest covers rounding.
 BURST_SLACK_SHARE: typing.Final = 0.5
@@ -40,10 +44,10 @@
         """Longest time that a request may wait for its decision."""
         return HOLD_SHARE * self.tolerance_s
 
-    @property
-    def give_back_s(self) -> float:
-        """Age up to which a token that was not needed is given back."""
-        return GIVE_BACK_SHARE * self.tolerance_s
+    def give_back_s(self, rate_per_s: float, burst: float) -> float:
+        """Return the age up to which a token can be given back."""
+        bucket_s = (burst + self.burst_slack) / rate_per_s
+        return min(MAX_GIVE_BACK_S, GIVE_BACK_BUCKET_SHARE * bucket_s)
 
     @property
     def burst_slack(self) -> float:
--- a/packages/core/marjoramledge_core/_quota_owner.py
+++ b/packages/core/marjoramledge_core/_quota_owner.py
@@ -80,9 +80,19 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Bucket:
+    """Tokens of a workspace.
+
+    ``grants`` are times and numbers of tokens that may still be given back.
+    They and ``level`` together stay within the size of the bucket, so a token
+    that is given back lets no window exceed the bound.
+    """
+
     level: float
     earned_s: float
     bonus: float
+    grants: collections.deque[tuple[float, int]] = dataclasses.field(
+        default_factory=collections.deque
+    )
     second_from: float = 0.0
     refused: int = 0
     refused_before: int = 0
@@ -296,6 +306,8 @@
         bucket = self._refill(report, limit, bound, now)
         granted = min(report.wanted, max(0, int(bucket.level + 1e-9)))
         bucket.level -= granted
+        if granted:
+            bucket.grants.append((now, granted))
         refused = report.wanted - granted
         wait_s = retry_after_s = 0.0
         if refused:
@@ -332,8 +344,13 @@
             self._bonus - bucket.bonus
         ) * bound.move_tokens(limit.rate_per_s)
         bucket.earned_s, bucket.bonus = self._earned_s, self._bonus
-        most = self.held_share(now) * (limit.burst + bound.burst_slack)
-        bucket.level = min(bucket.level + report.returned, most)
+        oldest = now - bound.give_back_s(limit.rate_per_s, limit.burst)
+        while bucket.grants and bucket.grants[0][0] < oldest:
+            bucket.grants.popleft()
+        returned = _remove_grants(bucket, report.returned)
+        size = self.held_share(now) * (limit.burst + bound.burst_slack)
+        most = max(0.0, size - sum(count for _, count in bucket.grants))
+        bucket.level = min(bucket.level + returned, most)
         return bucket
 
     def _note_refused(
@@ -372,3 +389,14 @@
                 bucket.level *= 1.0 - share
         self._idle_earned_s *= 1.0 - share
         self._idle_bonus *= 1.0 - share
+
+
+def _remove_grants(bucket: _Bucket, count: int) -> int:
+    """Remove tokens that are given back; return how many there were."""
+    left = count
+    while left > 0 and bucket.grants:
+        granted_at, granted = bucket.grants.popleft()
+        if granted > left:
+            bucket.grants.appendleft((granted_at, granted - left))
+        left -= min(granted, left)
+    return count - left
--- a/tests/quota_network.py
+++ b/tests/quota_network.py
@@ -6,11 +6,8 @@
 import random
 import sys
 
-from marjoramledge_core import _calls
 from marjoramledge_core import _commands
 from marjoramledge_core import _dispatch
-from marjoramledge_core import _events
-from marjoramledge_core import _settings
 from marjoramledge_core import _state
 from marjoramledge_core import configuration
 from marjoramledge_core import ids
@@ -27,7 +24,10 @@
 ) -> configuration.Workspace:
     """Build a workspace with a limit."""
     return configuration.Workspace(
-        name=ids.WorkspaceName(name), rate_per_s=rate_per_s, burst=burst
+        name=ids.WorkspaceName(name),
+        key_digests=frozenset({configuration.digest_key(name.encode())}),
+        rate_per_s=rate_per_s,
+        burst=burst,
     )
 
 
@@ -58,19 +58,6 @@
         self.largest_messages: list[node.Message] = []
         self.has_servers = True
         patch.setattr(_dispatch, "dispatch", self._dispatch)
-        build_call = _calls._build_call
-
-        def build(
-            step: _state.Step,
-            event: _events.CallArrived,
-            kind: _settings.RequestKind,
-            deadline_s: float,
-        ) -> _state.Call:
-            call = build_call(step, event, kind, deadline_s)
-            call.workspace = ids.WorkspaceName(self.sent[event.call][1])
-            return call
-
-        patch.setattr(_calls, "_build_call", build)
         super().__init__(count=count, seed=seed, max_rows=max_rows)
         self.link = virtual_network.Link(
             loss=0.001, min_delay_s=0.0002, max_delay_s=0.0045
@@ -104,7 +91,9 @@
             return
         call = f"c{next(self._names)}"
         self.sent[call] = (self.now, name)
-        self.submit(address, builders.build_call(call))
+        event = builders.build_call(call)
+        event.credentials = (f"Bearer {name}",)
+        self.submit(address, event)
 
     def call_at(self, delay_s: float, number: int, name: str) -> None:
         """Send a call after a delay."""
@@ -150,7 +139,8 @@
     def _dispatch(self, step: _state.Step, call: _state.Call) -> bool:
         if not self.has_servers:
             return False
-        self.admitted.setdefault(call.workspace, []).append(call.arrived_at)
+        name = call.workspace or ids.NO_WORKSPACE
+        self.admitted.setdefault(name, []).append(call.arrived_at)
         self.delays_s.append(step.now - call.arrived_at)
         address = step.state.membership.myself.address
         self._push(
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -4,8 +4,7 @@
 
 from marjoramledge_core import node
 import pytest
-
-from tests import rollout_fleet
+import rollout_fleet
 
 OLD: typing.Final = rollout_fleet.OLD
 NEW: typing.Final = rollout_fleet.NEW
