Access: workspaces in the operators' documents

inventory.toml takes [[workspace]] with digests of keys, a priority and a limit, and kinds and routes of rules.toml take public. Problems and plans show the first eight digits of a digest only.

--- a/packages/core/marjoramledge_core/_document.py
+++ b/packages/core/marjoramledge_core/_document.py
@@ -17,6 +17,7 @@
 from marjoramledge_core import _priority
 from marjoramledge_core import _routes
 from marjoramledge_core import _settings
+from marjoramledge_core import _workspace_document
 
 INVENTORY_FILE: typing.Final = "inventory.toml"
 RULES_FILE: typing.Final = "rules.toml"
@@ -252,6 +253,9 @@
     organisation = inventory.string("organisation")
     zones = _read_zones(inventory)
     services = _read_services(inventory)
+    workspaces = _workspace_document.read_workspaces(
+        inventory.array("workspace")
+    )
     inventory.reject_unknown()
     defaults = rules.table("defaults")
     default_deadline_ms = defaults.integer(
@@ -276,6 +280,7 @@
             measuring=measuring,
             default_deadline_s=default_deadline_ms / 1000,
             routes=_routes.RouteTable(routes),
+            workspaces=workspaces,
         )
     )
 
@@ -517,4 +522,5 @@
             "max_runs", 1, _MAX_RUNS, _settings.DEFAULT_MAX_RUNS
         ),
         target_s=target_s,
+        is_public=reader.boolean("public", False),
     )
--- a/packages/core/marjoramledge_core/_plan.py
+++ b/packages/core/marjoramledge_core/_plan.py
@@ -9,6 +9,7 @@
 import enum
 
 from marjoramledge_core import _settings
+from marjoramledge_core import _workspace_document
 
 
 class ChangeAction(enum.Enum):
@@ -75,6 +76,9 @@
         "measuring.slot_share": f"{configuration.measuring.slot_share:g}",
         "defaults.deadline_s": f"{configuration.default_deadline_s:g}",
     }
+    items.update(
+        _workspace_document.flatten_workspaces(configuration.workspaces)
+    )
     for zone in configuration.zones.values():
         _add_fields(items, f"zones.{zone.name}", zone)
     for service in configuration.services.values():
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -89,3 +89,29 @@
     (change,) = configuration.compare_configurations(old, new)
     assert change.item == "routes.garden.example/kits/.shares"
     assert (change.before, change.after) == ("next=1,shop=9", "next=3,shop=9")
+
+
+# Guards against a key, or its digest, that a plan or a problem shows.
+def test_a_plan_shows_workspaces_without_their_keys() -> None:
+    (case,) = [c for c in CASES if c["name"].startswith("workspaces and")]
+    files = {"inventory.toml": case["inventory"], "rules.toml": case["rules"]}
+    new = configuration.parse_documents(files).unwrap()
+    alder = new.workspaces.get(ids.WorkspaceName("alder"))
+    assert alder is not None
+    assert alder.priority is configuration.Priority.HIGH
+    assert new.kinds[0].is_public
+    files["inventory.toml"] = files["inventory.toml"].replace(
+        f'"{64 * "a"}", ', ""
+    )
+    old = configuration.parse_documents(files).unwrap()
+    (change,) = configuration.compare_configurations(old, new)
+    assert str(change) == (
+        "~ workspaces.alder.key_sha256: bbbbbbbb... -> aaaaaaaa...,bbbbbbbb..."
+    )
+    shown = "".join(map(str, configuration.compare_configurations(None, new)))
+    assert 16 * "a" not in shown
+    (broken,) = [c for c in CASES if c["name"].startswith("problems of work")]
+    files["inventory.toml"] = broken["inventory"]
+    problems = configuration.parse_documents(files).failure()
+    assert not any("the-key-itself" in str(problem) for problem in problems)
+    assert not any(16 * "a" in str(problem) for problem in problems)
