--- a/packages/core/marjoramledge_core/_confirmation_rounds.py
+++ b/packages/core/marjoramledge_core/_confirmation_rounds.py
@@ -27,14 +27,16 @@
 
 # Nodes that read the store often, in zones of their own.
 FREQUENT_READERS: typing.Final = 2
-# Interval of checks, also while there is no confirmation at all, as after a
-# start: requests with keys are refused then.
-CHECK_PERIOD_S: typing.Final = 0.25
+# Interval of checks of an old confirmation, and while there is none at all, as
+# after a start: requests with keys are refused then.
+CHECK_PERIOD_S: typing.Final = 0.15
 UNCONFIRMED_PERIOD_S: typing.Final = 0.1
-# A reader's confirmation is 0.8 to 1.7 s old, since its reads wait for changes
-# for 0.8 s.  A node that asks relays gets one that is older by a check or two.
-ASK_AGE_S: typing.Final = 1.3
-RELAYED_ASK_AGE_S: typing.Final = 1.8
+# A reader's confirmation is 0.8 to 1.65 s old, since its reads wait for
+# changes for 0.8 s.  A node that asks the same reader at the end of that time
+# gets the next one at once; asking earlier is mostly in vain.  Relays have one
+# that is older by a check or two.
+ASK_AGE_S: typing.Final = 1.65
+RELAYED_ASK_AGE_S: typing.Final = 1.9
 # Fleets of more members than this use relays, one for so many members.
 MAX_DIRECT_MEMBERS: typing.Final = 128
 MEMBERS_PER_RELAY: typing.Final = 64
@@ -150,13 +152,13 @@
     state.confirmation.settle(state.versions.ref)
     age_s = state.confirmation.age_s(step.now)
     period_s = CHECK_PERIOD_S if age_s < math.inf else UNCONFIRMED_PERIOD_S
-    state.timers.set(
-        step.now + period_s * step.rng.uniform(0.8, 1.2),
-        _timers.TimerKind.CONFIRMATION,
-    )
     _record_change(step)
     _find_sources(state)
     ask_age_s = RELAYED_ASK_AGE_S if _asks_relays(state) else ASK_AGE_S
+    delay_s = period_s * step.rng.uniform(0.8, 1.2)
+    if not rounds.is_stand_in:
+        delay_s = max(delay_s, ask_age_s - age_s)
+    state.timers.set(step.now + delay_s, _timers.TimerKind.CONFIRMATION)
     if age_s >= ask_age_s or rounds.is_stand_in:
         _ask(step)
     if _should_read(step, age_s, period_s):
@@ -285,14 +287,13 @@
     state, rounds = step.state, step.state.confirmation_rounds
     members = state.membership.members
     sources = rounds.relays if _asks_relays(state) else rounds.readers
-    last_reader = members.get(state.confirmation.by)
-    informant = members.get(rounds.hint) or last_reader
+    stand_in = members.get(rounds.hint)
     if rounds.relays and rounds.failed_asks <= 1:
         # So many nodes must not ask the same one.
-        informant = last_reader = None
+        stand_in = None
     turns: tuple[typing.Iterable[_members.Member | None], ...] = (
-        (last_reader,),
-        (informant,),
+        (members.get(state.confirmation.by),),
+        (stand_in,),
         sources,
         members.values(),
     )
@@ -306,8 +307,13 @@
             for member in candidates
             if member is not None and _can_ask(state, member)
         ]
-        if usable:
-            return step.rng.choice(usable)
+        if not usable:
+            continue
+        # Datagrams within a zone are free.
+        near = [member for member in usable if member.zone == state.zone]
+        if near and rounds.failed_asks <= 1:
+            usable = near
+        return step.rng.choice(usable)
     return None
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -287,3 +287,26 @@
     content = _content(config={**CONFIG, "tenants": [tenant]})
     read = _operator.read_configuration(content, REGIONS)
     assert isinstance(read, result.Failure)
+
+
+# Guards against a bound of revocations that is not applied, or is applied
+# where the deployment does not ask for it.
+@pytest.mark.parametrize(
+    ("extra", "limit_s"),
+    [
+        ({}, None),
+        ({"revoke": "5000ms"}, None),
+        ({"strictRevoke": False, "revoke": "5000ms"}, None),
+        ({"strictRevoke": True, "revoke": "5000ms"}, 5.0),
+    ],
+)
+def test_the_bound_of_revocations_is_read(
+    extra: dict[str, object], limit_s: float | None
+) -> None:
+    bounds = {
+        "grace": "6s",
+        "retryBudgetRatio": 0.2,
+        "retryBudgetSlack": 56,
+        **extra,
+    }
+    assert _settings.read_core_options(bounds).revocation_limit_s == limit_s
--- a/tests/test_revocation.py
+++ b/tests/test_revocation.py
@@ -1,9 +1,11 @@
 """Revoked keys under virtual time: the bound, and who is served meanwhile."""
 
 import collections.abc
+import math
 import random
 
 from marjoramledge_core import _confirmation
+from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_standins import virtual_access
@@ -162,11 +164,17 @@
 
 # Guards against a node that refuses keys though it reaches the store, since
 # it expects the others to read it.
-@pytest.mark.parametrize("group", [[7], [3, 4], [1, 5, 7, 8]])
-def test_nodes_without_peers_read_the_store(group: list[int]) -> None:
-    fleet = _start(2)
+@pytest.mark.parametrize(
+    ("count", "group"),
+    [(9, [7]), (9, [3, 4]), (9, [1, 5, 7, 8]), (72, [30]), (72, [5, 6, 7])],
+)
+def test_nodes_without_peers_read_the_store(
+    count: int, group: list[int]
+) -> None:
+    fleet = _start(2, count)
     fleet.cut_off(group, True)
-    assert not _count_refused(fleet, range(COUNT), 15.0)
+    asked = range(count) if count == COUNT else group
+    assert not _count_refused(fleet, asked, 15.0)
 
 
 # Guards against a node that stays without confirmation after a restart.
@@ -195,3 +203,66 @@
     fleet.run(5.0)
     assert len(fleet.reads) < 5.0 * 15.0
     assert all(fleet.request(number, "k0") is None for number in range(72))
+
+
+def _build_ref(era: int, number: int, text: str) -> configuration.VersionRef:
+    return configuration.VersionRef(
+        version=configuration.pack_version(era, number),
+        digest=ids.Digest(text),
+    )
+
+
+def _note(
+    confirmation: _confirmation.Confirmation,
+    ref: configuration.VersionRef,
+    in_force: configuration.VersionRef,
+    *,
+    at: float,
+    is_own_read: bool = True,
+) -> float:
+    """Note a confirmed version; return the age at the time 10."""
+    confirmed = _confirmation.ConfirmedVersion(
+        ref=ref, at=at, by=ids.NodeId("n1"), is_own_read=is_own_read
+    )
+    confirmation.note(confirmed, in_force)
+    return confirmation.age_s(10.0)
+
+
+# Guards against a version that is confirmed by a read that has shown a newer
+# one, and against a confirmation that is lost while that one is fetched.
+def test_a_read_confirms_its_version_once_that_is_in_force() -> None:
+    confirmation = _confirmation.Confirmation()
+    old, new = _build_ref(1, 4, "a"), _build_ref(1, 5, "b")
+    assert _note(confirmation, old, old, at=2.0) == 8.0
+    assert _note(confirmation, new, old, at=7.0) == 8.0
+    assert _note(confirmation, old, old, at=1.0) == 8.0
+    confirmation.settle(new)
+    assert confirmation.age_s(10.0) == 3.0
+
+
+# Guards against a revoked key that comes back with a store that has been
+# restored from an older copy, at a node that reads that store alone.
+def test_a_restored_store_confirms_only_what_a_peer_has_too() -> None:
+    confirmation = _confirmation.Confirmation()
+    before, after = _build_ref(1, 50, "a"), _build_ref(2, 41, "b")
+    assert _note(confirmation, before, before, at=5.0) == 5.0
+    assert _note(confirmation, after, after, at=7.0) == math.inf
+    other = _build_ref(2, 41, "c")
+    peer = _note(confirmation, other, after, at=7.0, is_own_read=False)
+    assert peer == math.inf
+    confirmation.note_peer_version(other, after)
+    assert _note(confirmation, after, after, at=8.0) == math.inf
+    confirmation.note_peer_version(after, after)
+    assert _note(confirmation, after, after, at=9.0) == 1.0
+
+
+# Guards against a version that no node can read, and whose arrival would end
+# the service of all callers with keys.
+def test_an_unreadable_version_does_not_end_the_confirmation() -> None:
+    confirmation = _confirmation.Confirmation()
+    old, broken = _build_ref(1, 4, "a"), _build_ref(1, 5, "b")
+    assert _note(confirmation, broken, old, at=7.0) == math.inf
+    assert not confirmation.knows_newest(broken, old)
+    confirmation.note_unreadable(broken.version)
+    assert _note(confirmation, broken, old, at=8.0) == 2.0
+    assert confirmation.knows_newest(broken, old)
