--- a/packages/core/marjoramledge_core/_confirmation.py
+++ b/packages/core/marjoramledge_core/_confirmation.py
@@ -208,6 +208,7 @@
     is_stand_in: bool = False
     read_began_at: float = -math.inf
     is_reading: bool = False
+    asked_at: float = -math.inf
     retry_at: float = -math.inf
     retry_s: float = MIN_RETRY_S
     readers: tuple[_members.Member, ...] = ()
--- a/packages/core/marjoramledge_core/_confirmation_rounds.py
+++ b/packages/core/marjoramledge_core/_confirmation_rounds.py
@@ -49,8 +49,8 @@
 MAX_RETRY_S: typing.Final = 4.0
 # A read that has not ended by then is lost.
 READ_TIMEOUT_S: typing.Final = 2.0
-# How often a stand-in reads, and the age at which the confirmation of another
-# node shows that it is not needed any more.
+# How often a stand-in reads and asks, and the age at which the confirmation of
+# another node shows that it is not needed any more.
 STAND_IN_PERIOD_S: typing.Final = 0.8
 YOUNG_AGE_S: typing.Final = 1.7
 # A stand-in informs so many members in a large fleet, and all in a small one.
@@ -120,7 +120,8 @@
         return
     rounds.retry_s = _confirmation.MIN_RETRY_S
     if not rounds.is_stand_in:
-        rounds.is_stand_in = True
+        # A reader reads regularly.
+        rounds.is_stand_in = not _is_reader(rounds, step.state.node)
         _inform_others(step)
 
 
@@ -159,7 +160,9 @@
     if not rounds.is_stand_in:
         delay_s = max(delay_s, ask_age_s - age_s)
     state.timers.set(step.now + delay_s, _timers.TimerKind.CONFIRMATION)
-    if age_s >= ask_age_s or rounds.is_stand_in:
+    # A stand-in finds out whether it is still needed.
+    is_due = step.now - rounds.asked_at >= STAND_IN_PERIOD_S
+    if age_s >= ask_age_s or (rounds.is_stand_in and is_due):
         _ask(step)
     if _should_read(step, age_s, period_s):
         rounds.is_reading = True
@@ -167,6 +170,12 @@
         step.out.append(_commands.ReadVersion(wait_s=0.0, is_confirming=True))
 
 
+def _is_reader(
+    rounds: _confirmation.ConfirmationRounds, name: _ids.NodeId
+) -> bool:
+    return any(member.node == name for member in rounds.readers)
+
+
 def _is_needed(state: _state.NodeState) -> bool:
     configuration = state.versions.configuration
     return configuration is not None and bool(configuration.workspaces)
@@ -253,6 +262,7 @@
     target = _choose_source(step)
     if target is None:
         return
+    rounds.asked_at = step.now
     # Numbers of questions of an earlier process must not be used again.
     sequence = 1 << 62 | step.rng.getrandbits(61)
     state.confirmation.open_ask(sequence, target.node, step.now)
@@ -361,10 +371,9 @@
     )
     if state.confirmation.age_s(step.now) < before_s:
         rounds.failed_asks = 0
-    if by != state.node and age_s < YOUNG_AGE_S:
-        is_reader = any(member.node == by for member in rounds.readers)
-        if is_reader or by < state.node:
-            rounds.is_stand_in = False
+    takes_over = _is_reader(rounds, by) or by < state.node
+    if by != state.node and takes_over and age_s < YOUNG_AGE_S:
+        rounds.is_stand_in = False
 
 
 def _inform_others(step: _state.Step) -> None:
--- a/tests/test_revocation.py
+++ b/tests/test_revocation.py
@@ -8,6 +8,7 @@
 from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
+from marjoramledge_node import _wire
 from marjoramledge_standins import virtual_access
 import pytest
 
@@ -266,3 +267,29 @@
     confirmation.note_unreadable(broken.version)
     assert _note(confirmation, broken, old, at=8.0) == 2.0
     assert confirmation.knows_newest(broken, old)
+
+
+# Guards against an age that looks smaller on the wire, and against messages
+# that change where there are no workspaces.
+@pytest.mark.parametrize("age_s", [None, 0.0, 1.2341])
+def test_the_age_of_a_confirmation_is_rounded_up(age_s: float | None) -> None:
+    address = node.Address(host="127.0.0.1", port=7000)
+    reader = None if age_s is None else ids.NodeId("n1")
+    message = node.Message(
+        kind=node.MessageKind.ACK,
+        sender=ids.NodeId("n0"),
+        sender_address=address,
+        sequence=1 << 62,
+        target=ids.NodeId("n0"),
+        config=_build_ref(1, 4, "a"),
+        updates=(),
+        suspicions=(),
+        confirmed_age_s=age_s,
+        confirmed_by=reader,
+    )
+    content = _wire.encode_message(message, 10.0)
+    decoded = _wire.decode_message(content, 20.0).unwrap()
+    assert decoded.sequence == 1 << 62
+    assert decoded.confirmed_by == reader
+    assert decoded.confirmed_age_s == (1.235 if age_s else age_s)
+    assert (b"n1" in content) == (age_s is not None)
