--- a/packages/core/marjoramledge_core/_confirmation_rounds.py
+++ b/packages/core/marjoramledge_core/_confirmation_rounds.py
@@ -27,14 +27,16 @@
 
 # Nodes that read the store often, in zones of their own.
 FREQUENT_READERS: typing.Final = 2
-# Interval of checks, also while there is no confirmation at all, as after a
-# start: requests with keys are refused then.
-CHECK_PERIOD_S: typing.Final = 0.25
+# Interval of checks of an old confirmation, and while there is none at all, as
+# after a start: requests with keys are refused then.
+CHECK_PERIOD_S: typing.Final = 0.15
 UNCONFIRMED_PERIOD_S: typing.Final = 0.1
-# A reader's confirmation is 0.8 to 1.7 s old, since its reads wait for changes
-# for 0.8 s.  A node that asks relays gets one that is older by a check or two.
-ASK_AGE_S: typing.Final = 1.3
-RELAYED_ASK_AGE_S: typing.Final = 1.8
+# A reader's confirmation is 0.8 to 1.65 s old, since its reads wait for
+# changes for 0.8 s.  A node that asks the same reader at the end of that time
+# gets the next one at once; asking earlier is mostly in vain.  Relays have one
+# that is older by a check or two.
+ASK_AGE_S: typing.Final = 1.65
+RELAYED_ASK_AGE_S: typing.Final = 1.9
 # Fleets of more members than this use relays, one for so many members.
 MAX_DIRECT_MEMBERS: typing.Final = 128
 MEMBERS_PER_RELAY: typing.Final = 64
@@ -47,8 +49,8 @@
 MAX_RETRY_S: typing.Final = 4.0
 # A read that has not ended by then is lost.
 READ_TIMEOUT_S: typing.Final = 2.0
-# How often a stand-in reads, and the age at which the confirmation of another
-# node shows that it is not needed any more.
+# How often a stand-in reads and asks, and the age at which the confirmation of
+# another node shows that it is not needed any more.
 STAND_IN_PERIOD_S: typing.Final = 0.8
 YOUNG_AGE_S: typing.Final = 1.7
 # A stand-in informs so many members in a large fleet, and all in a small one.
@@ -118,7 +120,8 @@
         return
     rounds.retry_s = _confirmation.MIN_RETRY_S
     if not rounds.is_stand_in:
-        rounds.is_stand_in = True
+        # A reader reads regularly.
+        rounds.is_stand_in = not _is_reader(rounds, step.state.node)
         _inform_others(step)
 
 
@@ -150,14 +153,16 @@
     state.confirmation.settle(state.versions.ref)
     age_s = state.confirmation.age_s(step.now)
     period_s = CHECK_PERIOD_S if age_s < math.inf else UNCONFIRMED_PERIOD_S
-    state.timers.set(
-        step.now + period_s * step.rng.uniform(0.8, 1.2),
-        _timers.TimerKind.CONFIRMATION,
-    )
     _record_change(step)
     _find_sources(state)
     ask_age_s = RELAYED_ASK_AGE_S if _asks_relays(state) else ASK_AGE_S
-    if age_s >= ask_age_s or rounds.is_stand_in:
+    delay_s = period_s * step.rng.uniform(0.8, 1.2)
+    if not rounds.is_stand_in:
+        delay_s = max(delay_s, ask_age_s - age_s)
+    state.timers.set(step.now + delay_s, _timers.TimerKind.CONFIRMATION)
+    # A stand-in finds out whether it is still needed.
+    is_due = step.now - rounds.asked_at >= STAND_IN_PERIOD_S
+    if age_s >= ask_age_s or (rounds.is_stand_in and is_due):
         _ask(step)
     if _should_read(step, age_s, period_s):
         rounds.is_reading = True
@@ -165,6 +170,12 @@
         step.out.append(_commands.ReadVersion(wait_s=0.0, is_confirming=True))
 
 
+def _is_reader(
+    rounds: _confirmation.ConfirmationRounds, name: _ids.NodeId
+) -> bool:
+    return any(member.node == name for member in rounds.readers)
+
+
 def _is_needed(state: _state.NodeState) -> bool:
     configuration = state.versions.configuration
     return configuration is not None and bool(configuration.workspaces)
@@ -251,6 +262,7 @@
     target = _choose_source(step)
     if target is None:
         return
+    rounds.asked_at = step.now
     # Numbers of questions of an earlier process must not be used again.
     sequence = 1 << 62 | step.rng.getrandbits(61)
     state.confirmation.open_ask(sequence, target.node, step.now)
@@ -285,14 +297,13 @@
     state, rounds = step.state, step.state.confirmation_rounds
     members = state.membership.members
     sources = rounds.relays if _asks_relays(state) else rounds.readers
-    last_reader = members.get(state.confirmation.by)
-    informant = members.get(rounds.hint) or last_reader
+    stand_in = members.get(rounds.hint)
     if rounds.relays and rounds.failed_asks <= 1:
         # So many nodes must not ask the same one.
-        informant = last_reader = None
+        stand_in = None
     turns: tuple[typing.Iterable[_members.Member | None], ...] = (
-        (last_reader,),
-        (informant,),
+        (members.get(state.confirmation.by),),
+        (stand_in,),
         sources,
         members.values(),
     )
@@ -306,8 +317,13 @@
             for member in candidates
             if member is not None and _can_ask(state, member)
         ]
-        if usable:
-            return step.rng.choice(usable)
+        if not usable:
+            continue
+        # Datagrams within a zone are free.
+        near = [member for member in usable if member.zone == state.zone]
+        if near and rounds.failed_asks <= 1:
+            usable = near
+        return step.rng.choice(usable)
     return None
 
 
@@ -355,10 +371,9 @@
     )
     if state.confirmation.age_s(step.now) < before_s:
         rounds.failed_asks = 0
-    if by != state.node and age_s < YOUNG_AGE_S:
-        is_reader = any(member.node == by for member in rounds.readers)
-        if is_reader or by < state.node:
-            rounds.is_stand_in = False
+    takes_over = _is_reader(rounds, by) or by < state.node
+    if by != state.node and takes_over and age_s < YOUNG_AGE_S:
+        rounds.is_stand_in = False
 
 
 def _inform_others(step: _state.Step) -> None:
--- a/packages/core/marjoramledge_core/_document.py
+++ b/packages/core/marjoramledge_core/_document.py
@@ -18,6 +18,7 @@
 from marjoramledge_core import _rollout_orders
 from marjoramledge_core import _routes
 from marjoramledge_core import _settings
+from marjoramledge_core import _workspace_document
 
 INVENTORY_FILE: typing.Final = "inventory.toml"
 RULES_FILE: typing.Final = "rules.toml"
@@ -255,6 +256,9 @@
     zones = _read_zones(inventory)
     services = _read_services(inventory)
     rollouts = _read_rollouts(inventory, services)
+    workspaces = _workspace_document.read_workspaces(
+        inventory.array("workspace")
+    )
     inventory.reject_unknown()
     defaults = rules.table("defaults")
     default_deadline_ms = defaults.integer(
@@ -280,6 +284,7 @@
             default_deadline_s=default_deadline_ms / 1000,
             routes=_routes.RouteTable(routes),
             rollouts=rollouts,
+            workspaces=workspaces,
         )
     )
 
@@ -552,4 +557,5 @@
             "max_runs", 1, _MAX_RUNS, _settings.DEFAULT_MAX_RUNS
         ),
         target_s=target_s,
+        is_public=reader.boolean("public", False),
     )
--- a/tools/measure_limits.py
+++ b/tools/measure_limits.py
@@ -141,7 +141,7 @@
             fingerprint=ids.Fingerprint(name),
             workspace=ids.WorkspaceName(workspace),
         )
-        _quota.admit(step, call)
+        _quota.admit(step, call, ids.WorkspaceName(workspace))
         self._carry_out(number, step.out)
 
     def _run_until(self, until: float) -> None:
