--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -15,6 +15,7 @@
 import os
 import pathlib
 import random
+import resource
 import socket
 import subprocess
 import sys
@@ -42,6 +43,9 @@
 EVACUATION_S: typing.Final = 5.0
 SAMPLE_PERIOD_S: typing.Final = 0.25
 REQUEST_TIMEOUT_S: typing.Final = 1.0
+# Limits of a VM, as the platform states them.
+MEMORY_MB: typing.Final = 300
+MAX_DESCRIPTORS: typing.Final = 4100
 # Ends a site that doesn't come up; not a performance bound.
 START_TIMEOUT_S: typing.Final = 20.0
 
@@ -208,6 +212,16 @@
                 stdout=log,
                 stderr=log,
             )
+        limit = self._site.max_descriptors
+        resource.prlimit(
+            self._process.pid, resource.RLIMIT_NOFILE, (limit, limit)
+        )
+
+    @property
+    def process(self) -> subprocess.Popen[bytes]:
+        """Return the node's process."""
+        assert self._process is not None
+        return self._process
 
     def kill_node(self) -> None:
         """End the node process with SIGKILL."""
@@ -296,11 +310,19 @@
     ----------
     machine_zones
         The zone of each machine.
+    memory_mb, max_descriptors
+        Limits of each machine; the second is the node's RLIMIT_NOFILE too.
     """
 
     def __init__(
-        self, *, machine_zones: collections.abc.Sequence[str]
+        self,
+        *,
+        machine_zones: collections.abc.Sequence[str],
+        memory_mb: int = MEMORY_MB,
+        max_descriptors: int = MAX_DESCRIPTORS,
     ) -> None:
+        self._memory_mb = memory_mb
+        self.max_descriptors = max_descriptors
         self._temporary = tempfile.TemporaryDirectory(prefix="marjoramledge-")
         self.folder = pathlib.Path(self._temporary.name)
         self.runs: list[Run] = []
@@ -473,7 +495,7 @@
         present = await self.read_gauge(machine, "members_present")
         if present != len(self.machines):
             return False
-        sample = await self._send_request(machine, "/r0/")
+        sample = await self.send_request(machine, "/r0/")
         return sample.status == 200
 
     async def _send_requests(self) -> None:
@@ -486,14 +508,20 @@
                 await asyncio.sleep(SAMPLE_PERIOD_S)
 
     async def _sample(self, machine: Machine, route: str) -> None:
-        self.samples.append(await self._send_request(machine, route))
-
-    async def _send_request(self, machine: Machine, route: str) -> Sample:
+        self.samples.append(await self.send_request(machine, route))
+
+    async def send_request(
+        self,
+        machine: Machine,
+        route: str,
+        session: aiohttp.ClientSession | None = None,
+    ) -> Sample:
+        """Send one request of an ordinary client."""
         sent_at = time.monotonic()
         number = next(self._request_ids)
         status = 0
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-            async with self.session.get(
+            async with (session or self.session).get(
                 f"{machine.url}{route}{machine.name}/{number}",
                 headers={
                     "Host": HOST,
@@ -534,6 +562,8 @@
             regions=regions,
             store=f"{store_host}:{self.ports['store']}",
             apply_ms=round(1000 * CONFIG_APPLY_S),
+            memory_mb=self._memory_mb,
+            max_descriptors=self.max_descriptors,
         )
 
 
@@ -553,8 +583,8 @@
 [local.limits]
 cpuShare = 0.86
 cores = 1
-memoryMb = 300
-maxFds = 4100
+memoryMb = {memory_mb}
+maxFds = {max_descriptors}
 linkMbps = 1000.0
 diskMb = 0
 [network]
