Take no response whose status is no status code of HTTP

Cause: the client accepted a final response with any three digits. With 000 the caller got status 0; 600 to 999 were passed on, and counted as answers.

Change: BoundedProtocol, through which servers, peers and both stores are read, accepts 200 to 599, and 100, 102 and 103 as interim responses. Any other status closes the connection: no answer, may have run (504 on the platform), the server counts as failing, one log line `answer-aborted`. The line is written for store operations as well, and for too many bytes too.

Open in the specification: an interim status that is not registered, such as 150, could also be skipped; it is refused, since no answer would follow it.

--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -368,8 +368,7 @@
                         return ProbeResult(is_alive=False)
                     return self._read_probe(server, response)
         except (aiohttp.ClientError, OSError) as error:
-            if isinstance(error, bounded_http.EndlessAnswerError):
-                _log_endless_answer(server.host, server.port, error)
+            bounded_http.log_if_faulty(error, server.host, server.port)
             loguru.logger.bind(event="probe-failed").debug(
                 "backend server did not answer a health probe: {!r}", error
             )
@@ -592,8 +591,7 @@
                     "a request failed with an internal error", error
                 )
                 return result.Failure(_LOCAL_ERROR)
-            if isinstance(error, bounded_http.EndlessAnswerError):
-                _log_endless_answer(host, port, error)
+            bounded_http.log_if_faulty(error, host, port)
             return result.Failure(_OUTCOME_UNKNOWN)
         except Exception as error:  # The core must get an outcome.
             _faults.report("a request failed with an internal error", error)
@@ -609,12 +607,6 @@
         )
 
 
-def _log_endless_answer(host: str, port: int, error: Exception) -> None:
-    loguru.logger.bind(event="answer-aborted", host=host, port=port).warning(
-        "closed the connection to a faulty server: {}", error
-    )
-
-
 def _log_late_fetch(target: str, error: Exception) -> None:
     loguru.logger.bind(event="fetch-retried").debug(
         "fetching {} from the same peer again: {}", target, error
--- a/packages/store/marjoramledge_store/_bounded_http.py
+++ b/packages/store/marjoramledge_store/_bounded_http.py
@@ -15,6 +15,7 @@
 from aiohttp import client_proto
 from aiohttp import http_parser
 from aiohttp import streams
+import loguru
 
 # Bytes that may arrive while neither the head of the final response ends nor a
 # byte of its body is received.
@@ -24,16 +25,27 @@
 # little memory before the limits apply.
 PIECE_BYTES: typing.Final = 16384
 
-_SWITCHING_PROTOCOLS: typing.Final = 101
-_FIRST_FINAL_STATUS: typing.Final = 200
+# Continue, Processing and Early Hints.  No request asks for a change of the
+# protocol (101).
+_INTERIM_STATUSES: typing.Final = frozenset({100, 102, 103})
+# RFC 9110, section 15: a status of 600 or more is invalid.
+_FINAL_STATUSES: typing.Final = range(200, 600)
 
 _Message = tuple[http_parser.RawResponseMessage, streams.StreamReader]
 
 
-class EndlessAnswerError(aiohttp.ClientConnectionError):
+class FaultyAnswerError(aiohttp.ClientConnectionError):
+    """Raised when a server sends what is no valid response."""
+
+
+class EndlessAnswerError(FaultyAnswerError):
     """Raised when a server sends too much before a response or without one."""
 
 
+class InvalidStatusError(FaultyAnswerError):
+    """Raised when the status of a response is no status code of HTTP."""
+
+
 class BoundedProtocol(client_proto.ResponseHandler):
     """Aborts a connection whose server sends much that is no answer."""
 
@@ -69,12 +81,15 @@
             self._abort("a response that no request asked for")
             return
         status = data[0].code
-        if status >= _FIRST_FINAL_STATUS:
+        if status not in _INTERIM_STATUSES and status not in _FINAL_STATUSES:
+            self._abort(
+                f"a response with the invalid status {status:03}",
+                InvalidStatusError,
+            )
+            return
+        if status in _FINAL_STATUSES:
             self._awaits_head = False
             self._overhead_bytes = 0
-        elif status == _SWITCHING_PROTOCOLS:
-            self._abort("a change of the protocol")
-            return
         else:
             self._interim_responses += 1
             if self._interim_responses > MAX_INTERIM_RESPONSES:
@@ -103,11 +118,15 @@
             return 0
         return self._payload.total_bytes
 
-    def _abort(self, problem: str) -> None:
+    def _abort(
+        self,
+        problem: str,
+        error: type[FaultyAnswerError] = EndlessAnswerError,
+    ) -> None:
         self._is_aborted = True
         self.force_close()
         if self._awaits_head:
-            self.set_exception(EndlessAnswerError(f"server sent {problem}"))
+            self.set_exception(error(f"server sent {problem}"))
         if self.transport is not None:
             self.transport.abort()
 
@@ -131,6 +150,14 @@
         )
 
 
+def log_if_faulty(error: Exception, host: str, port: int) -> None:
+    """Write a log line if an error shows a faulty server."""
+    if isinstance(error, FaultyAnswerError):
+        loguru.logger.bind(
+            event="answer-aborted", host=host, port=port
+        ).warning("closed the connection to a faulty server: {}", error)
+
+
 async def read_bounded(
     response: aiohttp.ClientResponse, max_bytes: int
 ) -> bytes:
--- a/packages/store/marjoramledge_store/_client.py
+++ b/packages/store/marjoramledge_store/_client.py
@@ -21,6 +21,7 @@
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from returns import result
+import yarl
 
 from marjoramledge_store import _errors
 from marjoramledge_store import _member_rows
@@ -331,7 +332,9 @@
                     )
         except aiohttp.ClientConnectorError:
             return result.Failure(_errors.StoreError.UNREACHABLE)
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError) as error:
+            url = yarl.URL(self._base_url)
+            bounded_http.log_if_faulty(error, url.host or "", url.port or 0)
             return result.Failure(_errors.StoreError.NO_ANSWER)
         is_oversized = len(reply.body) > MAX_REPLY_BYTES
         if reply.status >= 500 or is_oversized:
