Bound what the connections of all ports hold together

Cause: bounds a single connection only. Heads were limited by lines and by 128 KB in all, had no time limit, were parsed at the expense of all others, and nothing counted connections.

Change: one ConnectionTable for all ports of a process (callers, announcements, readiness, metrics, peers). It bounds - the number of connections, to half of the descriptors without a reserve (RLIMIT_NOFILE, and `local.limits.maxFds` on the platform); - the estimated memory that connections hold (heads, queued requests, buffered bodies, unsent responses), to a quarter of the VM's memory (`memoryMb`). At a limit it closes connections that hold most, or the oldest without a complete request, then the oldest idle ones, then stalled ones; a connection with an ordinary request in progress is not closed for its place. Heads have a limit in bytes (431) and in time (408), idle connections a limit in time; the platform's `limits` set them. Received bytes are parsed in pieces of 16 KB, one queued request after another, and expensive ones (chunks of one byte) take half of the loop's time at most.

--- a/packages/core/marjoramledge_core/_settings.py
+++ b/packages/core/marjoramledge_core/_settings.py
@@ -11,6 +11,7 @@
 
 from marjoramledge_core import _ids
 from marjoramledge_core import _priority
+from marjoramledge_core import _request_limits
 from marjoramledge_core import _routes
 from marjoramledge_core import _workspaces
 
@@ -140,6 +141,8 @@
         Kinds that are selected by host and path prefix alone.
     workspaces
         Workspaces of callers; without any, requests need no key.
+    request_limits
+        Limits of callers' requests; None if the node's settings hold.
     """
 
     def __init__(
@@ -153,7 +156,9 @@
         default_deadline_s: float,
         routes: _routes.RouteTable[RequestKind] | None = None,
         workspaces: _workspaces.WorkspaceTable | None = None,
+        request_limits: _request_limits.RequestLimits | None = None,
     ) -> None:
+        self._request_limits = request_limits
         self._workspaces = workspaces or _workspaces.WorkspaceTable(())
         self._routes = _routes.RouteTable(()) if routes is None else routes
         self._organisation = organisation
@@ -216,6 +221,11 @@
         """Workspaces of callers; without any, requests need no key."""
         return self._workspaces
 
+    @property
+    def request_limits(self) -> _request_limits.RequestLimits | None:
+        """Limits of callers' requests; None if the node's settings hold."""
+        return self._request_limits
+
     def find_kind(
         self, host: str, method: str, path: str
     ) -> RequestKind | None:
--- a/packages/core/marjoramledge_core/configuration.py
+++ b/packages/core/marjoramledge_core/configuration.py
@@ -3,6 +3,7 @@
 from marjoramledge_core import _document
 from marjoramledge_core import _manifest
 from marjoramledge_core import _plan
+from marjoramledge_core import _request_limits
 from marjoramledge_core import _routes
 from marjoramledge_core import _settings
 from marjoramledge_core import _version_numbers
@@ -24,9 +25,14 @@
 Priority = _settings.Priority
 Problem = _document.Problem
 RequestKind = _settings.RequestKind
+RequestLimits = _request_limits.RequestLimits
 Route = _routes.Route
 RouteTable = _routes.RouteTable
 ServiceShare = _settings.ServiceShare
+DEFAULT_HEAD_TIMEOUT_S = _request_limits.DEFAULT_HEAD_TIMEOUT_S
+DEFAULT_IDLE_TIMEOUT_S = _request_limits.DEFAULT_IDLE_TIMEOUT_S
+DEFAULT_MAX_BODY_BYTES = _request_limits.DEFAULT_MAX_BODY_BYTES
+DEFAULT_MAX_HEAD_BYTES = _request_limits.DEFAULT_MAX_HEAD_BYTES
 DEFAULT_DEADLINE_S = _settings.DEFAULT_DEADLINE_S
 Service = _settings.Service
 Workspace = _workspaces.Workspace
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -22,6 +22,7 @@
 from marjoramledge_node import _bodies
 from marjoramledge_node import _bounded_server
 from marjoramledge_node import _cancellation
+from marjoramledge_node import _connection_limits
 from marjoramledge_node import _counts
 from marjoramledge_node import _dialect
 from marjoramledge_node import _engine
@@ -507,10 +508,14 @@
     return result.Success(int(text) / 1000)
 
 
-def make_server(port: CallerPort) -> web.Server:
+def make_server(
+    port: CallerPort,
+    table: _connection_limits.ConnectionTable | None = None,
+) -> web.Server:
     """Create the HTTP server of the caller port."""
     return _bounded_server.Server(
         port.serve,
+        table=table,
         handler_cancellation=True,
         access_log=None,
         auto_decompress=False,
--- a/packages/node/marjoramledge_node/_local_port.py
+++ b/packages/node/marjoramledge_node/_local_port.py
@@ -17,6 +17,7 @@
 
 from marjoramledge_node import _announcements
 from marjoramledge_node import _bounded_server
+from marjoramledge_node import _connection_limits
 from marjoramledge_node import _engine
 from marjoramledge_node import _environment
 
@@ -122,6 +123,9 @@
     )
 
 
-def make_server(port: LocalPort) -> web.Server:
+def make_server(
+    port: LocalPort,
+    table: _connection_limits.ConnectionTable | None = None,
+) -> web.Server:
     """Create the HTTP server of the local port."""
-    return _bounded_server.Server(port.serve, access_log=None)
+    return _bounded_server.Server(port.serve, table=table, access_log=None)
--- a/packages/node/marjoramledge_node/_metrics_port.py
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -8,6 +8,7 @@
 from marjoramledge_core import node
 
 from marjoramledge_node import _bounded_server
+from marjoramledge_node import _connection_limits
 from marjoramledge_node import _counts
 from marjoramledge_node import _engine
 
@@ -199,6 +200,9 @@
     return "".join(c if c.isalnum() else "_" for c in name)
 
 
-def make_server(port: MetricsPort) -> web.Server:
+def make_server(
+    port: MetricsPort,
+    table: _connection_limits.ConnectionTable | None = None,
+) -> web.Server:
     """Create the HTTP server of the metrics port."""
-    return _bounded_server.Server(port.serve, access_log=None)
+    return _bounded_server.Server(port.serve, table=table, access_log=None)
--- a/packages/node/marjoramledge_node/_options.py
+++ b/packages/node/marjoramledge_node/_options.py
@@ -4,11 +4,13 @@
 import enum
 import typing
 
+from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from returns import result
 
 from marjoramledge_node import _auth
+from marjoramledge_node import _connection_limits
 
 # Shorter than the idle timeout of backend servers, so that a request is not
 # sent on a connection that the server is about to close.
@@ -55,7 +57,9 @@
     ``caller_service`` is the service of this VM, which is sent to backend
     servers if the dialect has a header for it.  ``advertised_address`` is the
     address at which other nodes reach ``peer_address``, if they differ.
-    ``core_options`` are the options of ``marjoramledge_core``.
+    ``request_limits`` hold where the configuration has none, ``memory_mb`` is
+    the memory of the VM, and ``max_descriptors`` a limit besides the
+    process's own.  ``core_options`` are the options of ``marjoramledge_core``.
     """
 
     node_id: ids.NodeId
@@ -76,6 +80,11 @@
     server_hint: ServerHint | None = None
     caller_service: str = ""
     idle_connection_s: float = DEFAULT_IDLE_CONNECTION_S
+    request_limits: configuration.RequestLimits = dataclasses.field(
+        default_factory=configuration.RequestLimits
+    )
+    memory_mb: int = _connection_limits.DEFAULT_MEMORY_MB
+    max_descriptors: int | None = None
 
 
 def parse_address(text: str) -> result.Result[node.Address, str]:
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -19,6 +19,7 @@
 from marjoramledge_node import _auth
 from marjoramledge_node import _bodies
 from marjoramledge_node import _bounded_server
+from marjoramledge_node import _connection_limits
 from marjoramledge_node import _counts
 from marjoramledge_node import _engine
 from marjoramledge_node import _headers
@@ -402,10 +403,14 @@
     return int(text) / 1000 if text.isdecimal() else 0.0
 
 
-def make_server(port: PeerPort) -> web.Server:
+def make_server(
+    port: PeerPort,
+    table: _connection_limits.ConnectionTable | None = None,
+) -> web.Server:
     """Create the HTTP server of the peer port."""
     return _bounded_server.Server(
         port.serve,
+        table=table,
         handler_cancellation=True,
         access_log=None,
         auto_decompress=False,
--- a/packages/node/marjoramledge_node/_process.py
+++ b/packages/node/marjoramledge_node/_process.py
@@ -14,11 +14,13 @@
 
 from aiohttp import web
 import loguru
+from marjoramledge_core import configuration
 from marjoramledge_core import node
 
 from marjoramledge_node import _auth
 from marjoramledge_node import _caller_port
 from marjoramledge_node import _clock
+from marjoramledge_node import _connection_limits
 from marjoramledge_node import _counts
 from marjoramledge_node import _document_exchange
 from marjoramledge_node import _engine
@@ -119,6 +121,13 @@
             upstream=self._upstream,
             fleet_loaded=self._document_exchange.fleet_loaded,
         )
+        self._connections = _connection_limits.ConnectionTable(
+            capacity=_connection_limits.compute_capacity(
+                memory_mb=options.memory_mb,
+                max_descriptors=options.max_descriptors,
+            ),
+            read_limits=self._read_request_limits,
+        )
         run = f"{options.node_id}-{os.urandom(4).hex()}-"
         stamper = _auth.Stamper(run=run)
         guard = node.ReplayGuard()
@@ -139,7 +148,9 @@
             caller_service=options.caller_service,
             counts=self._counts,
         )
-        self._callers = _caller_port.make_server(self._caller_port)
+        self._callers = _caller_port.make_server(
+            self._caller_port, self._connections
+        )
         self._peers = _peer_port.make_server(
             _peer_port.PeerPort(
                 engine=self._engine,
@@ -148,7 +159,8 @@
                 guard=guard,
                 handle_document_request=self._document_exchange.handle_request,
                 counts=self._counts,
-            )
+            ),
+            self._connections,
         )
         self._local = _local_port.make_server(
             _local_port.LocalPort(
@@ -157,12 +169,14 @@
                 read_announcement=environment.read_announcement,
                 contradicts=self._inspector.contradicts,
                 keep_departure=self._document_exchange.departures.keep,
-            )
+            ),
+            self._connections,
         )
         self._ready = _ready_port.make_server(
             _ready_port.ReadyPort(
                 engine=self._engine, target=environment.dialect.ready_target
-            )
+            ),
+            self._connections,
         )
         self._metrics = _metrics_port.make_server(
             _metrics_port.MetricsPort(
@@ -172,7 +186,8 @@
                     self._log_writer.suppressed_lines
                     + self._fault_log.suppressed_lines
                 ),
-            )
+            ),
+            self._connections,
         )
         self._reload: _reload.SettingsReloader | None = None
         if environment.read_options is not None:
@@ -253,6 +268,12 @@
         if self._reload is not None:
             self._reload.reload_settings()
 
+    def _read_request_limits(self) -> configuration.RequestLimits:
+        in_force = self._engine.state.versions.configuration
+        if in_force is None or in_force.request_limits is None:
+            return self._options.request_limits
+        return in_force.request_limits
+
     def _write_record(self, command: node.WriteRecord) -> None:
         self._timeline.write(command.record)
         is_config_adopted = (
--- a/packages/node/marjoramledge_node/_ready_port.py
+++ b/packages/node/marjoramledge_node/_ready_port.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from marjoramledge_node import _bounded_server
+from marjoramledge_node import _connection_limits
 from marjoramledge_node import _engine
 
 
@@ -34,6 +35,9 @@
         return web.Response(status=503 if problem else 200, text=problem)
 
 
-def make_server(port: ReadyPort) -> web.Server:
+def make_server(
+    port: ReadyPort,
+    table: _connection_limits.ConnectionTable | None = None,
+) -> web.Server:
     """Create the HTTP server of the readiness port."""
-    return _bounded_server.Server(port.serve, access_log=None)
+    return _bounded_server.Server(port.serve, table=table, access_log=None)
--- a/packages/node/marjoramledge_node/process.py
+++ b/packages/node/marjoramledge_node/process.py
@@ -2,6 +2,7 @@
 
 from marjoramledge_node import _absorbed_hangups  # noqa: F401
 from marjoramledge_node import _auth
+from marjoramledge_node import _connection_limits
 from marjoramledge_node import _dialect
 from marjoramledge_node import _environment
 from marjoramledge_node import _event_loop
@@ -9,6 +10,7 @@
 from marjoramledge_node import _options
 from marjoramledge_node import _process
 
+DEFAULT_MEMORY_MB = _connection_limits.DEFAULT_MEMORY_MB
 Dialect = _dialect.Dialect
 HeaderMap = _dialect.HeaderMap
 KeyRing = _auth.KeyRing
