Let operators limit requests and connections, and note the design

A peer takes heads of twice the limit, since an entry adds its own headers: a head at the limit would have been let in at the entry and refused at the peer.

--- a/packages/node/marjoramledge_node/_bounded_server.py
+++ b/packages/node/marjoramledge_node/_bounded_server.py
@@ -35,8 +35,8 @@
 # A body is received ahead of its reader up to twice this size.
 BODY_BUFFER_BYTES: typing.Final = 65536
 # Memory of a connection that holds nothing, and of a header field.  The first
-# was measured as 5 KB.  The second was 130 bytes for an empty field of a head
-# that is not complete; it is two more for its copies, and for a longer name.
+# was measured as 6.6 KB.  The second was 146 bytes for an empty field of a
+# head that is not complete; copies and longer names take more.
 CONNECTION_BYTES: typing.Final = 8192
 FIELD_BYTES: typing.Final = 400
 # Bytes of a body that its request may keep to send them again.
@@ -48,10 +48,10 @@
 _CHEAP_BYTES: typing.Final = 1024
 # Less than this is not worth a pause.
 _MIN_EXPENSIVE_S: typing.Final = 0.0005
-# Bytes of a field besides its name and value, and of a request line besides
-# its method and target.
+# Bytes of a field besides its name and value, and of the rest of a head
+# besides method and target.
 _FIELD_OVERHEAD_BYTES: typing.Final = 4
-_LINE_OVERHEAD_BYTES: typing.Final = 12
+_LINE_OVERHEAD_BYTES: typing.Final = 14
 _HEAD_END: typing.Final = b"\r\n\r\n"
 # The library keeps what follows a request that offers this protocol.
 _KEPT_UPGRADE: typing.Final = "websocket"
@@ -86,6 +86,7 @@
     _waiting_periods = 0
     _waiting_for_head = False
     _served_fields = 0
+    _is_served_in_chunks = False
     _last_use = 0
     _table: _connection_limits.ConnectionTable
     # A request whose head is too long.
@@ -93,6 +94,12 @@
     # Answer to a head that is not complete; sent after all others.
     _refusal = b""
 
+    @property
+    def _max_head_bytes(self) -> int:
+        manager = self._manager
+        assert isinstance(manager, Server)
+        return manager.head_factor * self._table.limits.max_head_bytes
+
     @property
     def phase(self) -> _connection_limits.Phase:
         """What the connection is doing."""
@@ -189,6 +196,7 @@
     ) -> http_parser.RawRequestMessage:
         """Note a request that is served next; return it as it is served."""
         self._served_payload = payload
+        self._is_served_in_chunks = message.chunked
         self._served_fields = len(message.raw_headers)
         self._last_use = self._table.next_use()
         self._waiting_periods = 0
@@ -282,7 +290,7 @@
         elif not was_body_due and (self._head_bytes or data.strip(b"\r\n")):
             self._head_bytes += len(data)
             self._head_lines += data.count(b"\n")
-            if self._head_bytes > self._table.limits.max_head_bytes:
+            if self._head_bytes > self._max_head_bytes:
                 self._refuse(431, "Request Header Fields Too Large")
                 return
         self._received_before = (self._received_before + data)[-3:]
@@ -295,7 +303,7 @@
 
     def _check_head_size(self, received_bytes: int) -> None:
         """Refuse the newest request if its head is too long."""
-        limit = self._table.limits.max_head_bytes
+        limit = self._max_head_bytes
         if self._head_bytes + received_bytes <= limit or not self._messages:
             return
         message, _ = self._messages[-1]
@@ -365,6 +373,16 @@
         if payload is not self._seen_payload:
             self._seen_payload = payload
             self._seen_body_bytes = 0
+        manager = self._manager
+        if (
+            isinstance(manager, Server)
+            and manager.limits_bodies
+            and self._is_served_in_chunks
+            and payload is self._served_payload
+            and payload.total_bytes > self._table.limits.max_body_bytes
+        ):
+            self._abort()
+            return
         grown = payload.total_bytes - self._seen_body_bytes
         self._seen_body_bytes = payload.total_bytes
         self._overhead_bytes = max(
@@ -382,9 +400,9 @@
         transport.abort()
 
 
-async def _refuse_long_head() -> web.StreamResponse:
+async def _refuse(status: int) -> web.StreamResponse:
     refusal = web.Response(
-        status=431, headers={_headers.RUN: node.RunState.NOT_RUN.value}
+        status=status, headers={_headers.RUN: node.RunState.NOT_RUN.value}
     )
     refusal.force_close()
     return refusal
@@ -402,6 +420,10 @@
     table
         Limits on all connections of the process; by default, on those of this
         server.
+    head_factor
+        Factor of the operator's limit of heads on this port.
+    limits_bodies
+        Whether the operator's limit of bodies holds on this port.
     options
         Options of the library.
     """
@@ -411,12 +433,16 @@
         handler: Handler,
         *,
         table: _connection_limits.ConnectionTable | None = None,
+        head_factor: int = 1,
+        limits_bodies: bool = False,
         **options: typing.Any,  # noqa: ANN401
     ) -> None:
         super().__init__(
             self._serve, read_bufsize=BODY_BUFFER_BYTES, **options
         )
         self._handler = handler
+        self.head_factor = head_factor
+        self.limits_bodies = limits_bodies
         self.table = table or _connection_limits.ConnectionTable(
             capacity=_connection_limits.compute_capacity(),
             read_limits=configuration.RequestLimits,
@@ -429,7 +455,10 @@
         if isinstance(protocol, _Protocol) and protocol.is_too_long(
             request._message
         ):
-            return _refuse_long_head()
+            return _refuse(431)
+        length = max(request.content_length or 0, request.content.total_bytes)
+        if self.limits_bodies and length > self.table.limits.max_body_bytes:
+            return _refuse(413)
         return self._handler(request)
 
     def __call__(self) -> web.RequestHandler:
--- a/packages/node/marjoramledge_node/_caller_port.py
+++ b/packages/node/marjoramledge_node/_caller_port.py
@@ -516,6 +516,7 @@
     return _bounded_server.Server(
         port.serve,
         table=table,
+        limits_bodies=True,
         handler_cancellation=True,
         access_log=None,
         auto_decompress=False,
--- a/packages/node/marjoramledge_node/_main.py
+++ b/packages/node/marjoramledge_node/_main.py
@@ -4,6 +4,7 @@
 import sys
 import typing
 
+from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_store import client
@@ -11,6 +12,7 @@
 import typer
 
 from marjoramledge_node import _auth
+from marjoramledge_node import _connection_limits
 from marjoramledge_node import _environment
 from marjoramledge_node import _options
 from marjoramledge_node import _process
@@ -181,6 +183,52 @@
             help="IP:PORT that serves Prometheus metrics; empty for none.",
         ),
     ] = "",
+    max_head_bytes: typing.Annotated[
+        int,
+        typer.Option(
+            "--max-head-bytes",
+            envvar="MARJORAMLEDGE_MAX_HEAD_BYTES",
+            min=1024,
+            help="Bytes of the longest request head of a caller.",
+        ),
+    ] = configuration.DEFAULT_MAX_HEAD_BYTES,
+    max_body_bytes: typing.Annotated[
+        int,
+        typer.Option(
+            "--max-body-bytes",
+            envvar="MARJORAMLEDGE_MAX_BODY_BYTES",
+            min=1,
+            help="Bytes of the longest request body of a caller.",
+        ),
+    ] = configuration.DEFAULT_MAX_BODY_BYTES,
+    head_timeout_s: typing.Annotated[
+        float,
+        typer.Option(
+            "--head-timeout-s",
+            envvar="MARJORAMLEDGE_HEAD_TIMEOUT_S",
+            min=1.0,
+            help="Seconds that a request head may take to arrive.",
+        ),
+    ] = configuration.DEFAULT_HEAD_TIMEOUT_S,
+    idle_timeout_s: typing.Annotated[
+        float,
+        typer.Option(
+            "--idle-timeout-s",
+            envvar="MARJORAMLEDGE_IDLE_TIMEOUT_S",
+            min=1.0,
+            help="Seconds for which a connection without a request stays "
+            "open while there is room.",
+        ),
+    ] = configuration.DEFAULT_IDLE_TIMEOUT_S,
+    memory_mb: typing.Annotated[
+        int,
+        typer.Option(
+            "--memory-mb",
+            envvar="MARJORAMLEDGE_MEMORY_MB",
+            min=128,
+            help="Memory of the VM; connections hold a quarter of it at most.",
+        ),
+    ] = _connection_limits.DEFAULT_MEMORY_MB,
     statsd: typing.Annotated[
         str,
         typer.Option(
@@ -225,6 +273,13 @@
         core_options=node.Options(
             stop_limit_s=stop_limit_s, outdated_limit_s=outdated_limit_s
         ),
+        request_limits=configuration.RequestLimits(
+            max_head_bytes=max_head_bytes,
+            max_body_bytes=max_body_bytes,
+            head_timeout_s=head_timeout_s,
+            idle_timeout_s=idle_timeout_s,
+        ),
+        memory_mb=memory_mb,
         log_format=log_format,
         log_level=log_level,
         statsd_address=(
--- a/packages/node/marjoramledge_node/_peer_port.py
+++ b/packages/node/marjoramledge_node/_peer_port.py
@@ -411,6 +411,7 @@
     return _bounded_server.Server(
         port.serve,
         table=table,
+        head_factor=2,
         handler_cancellation=True,
         access_log=None,
         auto_decompress=False,
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -42,6 +42,8 @@
     }
 )
 BODY_IDLE_TIMEOUT_S: typing.Final = 60.0
+# A response is received ahead of its caller up to twice this size.
+ANSWER_BUFFER_BYTES: typing.Final = 65536
 PROBE_TIMEOUT_S: typing.Final = 1.0
 # A health page is only a line or two.
 MAX_PROBE_BYTES: typing.Final = 65536
@@ -224,6 +226,7 @@
         timeout=_build_timeouts(BODY_IDLE_TIMEOUT_S),
         auto_decompress=False,
         skip_auto_headers=_AUTO_HEADERS,
+        read_bufsize=ANSWER_BUFFER_BYTES,
         max_line_size=16384,
         max_field_size=16384,
     )
