Measure short, complete requests with all other connections

Cause: each request paid for an estimate of what its connection holds.

Change: a request of up to 1 KB that is complete is measured twice a second with all connections, not when it arrives.

--- a/packages/node/marjoramledge_node/_bounded_server.py
+++ b/packages/node/marjoramledge_node/_bounded_server.py
@@ -218,7 +218,14 @@
             self._table.update(self)
         elif len(data) <= _CHEAP_BYTES:
             self._parse(data)
-            self._table.update(self)
+            # A short request that is complete holds little until it is
+            # measured with all others.
+            if (
+                self._head_bytes
+                or len(self._messages) > 1
+                or self._is_body_due()
+            ):
+                self._table.update(self)
         else:
             self._parse_pieces(data)
 
