Stand-ins: a fleet of uneven zones under virtual time

Scenarios may have demand that differs by zone and swings, several inner calls in a row, and a zone that is lost.

--- a/packages/standins/marjoramledge_standins/driver.py
+++ b/packages/standins/marjoramledge_standins/driver.py
@@ -59,6 +59,11 @@
             disturbed_at,
             lambda: world.servers[0].go_cold(world.now, COLD_START_S),
         )
+    if scenario.lost_zone:
+        world.at(
+            scenarios.START_S + scenario.lost_from_s,
+            functools.partial(_lose_zone, world),
+        )
     world.run(world.end_s)
     served_s = sum(server.served_s for server in world.servers)
     world.run(world.end_s + virtual_world.ANSWER_LIMIT_S)
@@ -71,9 +76,17 @@
         sent_to_servers=world.sent_to_servers,
         starts=tuple(map(tuple, world.starts)),
         offers=world.offers,
+        crossings=tuple(world.crossings),
     )
 
 
+def _lose_zone(world: virtual_world.World) -> None:
+    """Abort what the servers of the lost zone run."""
+    for number, server in enumerate(world.servers):
+        if world.is_lost(number):
+            server.restart(world.now, COLD_START_S)
+
+
 def _make_baseline(world: virtual_world.World, policy: Policy) -> _Arrive:
     servers = world.servers
     count = len(servers)
--- a/packages/standins/marjoramledge_standins/scenarios.py
+++ b/packages/standins/marjoramledge_standins/scenarios.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import typing
 
 from marjoramledge_core import node
@@ -25,8 +26,9 @@
 
     ``host`` and ``mean_demand_s`` default to those of the scenario.  A request
     of the kind calls the kind named ``inner`` with probability
-    ``inner_share``; kinds that are called in this way only have a share of
-    zero.  ``patience_s`` is how long callers wait in total, retries included.
+    ``inner_share``, ``inner_calls`` times in a row; kinds that are called in
+    this way only have a share of zero.  ``patience_s`` is how long callers
+    wait in total, retries included.
     """
 
     name: str
@@ -37,6 +39,7 @@
     mean_demand_s: float | None = None
     inner: str | None = None
     inner_share: float = 0.0
+    inner_calls: int = 1
     patience_s: float | None = None
     is_idempotent: bool = True
 
@@ -50,6 +53,48 @@
     factor: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ZoneDemand:
+    """Calls that arrive at the entries of one zone.
+
+    ``weight`` is relative to that of other zones.  The rate swings by
+    ``swing`` of its mean with a period of ``period_s``; ``phase`` is the part
+    of a period by which it is ahead.
+    """
+
+    zone: str
+    weight: float
+    swing: float = 0.0
+    period_s: float = 17.0
+    phase: float = 0.0
+
+    def rate_at(self, since_s: float) -> float:
+        """Return the weight at a time, in seconds since the start."""
+        turns = since_s / self.period_s + self.phase
+        return self.weight * (
+            1.0 + self.swing * math.sin(2.0 * math.pi * turns)
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Crossing:
+    """An attempt that was sent to a server, with the state at that time.
+
+    ``sent_s`` is the time that the call would take at the chosen server, as
+    an observer of all queues sees it when the call is sent; ``home_s`` and
+    ``away_s`` are those of the best server inside and outside the zone of the
+    entry.  All include the round trip.
+    """
+
+    call: str
+    kind: str
+    is_first: bool
+    is_home: bool
+    sent_s: float
+    home_s: float
+    away_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class NamedLimit:
     """An interval in which a server names a rate limit in its answers."""
@@ -68,7 +113,10 @@
     ``service``.  ``calls_per_s`` is the arrival rate without bursts; if not
     given, ``load`` sets it as a share of the capacity.  ``max_retries`` is the
     maximum number of retries of a caller that was refused, or whose
-    idempotent call failed.
+    idempotent call failed.  Without ``zone_demands``, calls arrive evenly at
+    all entries.  ``records_crossings`` records each attempt with the state of
+    all servers.  From ``lost_from_s`` on, the nodes and servers of
+    ``lost_zone`` are gone, and its callers use the entries of other zones.
     """
 
     documents: collections.abc.Mapping[str, str]
@@ -98,6 +146,10 @@
     announced_slots: int | None = None
     named_limits: tuple[NamedLimit, ...] = ()
     options: node.Options = DEFAULT_OPTIONS
+    zone_demands: tuple[ZoneDemand, ...] = ()
+    records_crossings: bool = False
+    lost_zone: str = ""
+    lost_from_s: float = math.inf
 
     @property
     def capacity_per_s(self) -> float:
@@ -127,13 +179,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Outcome:
-    """The outcome of one caller's call, over all its retries."""
+    """The outcome of one caller's call, over all its retries.
+
+    ``zone`` is the zone of its entry.
+    """
 
     kind: str
     arrived_at: float
     latency_s: float
     is_answered: bool
     reason: str
+    zone: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -142,7 +198,8 @@
 
     ``arrivals`` counts all calls; one that hangs for ever has no outcome.
     ``starts`` are the times at which each server got a call, and ``offers``
-    counts the attempts that were sent to another node.
+    counts the attempts that were sent to another node.  ``crossings`` holds
+    all attempts if the scenario records them.
     """
 
     arrivals: int
@@ -153,3 +210,4 @@
     sent_to_servers: int
     starts: tuple[tuple[float, ...], ...] = ()
     offers: int = 0
+    crossings: tuple[Crossing, ...] = ()
--- a/packages/standins/marjoramledge_standins/virtual_callers.py
+++ b/packages/standins/marjoramledge_standins/virtual_callers.py
@@ -61,6 +61,9 @@
     scenario: scenarios.Scenario, entries: int
 ) -> collections.abc.Iterator[Arrival]:
     """Draw the arrivals of a scenario from a Poisson process."""
+    if scenario.zone_demands:
+        yield from _draw_zone_arrivals(scenario)
+        return
     rng = random.Random(scenario.seed)
     burst = scenario.burst
     peak = 1.0 if burst is None else max(1.0, burst.factor)
@@ -87,6 +90,50 @@
         number += 1
 
 
+def _draw_zone_arrivals(
+    scenario: scenarios.Scenario,
+) -> collections.abc.Iterator[Arrival]:
+    """Draw arrivals whose rate differs by zone and swings over time."""
+    rng = random.Random(scenario.seed)
+    zones = scenario.server_zones + scenario.other_entry_zones
+    demands = scenario.zone_demands
+    mean = sum(demand.weight for demand in demands)
+    peak = sum(demand.weight * (1.0 + demand.swing) for demand in demands)
+    entries = {
+        demand.zone: [n for n, zone in enumerate(zones) if zone == demand.zone]
+        for demand in demands
+    }
+    remaining = [
+        n for n, zone in enumerate(zones) if zone != scenario.lost_zone
+    ]
+    mix_weights = [mix.share for mix in scenario.mix]
+    at = scenarios.START_S - scenarios.WARM_UP_S
+    number = 0
+    while True:
+        at += rng.expovariate(scenario.arrivals_per_s * peak / mean)
+        since_s = at - scenarios.START_S
+        if since_s >= scenario.duration_s:
+            return
+        rates = [demand.rate_at(since_s) for demand in demands]
+        if rng.random() * peak >= sum(rates):
+            continue
+        (demand,) = rng.choices(demands, rates)
+        entry = rng.choice(entries[demand.zone])
+        if demand.zone == scenario.lost_zone and (
+            since_s >= scenario.lost_from_s
+        ):
+            entry = rng.choice(remaining)
+        (mix,) = rng.choices(scenario.mix, mix_weights)
+        yield Arrival(
+            number=number,
+            at=at,
+            entry=entry,
+            mix=mix,
+            demand_s=draw_demand(scenario, mix, rng),
+        )
+        number += 1
+
+
 def draw_demand(
     scenario: scenarios.Scenario, mix: scenarios.CallMix, rng: random.Random
 ) -> float:
@@ -137,6 +184,7 @@
                 arrival.at,
                 is_answered=end.is_answered,
                 reason=end.reason,
+                zone=self._world.zones[arrival.entry],
             )
         else:
             self._world.after(wait_s, lambda: self._call(arrival, retries + 1))
--- a/packages/standins/marjoramledge_standins/virtual_nodes.py
+++ b/packages/standins/marjoramledge_standins/virtual_nodes.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 import random
 import typing
 
@@ -113,6 +114,8 @@
 
     def submit(self, number: int, event: node.Event) -> None:
         """Let a node handle an event and execute the resulting commands."""
+        if self._world.is_lost(number):
+            return
         now = self._world.now
         state = self._states[number]
         for command in node.handle(state, event, now, self._rng):
@@ -228,6 +231,8 @@
         gate: int | None,
     ) -> None:
         started_at = self._world.now
+        if gate is None:
+            self._record_crossing(number, number, attempt)
         self._world.sent_to_servers += 1
         self._world.starts[number].append(started_at)
 
@@ -280,24 +285,44 @@
         if self._rng.random() >= open_call.mix.inner_share:
             return
         mix = self._mixes[open_call.mix.inner]
-        self._inner_calls += 1
-        name = f"i{self._inner_calls}"
-        demand_s = virtual_callers.draw_demand(self._scenario, mix, self._rng)
+        names: list[str] = []
+        demands_s: list[float] = []
+        for _ in range(open_call.mix.inner_calls):
+            self._inner_calls += 1
+            names.append(f"i{self._inner_calls}")
+            demands_s.append(
+                virtual_callers.draw_demand(self._scenario, mix, self._rng)
+            )
         server = self._world.servers[number]
+        position = 0
 
         def end(outcome: virtual_callers.CallEnd) -> None:
+            nonlocal position
+            position += 1
+            if outcome.is_answered and position < len(names):
+                if not job.is_cancelled:
+                    begin()
+                return
             server.end_call(
                 job, self._world.now, is_answered=outcome.is_answered
             )
 
         def begin() -> None:
-            self.call(name, number, mix, demand_s, mix.patience_s, end)
+            self.call(
+                names[position],
+                number,
+                mix,
+                demands_s[position],
+                mix.patience_s,
+                end,
+            )
 
         def disconnect() -> None:
-            if self._calls.pop(name, None) is not None:
-                self.submit(
-                    number, node.CallerDisconnected(call=ids.CallId(name))
-                )
+            for name in names:
+                if self._calls.pop(name, None) is not None:
+                    self.submit(
+                        number, node.CallerDisconnected(call=ids.CallId(name))
+                    )
 
         job.call_another = begin
         job.on_cancel = disconnect
@@ -306,6 +331,10 @@
         peer = self._number_of[command.address]
         self._gate_of[command.attempt] = peer
         self._world.offers += 1
+        self._record_crossing(number, peer, command.attempt)
+        if self._world.is_lost(peer):
+            self._fail_attempt(number, command)
+            return
         mix = self._calls[command.call].mix
         remaining_s = command.deadline_at - self._world.now
         target_s = command.target_at - self._world.now
@@ -327,6 +356,59 @@
             ),
         )
 
+    def _fail_attempt(self, number: int, command: node.SendToPeer) -> None:
+        """Fail an attempt that could not connect to its node."""
+        failed = node.AttemptFailed(
+            call=command.call,
+            attempt=command.attempt,
+            run=node.RunState.NOT_RUN,
+            reason=node.Reason.PEER_UNREACHABLE,
+            load=None,
+            is_body_consumed=False,
+        )
+        peer = self._number_of[command.address]
+        self._world.after(
+            2.0 * self._world.delay_s(number, peer),
+            lambda: self.submit(number, failed),
+        )
+
+    def _record_crossing(self, entry: int, chosen: int, attempt: str) -> None:
+        """Record where an attempt is sent, with the state of all servers."""
+        world = self._world
+        call, _, number = attempt.rpartition(".")
+        is_warm = world.now >= scenarios.START_S
+        if not self._scenario.records_crossings or not is_warm:
+            return
+        mix = self._calls[call].mix
+        demand_s = self._scenario.demand_of(mix)
+        service = self._scenario.service_of(chosen)
+        home_s = away_s = sent_s = math.inf
+        for server, virtual in enumerate(world.servers):
+            if self._scenario.service_of(server) != service:
+                continue
+            gate = self._states[server].gate
+            load = (gate.running + gate.queued + 1.0) / gate.limit
+            taken_s = demand_s * virtual.slowdown_at(world.now) * max(
+                1.0, load
+            ) + 2.0 * world.delay_s(entry, server)
+            if server == chosen:
+                sent_s = taken_s
+            if world.zones[server] == world.zones[entry]:
+                home_s = min(home_s, taken_s)
+            else:
+                away_s = min(away_s, taken_s)
+        world.crossings.append(
+            scenarios.Crossing(
+                call=call,
+                kind=mix.name,
+                is_first=number == "0",
+                is_home=world.zones[chosen] == world.zones[entry],
+                sent_s=sent_s,
+                home_s=home_s,
+                away_s=away_s,
+            )
+        )
+
     def _send_answer(
         self,
         gate: int,
--- a/packages/standins/marjoramledge_standins/virtual_world.py
+++ b/packages/standins/marjoramledge_standins/virtual_world.py
@@ -32,6 +32,7 @@
         self.outcomes: list[scenarios.Outcome] = []
         self.sent_to_servers = 0
         self.offers = 0
+        self.crossings: list[scenarios.Crossing] = []
         self.starts: list[list[float]] = [[] for _ in scenario.server_zones]
         self.zones = scenario.server_zones + scenario.other_entry_zones
         self.servers = [
@@ -81,6 +82,13 @@
             return SAME_ZONE_S
         return self.scenario.zone_delay_s
 
+    def is_lost(self, number: int) -> bool:
+        """Return whether a node is gone, because its zone is lost."""
+        return (
+            self.now >= scenarios.START_S + self.scenario.lost_from_s
+            and self.zones[number] == self.scenario.lost_zone
+        )
+
     def finish(
         self,
         kind: str,
@@ -88,6 +96,7 @@
         *,
         is_answered: bool,
         reason: str = "",
+        zone: str = "",
     ) -> None:
         """Record the outcome of a call, unless it arrived during warm-up."""
         if arrived_at < scenarios.START_S:
@@ -99,6 +108,7 @@
                 latency_s=self.now - arrived_at,
                 is_answered=is_answered,
                 reason=reason,
+                zone=zone,
             )
         )
 
