Let a share of the calls overflow to other zones by a decision of its own

Options.zone_overflow, off by default, replaces the fixed cost of other zones for first attempts. The round trip is measured from membership probes.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -27,6 +27,7 @@
 from marjoramledge_core import _settings
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
+from marjoramledge_core import _zone_measurements
 
 # Mean Retry-After of a refusal: overload caused by a noisy neighbour or a
 # restart typically ends within this time.
@@ -175,6 +176,7 @@
     if event.is_error and _retry_error(step, call, attempt):
         return
     step.state.answered_calls.note(call.fingerprint, step.now)
+    _zone_measurements.note_answer(step, call, attempt)
     step.latency_of(call.kind).note(step.now - attempt.sent_at)
     call.advance(_state.CallPhase.ANSWERED)
     if event.is_error or _should_record_answer(step, call):
--- a/packages/core/marjoramledge_core/_dispatch.py
+++ b/packages/core/marjoramledge_core/_dispatch.py
@@ -18,8 +18,10 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _load
 from marjoramledge_core import _outcomes
+from marjoramledge_core import _records
 from marjoramledge_core import _routing
 from marjoramledge_core import _state
+from marjoramledge_core import _zone_overflow
 
 # With three of four servers full, nine of ten calls find room within eight
 # attempts; the remaining calls queue.
@@ -80,9 +82,37 @@
         excluded,
         step.now,
         step.rng,
+        _draw_offer(step, call),
     )
 
 
+def _draw_offer(
+    step: _state.Step, call: _state.Call
+) -> _zone_overflow.Offer | None:
+    """Draw the zone that a call may use, if overflow is enabled.
+
+    Only the first attempt follows the shares.  Once a gate has refused a
+    call, or a hedge is sent, any zone is better than the one that failed it.
+    """
+    options = step.state.options.zone_overflow
+    if options is None or call.attempts:
+        return None
+    overflow = step.state.zone_overflow
+    changes = overflow.update(
+        call.service,
+        step.state.directory.candidates(call.service),
+        options,
+        step.now,
+    )
+    for change in changes:
+        step.record(
+            _records.RecordKind.ZONE_SHARE_CHANGED,
+            service=call.service,
+            detail=change.detail,
+        )
+    return overflow.draw(call.service, options, step.rng)
+
+
 def send(
     step: _state.Step,
     call: _state.Call,
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -32,6 +32,8 @@
 from marjoramledge_core import _timers
 from marjoramledge_core import _version_numbers
 from marjoramledge_core import _versions
+from marjoramledge_core import _zone_measurements
+from marjoramledge_core import _zone_overflow
 
 # Interval at which a stopping node checks whether calls still run.
 STOP_CHECK_S: typing.Final = 0.05
@@ -113,6 +115,7 @@
             other_zone_cost_s=options.other_zone_cost_s,
             other_zone_cost_share=options.other_zone_cost_share,
         ),
+        zone_overflow=_zone_overflow.Overflow(zone=identity.zone),
         calls={},
         quarantine=_quarantine.Quarantine(),
         answered_by_server=_answered_requests.AnsweredRequests(),
@@ -172,6 +175,7 @@
 
 def _handle_message(step: _state.Step, event: _events.MessageReceived) -> None:
     message = event.message
+    _zone_measurements.note_message(step, message)
     recalled = step.state.membership.myself.departed
     step.state.membership.receive_message(message, step.now, step.out)
     _apply_recalled_departure(step, recalled)
@@ -447,7 +451,7 @@
         _gate_handlers.probe_server(step)
     ),
     _timers.TimerKind.MEMBER_PROBE: lambda step, timer: (
-        step.state.membership.probe_next(step.now, step.rng, step.out)
+        _zone_measurements.probe_next(step)
     ),
     _timers.TimerKind.PROBE_TIMEOUT: lambda step, timer: (
         step.state.membership.probe_timed_out(
--- a/packages/core/marjoramledge_core/_options.py
+++ b/packages/core/marjoramledge_core/_options.py
@@ -4,6 +4,7 @@
 import typing
 
 from marjoramledge_core import _budget
+from marjoramledge_core import _zone_overflow
 
 # About one round trip between zones.
 DEFAULT_OTHER_ZONE_COST_S: typing.Final = 0.0025
@@ -32,8 +33,10 @@
     it each entry node has the default budget.  ``other_zone_cost_s`` is the
     extra wait that a call accepts before it is sent to another zone of the
     region; it accepts at least ``other_zone_cost_share`` times the service
-    time of the other server.  A node refuses calls while the fleet has known
-    a newer configuration than its own for ``outdated_limit_s``.
+    time of the other server.  With ``zone_overflow``, a share of the calls
+    may leave the zone at the cost of the round trip only.  A node refuses
+    calls while the fleet has known a newer configuration than its own for
+    ``outdated_limit_s``.
     """
 
     stop_limit_s: float
@@ -44,4 +47,5 @@
     waits_for_version: bool = False
     other_zone_cost_s: float = DEFAULT_OTHER_ZONE_COST_S
     other_zone_cost_share: float = 0.0
+    zone_overflow: _zone_overflow.ZoneOverflow | None = None
     outdated_limit_s: float = DEFAULT_OUTDATED_LIMIT_S
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -22,7 +22,8 @@
     ``LIMIT_CHANGED`` concerns the gate's own limit of concurrent calls, and
     the ``RATE_LIMIT`` kinds the limit that the server names in its answers.
     ``LEAVING_INVALID`` is an answer that says unreadably whether the server
-    leaves.
+    leaves.  ``ZONE_SHARE_CHANGED`` tells which share of the calls may use
+    another zone, and why.
     """
 
     CALL_REFUSED = "call-refused"
@@ -59,6 +60,7 @@
     CONFIG_REFUSED = "config-refused"
     DRAIN_ORDERED = "drain-ordered"
     DRAIN_ENDED = "drain-ended"
+    ZONE_SHARE_CHANGED = "zone-share-changed"
     ZONE_CLOSED = "zone-closed"
     ZONE_OPENED = "zone-opened"
     STORE_FAILED = "store-failed"
--- a/packages/core/marjoramledge_core/_routing.py
+++ b/packages/core/marjoramledge_core/_routing.py
@@ -15,6 +15,7 @@
 
 from marjoramledge_core import _ids
 from marjoramledge_core import _load
+from marjoramledge_core import _zone_overflow
 
 SAMPLE_SIZE: typing.Final = 4
 SAME_ZONE_SAMPLE_SIZE: typing.Final = 4
@@ -22,20 +23,27 @@
 FULL_SCAN_MAX: typing.Final = 4
 
 
-def expected_response_s(server: _load.ServerLoad, now: float) -> float:
+def expected_response_s(
+    server: _load.ServerLoad,
+    now: float,
+    offer: _zone_overflow.Offer | None = None,
+) -> float:
     """Score a server by its expected response time in seconds.
 
     The cost of the queue grows with the cube of its length relative to the
     limit, as in C3 (Suresh et al., "C3: Cutting Tail Latency in Cloud Data
     Stores via Adaptive Replica Selection", NSDI 2015), so that a fast server
     is not overloaded.  The score also includes the cost of leaving the zone
-    and, after a readmission, a penalty that declines over the ramp.
+    and, after a readmission, a penalty that declines over the ramp.  In the
+    zone of an ``offer``, the cost is that of the offer.
     """
     load = (server.estimate_in_flight(now) + 1.0) / server.limit
     wait_s = server.latency_s * load * load * load
     zone_cost_s = max(
         server.zone_cost_s, server.zone_cost_share * server.latency_s
     )
+    if offer is not None and server.zone == offer.zone:
+        zone_cost_s = offer.cost_s
     score = server.latency_s + wait_s + zone_cost_s
     since_s = now - server.readmitted_at
     if since_s < _load.READMISSION_RAMP_S:
@@ -48,6 +56,7 @@
     excluded: collections.abc.Container[_ids.NodeId],
     now: float,
     rng: random.Random,
+    offer: _zone_overflow.Offer | None = None,
 ) -> _load.ServerLoad | None:
     """Choose a server among those neither excluded nor ejected.
 
@@ -61,6 +70,9 @@
         Monotonic time in seconds.
     rng
         Source of randomness.
+    offer
+        Zone that competes with the own one at a lower cost, if any.  The
+        sample is then drawn from these two zones.
 
     Returns
     -------
@@ -69,6 +81,15 @@
         If all remaining ones are ejected, the one whose ejection ends first
         is chosen, since a likely failure is better than a certain one.
     """
+    if offer is not None:
+        offered = [
+            server
+            for server in servers
+            if server.zone_cost_s == 0.0 or server.zone == offer.zone
+        ]
+        best = _choose_sampled(offered, excluded, now, rng, offer)
+        if best is not None:
+            return best
     best = _choose_sampled(servers, excluded, now, rng)
     if best is not None:
         return best
@@ -88,6 +109,7 @@
     excluded: collections.abc.Container[_ids.NodeId],
     now: float,
     rng: random.Random,
+    offer: _zone_overflow.Offer | None = None,
 ) -> _load.ServerLoad | None:
     best = None
     best_score = 0.0
@@ -97,7 +119,7 @@
             continue
         if server.is_paused(now):
             continue
-        score = expected_response_s(server, now)
+        score = expected_response_s(server, now, offer)
         if best is None or score < best_score:
             best = server
             best_score = score
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -25,6 +25,7 @@
 from marjoramledge_core import _timers
 from marjoramledge_core import _version_numbers
 from marjoramledge_core import _versions
+from marjoramledge_core import _zone_overflow
 
 
 class CallPhase(enum.Enum):
@@ -204,6 +205,7 @@
     membership: _membership.Membership
     versions: _versions.VersionTracker
     directory: _directory.Directory
+    zone_overflow: _zone_overflow.Overflow
     directory_revision: tuple[int, int] = (-1, -1)
     calls: dict[_ids.CallId, Call]
     quarantine: _quarantine.Quarantine
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -16,11 +16,13 @@
 from marjoramledge_core import _server_status
 from marjoramledge_core import _signals
 from marjoramledge_core import _state
+from marjoramledge_core import _zone_overflow
 
 Identity = _node.Identity
 NodeState = _state.NodeState
 StopPhase = _state.StopPhase
 FleetRetryBudget = _budget.FleetRetryBudget
+ZoneOverflow = _zone_overflow.ZoneOverflow
 Options = _options.Options
 DEFAULT_OUTDATED_LIMIT_S = _options.DEFAULT_OUTDATED_LIMIT_S
 create_state = _node.create_state
--- a/packages/node/marjoramledge_node/_main.py
+++ b/packages/node/marjoramledge_node/_main.py
@@ -148,6 +148,26 @@
             "known to the fleet refuses calls.",
         ),
     ] = node.DEFAULT_OUTDATED_LIMIT_S,
+    zone_overflow: typing.Annotated[
+        bool,
+        typer.Option(
+            "--zone-overflow/--no-zone-overflow",
+            envvar="MARJORAMLEDGE_ZONE_OVERFLOW",
+            help="Let a share of the calls use other zones at the cost of "
+            "the measured round trip while the own zone is busy.",
+        ),
+    ] = False,
+    zone_crossing_cost_ms: typing.Annotated[
+        float,
+        typer.Option(
+            "--zone-crossing-cost-ms",
+            envvar="MARJORAMLEDGE_ZONE_CROSSING_COST_MS",
+            min=0.0,
+            max=60000.0,
+            help="Milliseconds that a call must gain by leaving its zone, "
+            "besides the round trip; used with --zone-overflow.",
+        ),
+    ] = 0.0,
     log_format: typing.Annotated[
         _options.LogFormat,
         typer.Option(
@@ -223,7 +243,15 @@
         seeds=_parse_addresses(seed, "--seeds"),
         keys=_parse_option(_auth.parse_keys, keys, "--keys"),
         core_options=node.Options(
-            stop_limit_s=stop_limit_s, outdated_limit_s=outdated_limit_s
+            stop_limit_s=stop_limit_s,
+            outdated_limit_s=outdated_limit_s,
+            zone_overflow=(
+                node.ZoneOverflow(
+                    crossing_cost_s=zone_crossing_cost_ms / 1000.0
+                )
+                if zone_overflow
+                else None
+            ),
         ),
         log_format=log_format,
         log_level=log_level,
--- a/packages/node/marjoramledge_node/_metrics_port.py
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -116,6 +116,16 @@
         for fault_kind, count in self._counts.faults.items():
             faults.add_metric((fault_kind,), count)
         yield faults
+        shares = core.GaugeMetricFamily(
+            "marjoramledge_zone_share",
+            "Share of the calls that may use another zone at the cost of the "
+            "round trip only.",
+            labels=("service", "zone"),
+        )
+        overflow = self._engine.state.zone_overflow
+        for service, zone, share, _ in overflow.list_shares():
+            shares.add_metric((service, zone), share)
+        yield shares
         for name, help_text, value in self._gauges():
             yield core.GaugeMetricFamily(
                 f"marjoramledge_{name}", help_text, value
