--- a/packages/core/marjoramledge_core/_zone_overflow.py
+++ b/packages/core/marjoramledge_core/_zone_overflow.py
@@ -2,14 +2,14 @@
 
 Each entry keeps, for each service and other zone, the share of its calls that
 may use that zone on equal terms, at the cost of the measured round trip only.
-The other calls leave the zone at the fixed cost of ``_directory``.  The share
-follows the difference of the expected response times of the zones, which are
+The other calls stay in the zone at their first attempt; further attempts
+follow the fixed cost of ``_directory``.  The share rises with the utilisation
+of the own zone and falls where the other one responds more slowly, as
 summarized from the load reports that the entry receives anyway.
 
 The share moves slowly and each call draws by itself, so entries that see the
 same overload do not all send their calls to the same zone before its reports
-show them.  Where the share comes to rest, both zones respond equally fast:
-this is water-filling by feedback, without messages.
+show them.
 """
 
 import collections.abc
@@ -127,7 +127,7 @@
     servers: collections.abc.Iterable[_load.ServerLoad], now: float
 ) -> ZoneSummary | None:
     """Summarize the load of one zone; None if nothing recent is known."""
-    weights = inverse_latency = limits = busy = 0.0
+    weights = limits = busy = 0.0
     for server in servers:
         age_s = server.report_age_s(now)
         if age_s is None or age_s > MAX_REPORT_AGE_S:
@@ -140,13 +140,12 @@
         # in a zone changes much more slowly than that at one server.
         in_flight = server.entry_in_flight + server.others_in_flight
         weights += weight
-        inverse_latency += weight
         limits += server.limit
         busy += weight * in_flight / server.limit
     if not weights:
         return None
     utilisation = busy / weights
-    latency_s = limits / inverse_latency
+    latency_s = limits / weights
     return ZoneSummary(
         response_s=latency_s * (1.0 + utilisation**3),
         utilisation=utilisation,
--- a/packages/standins/marjoramledge_standins/uneven_zones.py
+++ b/packages/standins/marjoramledge_standins/uneven_zones.py
@@ -272,9 +272,12 @@
     )
 
 
-def main(*, seed: int = 1, load: float = 1.0) -> None:
-    """Run the fleet and print a summary."""
-    scenario = build_scenario(seed, load=load, options=build_options())
+def main(*, seed: int = 1, load: float = 1.0, overflow: bool = False) -> None:
+    """Run the fleet, with or without overflow, and print a summary."""
+    options = build_options(
+        zone_overflow=node.ZoneOverflow() if overflow else None
+    )
+    scenario = build_scenario(seed, load=load, options=options)
     print(summarize(driver.run_scenario(scenario, driver.Policy.OURS)))
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -46,6 +46,23 @@
     assert _list_events("c1") == expected
 
 
+# Guards against a call that left its zone for a reason that is not shown.
+def test_a_change_of_a_zone_share_is_shown_with_the_calls_it_concerns() -> (
+    None
+):
+    texts = [
+        _line(1.0, "n1", "zone-share-changed", service="shop"),
+        _line(1.5, "n2", "zone-share-changed", service="other"),
+        _line(2.0, "n1", "call-answered", call="c1", service="shop"),
+    ]
+    lines = [line for text in texts if (line := _explain.parse_line(text))]
+    found = _explain.find_request_lines(lines, "c1")
+    assert [(line.node, line.event) for line in found] == [
+        ("n1", "zone-share-changed"),
+        ("n1", "call-answered"),
+    ]
+
+
 def test_no_lines_are_found_for_an_unknown_request() -> None:
     assert _list_events("r7") == []
 
--- a/tests/test_uneven_zones.py
+++ b/tests/test_uneven_zones.py
@@ -5,6 +5,7 @@
 to gain by that; but a zone must not wait beside an idle one.
 """
 
+import collections
 import random
 
 from marjoramledge_core import _load
@@ -12,6 +13,9 @@
 from marjoramledge_core import _routing
 from marjoramledge_core import ids
 from marjoramledge_core import node
+from marjoramledge_standins import scenarios
+from marjoramledge_standins import uneven_zones
+from marjoramledge_standins import virtual_callers
 import pytest
 
 NOW = 100.0
@@ -70,3 +74,24 @@
 @pytest.mark.parametrize("service_s", [0.1, 0.5, 1.0])
 def test_calls_leave_a_zone_that_is_full(service_s: float) -> None:
     assert _share_sent_away(SLOTS, service_s) > 0.9
+
+
+# Guards against figures of an emulation that is not the one described: calls
+# arrive in the zones' proportion, and swing.
+def test_arrivals_follow_the_demand_of_each_zone() -> None:
+    scenario = uneven_zones.build_scenario(
+        1, options=uneven_zones.build_options()
+    )
+    period_s = uneven_zones.DURATION_S
+    counts: collections.Counter[str] = collections.Counter()
+    halves = [0, 0]
+    entries = len(scenario.server_zones)
+    for arrival in virtual_callers.draw_arrivals(scenario, entries):
+        since_s = arrival.at - scenarios.START_S
+        if since_s >= 0.0:
+            counts[scenario.server_zones[arrival.entry]] += 1
+            halves[since_s > period_s / 2.0] += 1
+    for demand in scenario.zone_demands:
+        expected = demand.weight * period_s
+        assert counts[demand.zone] == pytest.approx(expected, rel=0.1)
+    assert halves[0] > 1.2 * halves[1]
--- a/tests/test_zone_overflow.py
+++ b/tests/test_zone_overflow.py
@@ -338,3 +338,46 @@
             )
         )
     )
+
+
+# Guards against shares that ignore how fast the zones really answer.
+def test_answers_are_recorded_for_the_zone_that_gave_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    zones: set[str] = set()
+
+    def note(
+        _overflow: object,
+        _service: ids.ServiceName,
+        zone: ids.ZoneName,
+        relative_s: float,
+        _now: float,
+    ) -> None:
+        assert relative_s > 0.0
+        zones.add(zone)
+
+    monkeypatch.setattr(_zone_overflow.Overflow, "note_answer", note)
+    options = node.Options(
+        stop_limit_s=30.0, zone_overflow=node.ZoneOverflow()
+    )
+    driver = builders.CoreDriver(options=options)
+    driver.configure()
+    driver.learn_peer("n1", zone="south")
+    for number in range(200):
+        sent = [
+            command
+            for command in driver.arrive(f"c{number}")
+            if isinstance(command, node.SendToPeer)
+        ]
+        driver.pass_time(0.01)
+        for command in sent:
+            driver.submit(
+                node.AttemptAnswered(
+                    call=command.call,
+                    attempt=command.attempt,
+                    is_error=False,
+                    load=None,
+                )
+            )
+            driver.submit(node.CallEnded(call=command.call))
+    assert zones == {SOUTH}
