--- a/packages/core/marjoramledge_core/_options.py
+++ b/packages/core/marjoramledge_core/_options.py
@@ -35,8 +35,8 @@
     region; it accepts at least ``other_zone_cost_share`` times the service
     time of the other server.  With ``zone_overflow``, a share of the calls
     may leave the zone at the cost of the round trip only, and the others stay
-    at their first attempt.  A node refuses calls while the fleet has known a newer configuration than its own for
-    ``outdated_limit_s``.
+    at their first attempt.  A node refuses calls while the fleet has known a
+    newer configuration than its own for ``outdated_limit_s``.
     """
 
     stop_limit_s: float
