--- a/packages/core/marjoramledge_core/_options.py
+++ b/packages/core/marjoramledge_core/_options.py
@@ -6,6 +6,7 @@
 from marjoramledge_core import _budget
 from marjoramledge_core import _quota_bound
 from marjoramledge_core import _rollout_orders
+from marjoramledge_core import _zone_overflow
 
 # About one round trip between zones.
 DEFAULT_OTHER_ZONE_COST_S: typing.Final = 0.0025
@@ -35,12 +36,14 @@
     it each entry node has the default budget.  ``other_zone_cost_s`` is the
     extra wait that a call accepts before it is sent to another zone of the
     region; it accepts at least ``other_zone_cost_share`` times the service
-    time of the other server.  A node refuses calls while the fleet has known
-    a newer configuration than its own for ``outdated_limit_s``.  It refuses
+    time of the other server.  With ``zone_overflow``, a share of the calls
+    may leave the zone at the cost of the round trip only, and the others stay
+    at their first attempt.  A node refuses calls while the fleet has known a
+    newer configuration than its own for ``outdated_limit_s``.  It refuses
     requests with keys unless its configuration was the newest one
-    ``revocation_limit_s`` ago or later; None means no bound.
-    Without ``rollouts``, orders of roll-outs are ignored.  ``quota`` is
-    the bound on what workspaces may exceed their limits by.
+    ``revocation_limit_s`` ago or later; None means no bound.  Without
+    ``rollouts``, orders of roll-outs are ignored.  ``quota`` is the bound on
+    what workspaces may exceed their limits by.
     """
 
     stop_limit_s: float
@@ -51,6 +54,7 @@
     waits_for_version: bool = False
     other_zone_cost_s: float = DEFAULT_OTHER_ZONE_COST_S
     other_zone_cost_share: float = 0.0
+    zone_overflow: _zone_overflow.ZoneOverflow | None = None
     outdated_limit_s: float = DEFAULT_OUTDATED_LIMIT_S
     revocation_limit_s: float | None = None
     rollouts: _rollout_orders.RolloutOptions | None = None
--- a/packages/core/marjoramledge_core/node.py
+++ b/packages/core/marjoramledge_core/node.py
@@ -20,11 +20,13 @@
 from marjoramledge_core import _server_status
 from marjoramledge_core import _signals
 from marjoramledge_core import _state
+from marjoramledge_core import _zone_overflow
 
 Identity = _node.Identity
 NodeState = _state.NodeState
 StopPhase = _state.StopPhase
 FleetRetryBudget = _budget.FleetRetryBudget
+ZoneOverflow = _zone_overflow.ZoneOverflow
 Options = _options.Options
 QuotaBound = _quota_bound.QuotaBound
 QuotaReport = _quota_messages.QuotaReport
