--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -27,8 +27,8 @@
     ``LEAVING_INVALID`` is an answer that says unreadably whether the server
     leaves.  ``QUOTA_PRESSED`` summarises the calls that an entry refused
     because of a workspace's limit, and ``QUOTA_OWNER_SILENT`` is a node that
-    decides on limits and does not answer.  ``ZONE_SHARE_CHANGED`` tells which share of the calls may use
-    another zone, and why.
+    decides on limits and does not answer.  ``ZONE_SHARE_CHANGED`` tells which
+    share of the calls may use another zone, and why.
     """
 
     CALL_REFUSED = "call-refused"
