--- a/packages/core/marjoramledge_core/_dispatch.py
+++ b/packages/core/marjoramledge_core/_dispatch.py
@@ -173,7 +173,9 @@
     groups = _rollouts.split_servers(
         step, call, step.state.directory.candidates(call.service)
     )
-    candidates = [other for group in groups for other in group]
+    # A call that may leave its group for another one should not do so for a
+    # short queue: the old servers of a promoted version are about to stop.
+    candidates = next((group for group in groups if server in group), ())
     if all(
         other is server or other.node in call.tried for other in candidates
     ):
--- a/packages/core/marjoramledge_core/_rollout_state.py
+++ b/packages/core/marjoramledge_core/_rollout_state.py
@@ -210,8 +210,9 @@
         case _rollout_orders.RolloutPhase.PROMOTING:
             return [new, old]
         case _rollout_orders.RolloutPhase.COMPLETED:
+            # The old servers have stopped, or will at once.
             if now - routing.changed_at < COMPLETED_HOLD_S:
-                return [new, old]
+                return [new or old]
     return [usable]
 
 
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -64,6 +64,7 @@
     at: float
     node: str
     zone: str
+    version: str = "v1"
 
 
 class Server:
@@ -84,6 +85,9 @@
         self._born = time.time_ns() // 1_000_000
         self._sequence = itertools.count(1)
         self._is_leaving = False
+        self.version = "v1"
+        # Share of requests that are answered with an error.
+        self.error_share = 0.0
         self._listener: asyncio.Server | None = None
 
     @property
@@ -123,7 +127,7 @@
             "born": self._born,
             "info": {
                 "service": SERVICE,
-                "version": "v1",
+                "version": self.version,
                 "zone": self._machine.zone,
                 "slots": SLOTS,
             },
@@ -158,10 +162,12 @@
                 at=time.monotonic(),
                 node=request.path.split("/")[2],
                 zone=self._machine.zone,
+                version=self.version,
             )
         )
         headers["Response-Seal"] = f"seal.{request_id}"
-        return web.Response(body=b"done", headers=headers)
+        status = 500 if random.random() < self.error_share else 200
+        return web.Response(status=status, body=b"done", headers=headers)
 
 
 class Machine:
@@ -589,6 +595,9 @@
 budgetWindow = "10s"
 retryBudgetSlack = 56
 evac = "5000ms"
+exposeShare = 0.1
+exposeSlack = 50
+rollback = "5000ms"
 recover = "15s"
 """
 
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -16,6 +16,9 @@
 SHOP: typing.Final = ids.ServiceName("shop")
 OLD: typing.Final = ids.ServerVersion("v1")
 NEW: typing.Final = ids.ServerVersion("v2")
+FIRST: typing.Final = ids.OrderId("1")
+ABSENT: typing.Final = ids.ServerVersion("v9")
+Order = configuration.RolloutOrder
 LATENCY_S: typing.Final = 0.002
 STORE_S: typing.Final = 0.02
 OPTIONS: typing.Final = node.Options(
@@ -77,6 +80,9 @@
             collections.Counter()
         )
         self.sent_at: list[tuple[float, int, ids.ServerVersion]] = []
+        # Attempts at the new version that cost a token.
+        self.exposed = 0
+        self.sent_after_reversal = 0
         self.calls = 0
         self.refused = 0
         self.records: list[node.Record] = []
@@ -136,9 +142,7 @@
         for other in self.alive:
             self.submit(other, node.MembersReceived(members=members))
 
-    def order(
-        self, *orders: configuration.RolloutOrder, age_s: float = 0.0
-    ) -> None:
+    def order(self, *orders: configuration.RolloutOrder) -> None:
         """Put a configuration with these orders in force on all nodes."""
         base = builders.build_configuration()
         self._configuration = configuration.Configuration(
@@ -150,8 +154,22 @@
             default_deadline_s=base.default_deadline_s,
             rollouts=orders,
         )
-        del age_s
-        self._ref = builders.build_ref(next(self._versions_read))
+        number = next(self._versions_read)
+        self._ref = configuration.VersionRef(
+            version=configuration.pack_version(1, number),
+            digest=ids.Digest(f"d{number}"),
+        )
+        self._put_in_force()
+
+    def enter_era(self, era: int) -> None:
+        """Let all nodes see that the store was restored."""
+        self._ref = configuration.VersionRef(
+            version=configuration.pack_version(era, 1),
+            digest=ids.Digest(f"era{era}"),
+        )
+        self._put_in_force()
+
+    def _put_in_force(self) -> None:
         for number in sorted(self.alive):
             if number not in self.cut:
                 self._configure(number)
@@ -237,7 +255,9 @@
                 server = number
                 if isinstance(command, node.SendToPeer):
                     server = command.address.port - 7000
-                self._run_attempt(number, server, command.call, command.attempt)
+                self._run_attempt(
+                    number, server, command.call, command.attempt
+                )
             case node.SendMessage():
                 self._send(number, command)
             case node.ReadRollout():
@@ -276,11 +296,22 @@
         version = self.versions[server]
         self.sent[version] += 1
         self.sent_at.append((self.now, entry, version))
+        known = self.states[entry].rollouts.states.get((SHOP, FIRST))
+        if version == NEW and (
+            known is None or known.phase is node.RolloutPhase.RUNNING
+        ):
+            self.exposed += 1
+        if known is not None and known.phase is node.RolloutPhase.REVERTED:
+            self.sent_after_reversal += version == NEW
         is_error = self.rng.random() < self.error_shares.get(version, 0.0)
         response_s = self.response_s.get(version, 0.02)
         elapsed_s = self.rng.uniform(0.7, 1.3) * response_s
 
+        state = self.states[entry]
+
         def answer() -> None:
+            if self.states[entry] is not state:
+                return
             if entry == server:
                 self.submit(
                     entry,
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -4,8 +4,7 @@
 
 from marjoramledge_core import node
 import pytest
-
-from tests import rollout_fleet
+import rollout_fleet
 
 OLD: typing.Final = rollout_fleet.OLD
 NEW: typing.Final = rollout_fleet.NEW
@@ -76,3 +75,177 @@
         fleet.kill(number)
     fleet.run(10.0, calls_per_s=10.0)
     assert not fleet.sent[NEW]
+
+
+def test_the_deciders_may_die() -> None:
+    fleet = _build_fleet()
+    fleet.order(rollout_fleet.build_order())
+    fleet.run(3.0, calls_per_s=CALLS_PER_S)
+    # The first node of each zone decides.
+    fleet.kill(0)
+    fleet.kill(1)
+    fleet.error_shares[NEW] = 0.45
+    fleet.run(9.0, calls_per_s=CALLS_PER_S)
+    assert fleet.phases() == {REVERTED}
+    assert fleet.store.row is not None
+    assert fleet.store.row.phase is REVERTED
+    assert sum(version == NEW for _, _, version in fleet.sent_at) < 400
+
+
+@pytest.mark.parametrize("error_share", [0.0, 0.45])
+def test_the_decision_is_written_when_the_store_is_back(
+    error_share: float,
+) -> None:
+    fleet = _build_fleet()
+    fleet.order(rollout_fleet.build_order())
+    fleet.run(1.0, calls_per_s=CALLS_PER_S)
+    fleet.store.is_up = False
+    fleet.error_shares[NEW] = error_share
+    fleet.run(10.0, calls_per_s=CALLS_PER_S)
+    _forget_counts(fleet)
+    fleet.run(1.0, calls_per_s=CALLS_PER_S)
+    assert not fleet.sent[NEW if error_share else OLD]
+    assert fleet.store.row is not None
+    assert fleet.store.row.phase is node.RolloutPhase.RUNNING
+    fleet.store.is_up = True
+    fleet.run(3.0, calls_per_s=CALLS_PER_S)
+    assert fleet.phases() == {REVERTED if error_share else COMPLETED}
+
+
+# Guards against a node that is cut off and never hears of the reversal.
+def test_a_node_that_is_cut_off_exposes_no_more_requests() -> None:
+    fleet = _build_fleet()
+    fleet.order(rollout_fleet.build_order())
+    fleet.run(3.0, calls_per_s=CALLS_PER_S)
+    fleet.cut = {8}
+    cut_at = fleet.now
+    fleet.run(9.0, calls_per_s=CALLS_PER_S)
+    late = [
+        at
+        for at, entry, version in fleet.sent_at
+        if entry == 8 and version == NEW and at > cut_at + 2.5
+    ]
+    assert not late
+
+
+def test_a_restarted_node_sends_nothing_before_it_knows_the_state() -> None:
+    fleet = _build_fleet()
+    fleet.order(rollout_fleet.build_order())
+    fleet.run(1.0, calls_per_s=CALLS_PER_S)
+    fleet.error_shares[NEW] = 0.45
+    fleet.run(3.0, calls_per_s=CALLS_PER_S)
+    assert fleet.phases() == {REVERTED}
+    _forget_counts(fleet)
+    for number in (0, 4, 8):
+        fleet.restart(number)
+    fleet.run(3.0, calls_per_s=CALLS_PER_S)
+    assert not fleet.sent[NEW]
+    assert fleet.phases() == {REVERTED}
+
+
+# Guards against a fleet that forgets a decision when all nodes restart.
+@pytest.mark.parametrize("error_share", [0.0, 0.45])
+def test_a_restarted_fleet_reads_the_decision(error_share: float) -> None:
+    fleet = _build_fleet()
+    fleet.order(rollout_fleet.build_order())
+    fleet.error_shares[NEW] = error_share
+    fleet.run(12.0, calls_per_s=CALLS_PER_S)
+    decided = {REVERTED if error_share else COMPLETED}
+    assert fleet.phases() == decided
+    for number in list(fleet.alive):
+        fleet.kill(number)
+    for number in range(9):
+        fleet.restart(number)
+    _forget_counts(fleet)
+    fleet.run(5.0, calls_per_s=CALLS_PER_S)
+    assert fleet.phases() == decided
+    if error_share:
+        assert not fleet.sent[NEW]
+
+
+def test_a_decision_is_written_again_to_a_restored_store() -> None:
+    fleet = _build_fleet()
+    fleet.order(rollout_fleet.build_order())
+    fleet.error_shares[NEW] = 0.45
+    fleet.run(1.0, calls_per_s=CALLS_PER_S)
+    copied = fleet.store.row
+    fleet.run(5.0, calls_per_s=CALLS_PER_S)
+    assert fleet.phases() == {REVERTED}
+    fleet.store.row = copied
+    fleet.enter_era(2)
+    fleet.run(5.0, calls_per_s=CALLS_PER_S)
+    assert fleet.store.row is not None
+    assert fleet.store.row.phase is REVERTED
+
+
+def test_a_withdrawn_order_ends_as_reverted() -> None:
+    fleet = _build_fleet()
+    fleet.order(rollout_fleet.build_order())
+    fleet.run(3.0, calls_per_s=CALLS_PER_S)
+    fleet.order()
+    _forget_counts(fleet)
+    fleet.run(2.0, calls_per_s=CALLS_PER_S)
+    assert fleet.phases() == {REVERTED}
+    assert fleet.store.row is not None
+    assert fleet.store.row.phase is REVERTED
+    assert not fleet.sent[NEW]
+
+
+def test_a_second_order_replaces_the_first_one() -> None:
+    fleet = _build_fleet()
+    fleet.order(rollout_fleet.build_order())
+    fleet.run(3.0, calls_per_s=CALLS_PER_S)
+    fleet.order(rollout_fleet.build_order("2"))
+    fleet.run(12.0, calls_per_s=CALLS_PER_S)
+    assert fleet.phases("1") == {REVERTED}
+    assert fleet.phases("2") == {COMPLETED}
+    written = [(row.order, row.phase) for row in fleet.store.history]
+    assert written == [
+        ("1", node.RolloutPhase.RUNNING),
+        ("1", REVERTED),
+        ("2", node.RolloutPhase.RUNNING),
+        ("2", COMPLETED),
+    ]
+
+
+@pytest.mark.parametrize(
+    "order",
+    [
+        rollout_fleet.build_order(version=rollout_fleet.ABSENT),
+        rollout_fleet.build_order(problem="no duration"),
+    ],
+)
+def test_an_order_that_cant_be_followed_ends_as_reverted(
+    order: rollout_fleet.Order,
+) -> None:
+    fleet = _build_fleet()
+    fleet.order(order)
+    fleet.run(12.0, calls_per_s=CALLS_PER_S)
+    assert fleet.phases() == {REVERTED}
+    assert fleet.store.row is not None
+    assert fleet.store.row.phase is REVERTED
+    # A reverted version gets no requests; others serve as before.
+    assert fleet.sent[OLD]
+    assert bool(fleet.sent[NEW]) == (order.version != NEW)
+    assert any(
+        record.kind is node.RecordKind.ROLLOUT_REVERTED
+        for record in fleet.records
+    )
+
+
+# Guards against retries, hedges and the preference of the local server.
+def test_only_first_attempts_go_to_the_new_version() -> None:
+    fleet = _build_fleet()
+    fleet.order(rollout_fleet.build_order())
+    fleet.run(1.0, calls_per_s=CALLS_PER_S)
+    fleet.error_shares[OLD] = 0.5
+    fleet.response_s[OLD] = 0.2
+    fleet.run(6.0, calls_per_s=CALLS_PER_S)
+    assert fleet.sent[OLD] > fleet.calls
+    assert fleet.sent[NEW] <= EXPOSE_SHARE * fleet.calls
+
+
+def test_mixed_versions_without_an_order_are_served_alike() -> None:
+    fleet = _build_fleet()
+    fleet.run(2.0, calls_per_s=CALLS_PER_S)
+    assert fleet.sent[NEW] > 0.2 * fleet.calls
