--- a/packages/core/marjoramledge_core/_rollout_verdict.py
+++ b/packages/core/marjoramledge_core/_rollout_verdict.py
@@ -25,8 +25,11 @@
 # Weight of the old version's responses halves in this time.
 BASELINE_HALF_LIFE_S: typing.Final = 1.0
 # With a larger share of bad responses of the old version, nothing can be
-# concluded from those of the new one.
+# concluded from those of the new one, and what was concluded at the beginning
+# of that time, before the old version's share had risen, loses this weight
+# with each block.
 MAX_EXPECTED: typing.Final = 0.75
+INCONCLUSIVE_SCORE: typing.Final = -0.5
 # Good responses that are assumed of the old version, so that its share of bad
 # ones is defined without traffic.
 BASELINE_PRIOR: typing.Final = 10.0
@@ -68,7 +71,7 @@
         """Return the log-likelihood ratio of one block."""
         expected = self.baseline_times * baseline + self.baseline_margin
         if expected > MAX_EXPECTED:
-            return 0.0
+            return INCONCLUSIVE_SCORE
         faulty = expected + self.least_excess * (1.0 - expected)
         ratio = bad * math.log(faulty / expected) + good * math.log(
             (1.0 - faulty) / (1.0 - expected)
@@ -84,12 +87,13 @@
     block_limit=5.0,
     limit=7.0,
 )
-# Slow responses are common, and come in clusters of half a second.
+# Slow responses are common, and come in clusters of half a second: four blocks
+# are needed.
 SLOWNESS: typing.Final = TestSettings(
     baseline_times=1.0,
     baseline_margin=0.15,
     least_excess=0.7,
-    block_limit=2.0,
+    block_limit=3.0,
     limit=12.0,
 )
 
