Let an order for the only version of a service bound nothing

Such an order, or a second one for a version that is in use, refused nearly all requests. Nodes that do not decide no longer keep a timer for rows that they will not write.

--- a/packages/core/marjoramledge_core/_rollouts.py
+++ b/packages/core/marjoramledge_core/_rollouts.py
@@ -66,6 +66,10 @@
         _members.MessageKind.NEWS,
     }
 )
+# States of servers that serve no more requests.
+_GONE: typing.Final = frozenset(
+    {_members.ServerState.ABSENT, _members.ServerState.DRAINING}
+)
 _RECORD_OF_PHASE: typing.Final = {
     _rollout_orders.RolloutPhase.RUNNING: _records.RecordKind.ROLLOUT_STARTED,
     _rollout_orders.RolloutPhase.PROMOTING: (
@@ -299,12 +303,35 @@
     routing = step.state.rollouts.routing_of(call.service)
     if routing is None or step.state.options.rollouts is None:
         return [servers]
-    return _rollout_state.split_servers(
+    groups = _rollout_state.split_servers(
         routing,
         servers,
         step.now,
         is_exposed=call.is_exposed and not call.attempts,
     )
+    is_running = routing.phase is _rollout_orders.RolloutPhase.RUNNING
+    if is_running and not any(groups) and _is_only_version(step, call.service):
+        return [servers]
+    return groups
+
+
+def _is_only_version(step: _state.Step, service: _ids.ServiceName) -> bool:
+    """Return whether a service has servers of the ordered version only.
+
+    Such an order must not stop the service.  Members that have failed count,
+    since those beyond a partition seem so.
+    """
+    table = step.state.rollouts
+    routing = table.routing_of(service)
+    if routing is None:
+        return False
+    return not any(
+        member.service == service
+        and member.server_version != routing.target
+        and member.status is not _members.MemberStatus.LEFT
+        and member.server not in _GONE
+        for member in step.state.membership.members.values()
+    )
 
 
 def note_sent(
@@ -492,7 +519,7 @@
                 _decide(step, key)
         if rank is not None:
             _access_store(step, service, rank)
-        is_needed = is_needed or _needs_tick(table, service)
+        is_needed = is_needed or _needs_tick(table, service, rank)
     if rank is not None:
         _announce(step)
     if is_needed:
@@ -500,7 +527,9 @@
 
 
 def _needs_tick(
-    table: _rollout_state.RolloutTable, service: _ids.ServiceName
+    table: _rollout_state.RolloutTable,
+    service: _ids.ServiceName,
+    rank: int | None,
 ) -> bool:
     key = table.current_key(service)
     if key is not None:
@@ -508,7 +537,7 @@
         if current is None or not current.is_final:
             return True
     access = table.accesses.get(service)
-    if access is not None and access.rewrites:
+    if rank is not None and access is not None and access.rewrites:
         return True
     return any(not s.is_stored for s in table.states_of(service))
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -249,3 +249,12 @@
     fleet = _build_fleet()
     fleet.run(2.0, calls_per_s=CALLS_PER_S)
     assert fleet.sent[NEW] > 0.2 * fleet.calls
+
+
+# Guards against an order that stops a service: there is nothing to compare.
+def test_an_order_for_the_only_version_refuses_nothing() -> None:
+    fleet = rollout_fleet.Fleet(versions=[NEW] * 4)
+    fleet.order(rollout_fleet.build_order())
+    fleet.run(3.0, calls_per_s=CALLS_PER_S)
+    assert fleet.sent[NEW] >= fleet.calls
+    assert not fleet.refused
