--- a/packages/cli/marjoramledge_cli/_fleet_client.py
+++ b/packages/cli/marjoramledge_cli/_fleet_client.py
@@ -101,7 +101,7 @@
     ) -> result.Result[NodeStatus, str]:
         """Read the status of one node."""
         reply_result = await self._request("GET", address, peers.STATUS_TARGET)
-        return reply_result.bind(_parse_status)
+        return reply_result.bind(parse_status)
 
     async def order_drain(
         self, address: node.Address, *, is_drained: bool
@@ -215,7 +215,8 @@
         return tuple(outdated_nodes)
 
 
-def _parse_status(content: bytes) -> result.Result[NodeStatus, str]:
+def parse_status(content: bytes) -> result.Result[NodeStatus, str]:
+    """Parse the status that a node reports."""
     try:
         fields = json.loads(content)
         gate = fields["gate"]
--- a/tests/test_rollout_formats.py
+++ b/tests/test_rollout_formats.py
@@ -4,11 +4,16 @@
 import json
 import typing
 
+from marjoramledge_cli import _fleet_client
+from marjoramledge_cli import _reports
 from marjoramledge_core import _rollout_exposure
 from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_node import _announcements
+from marjoramledge_node import _counts
+from marjoramledge_node import _engine
+from marjoramledge_node import _metrics_port
 from marjoramledge_node import _wire
 from marjoramledge_standins import builders
 from marjoramledge_standins import deployment
@@ -16,6 +21,7 @@
 from marjoramledge_store import client
 import pytest
 from returns import result
+import rollout_fleet
 
 SHOP: typing.Final = ids.ServiceName("shop")
 VERSION: typing.Final = ids.ServerVersion("v2")
@@ -189,3 +195,58 @@
         spent[kind] += budget.spend(ids.KindName(kind))
     assert sum(spent.values()) <= 0.08 * 4000
     assert spent["quiet"] >= 0.5 * 80
+
+
+# Guards against a status that the command can't read, or that lacks counts.
+def test_the_status_shows_the_state_the_reason_and_the_counts() -> None:
+    fleet = rollout_fleet.Fleet(
+        versions=[rollout_fleet.OLD] * 4 + [rollout_fleet.NEW] * 2
+    )
+    fleet.order(rollout_fleet.build_order())
+    fleet.error_shares[rollout_fleet.NEW] = 0.5
+    fleet.run(6.0, calls_per_s=200.0)
+    state = fleet.states[0]
+    document = {
+        "node": "n0",
+        "zone": "north",
+        "version": 1,
+        "is_store_up": True,
+        "is_drained_by_order": False,
+        "gate": {"running": 0, "queued": 0, "limit": 4},
+        "members": [],
+        "rollouts": node.describe_rollouts(state, fleet.now),
+    }
+    content = json.dumps(document).encode()
+    status = _fleet_client.parse_status(content).unwrap()
+    text = _reports.format_status(status)
+    assert "Roll-out of shop to v2 (order 1): reverted, stored" in text
+    assert "more failures" in text
+    assert "kind page: old" in text
+
+
+def test_metrics_show_the_phase_and_the_exposure() -> None:
+    fleet = rollout_fleet.Fleet(
+        versions=[rollout_fleet.OLD] * 4 + [rollout_fleet.NEW] * 2
+    )
+    fleet.order(rollout_fleet.build_order())
+    fleet.run(3.0, calls_per_s=200.0)
+
+    class _Engine:
+        state = fleet.states[0]
+
+        def now(self) -> float:
+            return fleet.now
+
+    port = _metrics_port.MetricsPort(
+        engine=typing.cast(_engine.Engine, _Engine()),
+        counts=_counts.Counts(),
+        count_suppressed_lines=lambda: 0,
+    )
+    values = {
+        sample.name: sample.value
+        for family in port.collect()
+        for sample in family.samples
+    }
+    assert values["marjoramledge_rollout_phase_shop"] == 1.0
+    calls = values["marjoramledge_rollout_calls_shop"]
+    assert 0 < values["marjoramledge_rollout_exposed_shop"] < 0.1 * calls
