Ignore a late answer of the store that another read has overtaken

Reads that confirm the configuration run beside the long poll. An answer to the long poll that arrived after that to a later read put its older rows in force under the newer number, so a revoked key could come back. The test failed before.

Also publish a server's version when an announcement changes it alone.

--- a/packages/core/marjoramledge_core/_gate_handlers.py
+++ b/packages/core/marjoramledge_core/_gate_handlers.py
@@ -336,7 +336,14 @@
     server = gate.server
     if server is None:
         return (gate.state,)
-    return (gate.state, server.start, server.host, server.port, server.slots)
+    return (
+        gate.state,
+        server.start,
+        server.host,
+        server.port,
+        server.slots,
+        server.version,
+    )
 
 
 def apply_service(step: _state.Step) -> None:
--- a/packages/store/marjoramledge_store/_change_feed.py
+++ b/packages/store/marjoramledge_store/_change_feed.py
@@ -255,6 +255,11 @@
         if self._is_restored(changed):
             # The changes since a number of the lost history are not all.
             return await self._read_table()
+        if changed.version < self._version:
+            # Another read has overtaken this one, and has all its changes.
+            changed = dataclasses.replace(
+                changed, rows={}, removed=frozenset(), row_versions={}
+            )
         merged = {
             key: value
             for key, value in self._rows.items()
--- a/tests/test_followed_store.py
+++ b/tests/test_followed_store.py
@@ -209,3 +209,49 @@
         assert broken.departures == (start,)
 
     asyncio.run(store_and_read())
+
+
+class _SlowTables(_Tables):
+    """Tables whose next answer to a read of changes can be delayed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.delay: asyncio.Event | None = None
+
+    async def wait_for_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> result.Result[followed.Rows, client.StoreError]:
+        answer = await super().wait_for_changes(table, after, wait_s)
+        delay, self.delay = self.delay, None
+        if delay is not None:
+            await delay.wait()
+        return answer
+
+
+def test_a_late_answer_does_not_bring_an_older_row_back() -> None:
+    # Guards against a revoked key that comes back: two reads run at once, and
+    # the answer to the earlier one arrives after that to the later one.
+    async def read_twice_at_once() -> dict[str, str]:
+        tables = _SlowTables()
+        tables.change({"config": b'"key"', "evacuate/a": b'"1"'})
+        store = followed.ChangeFeedStore(tables=tables, operator_table=TABLE)
+        await store.wait_version(configuration.NO_VERSION, 1.0)
+        tables.change({"config": b'"key, other"', "evacuate/a": b'"1"'})
+        tables.delay = delay = asyncio.Event()
+        late = asyncio.create_task(
+            store.wait_version(configuration.NO_VERSION, 1.0)
+        )
+        await asyncio.sleep(0)
+        tables.change({"config": b'"other"', "evacuate/a": b'"1"'})
+        await store.wait_version(configuration.NO_VERSION, 1.0)
+        delay.set()
+        await late
+        tables.change({"config": b'"other"', "evacuate/a": b'"2"'})
+        read = await store.wait_version(configuration.NO_VERSION, 1.0)
+        row = read.unwrap()
+        assert row is not None
+        content = await store.get_manifest(row.ref.digest)
+        return dict(followed.decode_rows(content.unwrap()))
+
+    rows = asyncio.run(read_twice_at_once())
+    assert rows == {"config": '"other"', "evacuate/a": '"2"'}
