--- a/packages/cli/marjoramledge_cli/_main.py
+++ b/packages/cli/marjoramledge_cli/_main.py
@@ -20,6 +20,7 @@
 from marjoramledge_cli import _explain
 from marjoramledge_cli import _fleet_client
 from marjoramledge_cli import _reports
+from marjoramledge_cli import _review
 
 DEFAULT_TIMEOUT_S: typing.Final = 10.0
 MAX_SEED_NODES: typing.Final = 16
@@ -44,6 +45,14 @@
     NOT_IN_FORCE = 5
 
 
+class CheckStatus(enum.IntEnum):
+    """Exit statuses of ``check``; a usage error has that of errors."""
+
+    CLEAN = 0
+    WARNINGS = 1
+    ERRORS = 2
+
+
 Folder = typing.Annotated[
     pathlib.Path,
     typer.Argument(
@@ -99,6 +108,60 @@
     )
 
 
+@app.command()
+def check(
+    folder: Folder,
+    *,
+    against: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            "--against",
+            help="Show the differences from another folder.",
+            exists=True,
+            file_okay=False,
+        ),
+    ] = None,
+    against_current: typing.Annotated[
+        bool,
+        typer.Option(
+            "--against-current",
+            help="Show the differences from the version in force.",
+        ),
+    ] = False,
+    store_url: StoreUrl = "",
+    timeout_s: Timeout = DEFAULT_TIMEOUT_S,
+    as_json: typing.Annotated[
+        bool, typer.Option("--json", help="Print one JSON object.")
+    ] = False,
+) -> None:
+    """Report errors, warnings and differences of a folder before an apply.
+
+    Exit status 0 if there are no errors and no warnings, 1 if there are
+    warnings only, 2 if there are errors.
+    """
+    if against is not None and against_current:
+        raise typer.BadParameter("give either --against or --against-current")
+    if against_current and not store_url:
+        raise typer.BadParameter("--against-current needs --store-url")
+
+    def read_current() -> result.Result[_apply.CurrentVersion, _apply.Failure]:
+        return _run_with_store(
+            store_url, lambda store: _apply.read_current(store, timeout_s)
+        )
+
+    review = _review.review_folder(
+        folder, against, read_current if against_current else None
+    )
+    if as_json:
+        print(_reports.format_review_json(review))
+    else:
+        print(_reports.format_review(review))
+    if review.errors:
+        raise typer.Exit(int(CheckStatus.ERRORS))
+    if review.warnings:
+        raise typer.Exit(int(CheckStatus.WARNINGS))
+
+
 @app.command()
 def explain(
     request: typing.Annotated[
--- a/packages/cli/marjoramledge_cli/_reports.py
+++ b/packages/cli/marjoramledge_cli/_reports.py
@@ -8,6 +8,7 @@
 from marjoramledge_core import configuration
 
 from marjoramledge_cli import _fleet_client
+from marjoramledge_cli import _review
 
 
 def format_plan(
@@ -21,6 +22,60 @@
     return "\n".join(lines)
 
 
+def format_review(review: _review.Review) -> str:
+    """Format a review with a section for each sort of finding."""
+    lines = []
+    for title, entries in (
+        ("Errors", review.errors),
+        ("Warnings", review.warnings),
+    ):
+        if entries:
+            lines.append(f"{title}:")
+            lines.extend(f"  {entry}" for entry in entries)
+    if review.changes is not None:
+        lines.append(f"Differences from {review.base}:")
+        lines.extend(map(_format_change, review.changes))
+        if not review.changes:
+            lines.append("  none")
+    lines.append(
+        f"{len(review.errors)} errors, {len(review.warnings)} warnings"
+    )
+    return "\n".join(lines)
+
+
+def format_review_json(review: _review.Review) -> str:
+    """Format a review as one JSON object.
+
+    ``differences`` is null if the documents were not compared.
+    """
+    differences = None
+    if review.changes is not None:
+        differences = [
+            {
+                "file": entry.file,
+                "key": entry.key,
+                "line": entry.line,
+                "action": entry.change.action.name.lower(),
+                "item": entry.change.item,
+                "before": entry.change.before,
+                "after": entry.change.after,
+            }
+            for entry in review.changes
+        ]
+    fields = {
+        "errors": [dataclasses.asdict(entry) for entry in review.errors],
+        "warnings": [dataclasses.asdict(entry) for entry in review.warnings],
+        "against": review.base or None,
+        "differences": differences,
+    }
+    return json.dumps(fields, indent=2)
+
+
+def _format_change(entry: configuration.LocatedChange) -> str:
+    place = entry.file if entry.line is None else f"{entry.file}:{entry.line}"
+    return f"  {place}: {entry.change}"
+
+
 def format_manifest(manifest: configuration.Manifest) -> str:
     """Format one accepted version on one line."""
     return (
--- a/packages/core/marjoramledge_core/configuration.py
+++ b/packages/core/marjoramledge_core/configuration.py
@@ -1,6 +1,7 @@
 """Inventory and rules: values, parser, manifests and differences."""
 
 from marjoramledge_core import _document
+from marjoramledge_core import _document_review
 from marjoramledge_core import _manifest
 from marjoramledge_core import _plan
 from marjoramledge_core import _request_limits
@@ -20,7 +21,10 @@
 Change = _plan.Change
 ChangeAction = _plan.ChangeAction
 Configuration = _settings.Configuration
+DocumentReview = _document_review.DocumentReview
+Finding = _document_review.Finding
 KnownVersion = _manifest.KnownVersion
+LocatedChange = _document_review.LocatedChange
 Manifest = _manifest.Manifest
 ProbeBudget = _settings.ProbeBudget
 Priority = _settings.Priority
@@ -47,7 +51,9 @@
 decode_manifest = _manifest.decode_manifest
 compute_digest = _manifest.compute_digest
 encode_manifest = _manifest.encode_manifest
+locate_changes = _document_review.locate_changes
 parse_documents = _document.parse_documents
+review_documents = _document_review.review_documents
 
 assume_era = _version_numbers.assume_era
 era_of = _version_numbers.era_of
