--- a/packages/cli/marjoramledge_cli/_review.py
+++ b/packages/cli/marjoramledge_cli/_review.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import pathlib
+import typing
 
 from marjoramledge_core import configuration
 from returns import result
@@ -10,7 +11,7 @@
 from marjoramledge_cli import _apply
 from marjoramledge_cli import _documents
 
-IN_FORCE = "(version in force)"
+IN_FORCE: typing.Final = "(version in force)"
 
 ReadCurrent = collections.abc.Callable[
     [], result.Result[_apply.CurrentVersion, _apply.Failure]
--- a/packages/core/marjoramledge_core/_document_review.py
+++ b/packages/core/marjoramledge_core/_document_review.py
@@ -351,8 +351,8 @@
     if kind.hedging and kind.hedge_after_s >= kind.deadline_s:
         yield (
             f"{key}.hedge_after_ms",
-            "no call is hedged before its deadline of "
-            f"{kind.deadline_s * 1000:.0f} ms",
+            f"is not below the deadline of {kind.deadline_s * 1000:.0f} ms, "
+            "so no call is hedged for its own slowness",
         )
     for name in sorted(_list_services(kind)):
         slots = configuration.services[name].slots
--- a/tests/test_document_review.py
+++ b/tests/test_document_review.py
@@ -1,5 +1,6 @@
 """Review of the operators' documents, and the command that prints it."""
 
+import asyncio
 import json
 import pathlib
 import subprocess
@@ -8,6 +9,8 @@
 import typing
 
 from marjoramledge_core import configuration
+from marjoramledge_standins import deployment
+from marjoramledge_standins import platform_service
 import pytest
 
 DATA = pathlib.Path(__file__).parent / "data" / "document_review.toml"
@@ -41,9 +44,13 @@
 
 
 def _run_check(*arguments: object) -> subprocess.CompletedProcess[str]:
+    return _run_command("check", *arguments)
+
+
+def _run_command(*arguments: object) -> subprocess.CompletedProcess[str]:
     program = "from marjoramledge_cli import _main; _main.main()"
     return subprocess.run(
-        [sys.executable, "-c", program, "check", *map(str, arguments)],
+        [sys.executable, "-c", program, *map(str, arguments)],
         capture_output=True,
         text=True,
         check=False,
@@ -136,6 +143,47 @@
     assert MANY_DIGITS not in text
 
 
+# Guards against a comparison with another version than that in force, and
+# against a check that writes to the store.
+def test_differences_from_the_version_in_force(tmp_path: pathlib.Path) -> None:
+    files = _get_files({})
+    old = _write(tmp_path / "old", files)
+    files["inventory.toml"] = files["inventory.toml"].replace(
+        "slots = 4", "slots = 8"
+    )
+    new = _write(tmp_path / "new", files)
+
+    async def run() -> list[dict[str, typing.Any]]:
+        port = deployment.find_free_port("127.0.0.1")
+        server = await platform_service.start_platform("127.0.0.1", port)
+        store = ("--store-url", f"http://127.0.0.1:{port}")
+        compare = ("--against-current", "--json", *store)
+        shown = []
+        try:
+            for arguments in (
+                ("check", new, *compare),
+                ("apply", old, "--author", "alder", *store),
+                ("check", new, *compare),
+                ("check", old, *compare),
+            ):
+                ended = await asyncio.to_thread(_run_command, *arguments)
+                assert ended.returncode == 0, ended.stderr
+                if arguments[0] == "check":
+                    shown.append(json.loads(ended.stdout))
+        finally:
+            server.close()
+        return shown
+
+    empty, changed, same = asyncio.run(run())
+    assert empty["against"] == "version 0"
+    assert {e["action"] for e in empty["differences"]} == {"added"}
+    assert changed["against"] == "version 1"
+    (difference,) = changed["differences"]
+    assert difference["item"] == "services.shop.slots"
+    assert (difference["before"], difference["after"]) == ("4", "8")
+    assert (same["against"], same["differences"]) == ("version 1", [])
+
+
 # Guards against a check that passes though nothing was compared.
 def test_what_cannot_be_compared_is_an_error(tmp_path: pathlib.Path) -> None:
     new = _write(tmp_path / "new", _get_files({}))
