Split the handlers of roll-outs by purpose

It now has the periodic work; calls and their samples, deciding nodes, messages, the exchange of states and evidence, orders and phases, and access to the store have modules of their own.

No behaviour changes. A comparison of the syntax trees shows the same 61 functions and constants, apart from docstrings and names, except that the sending in `adopt` and `_query` moved to `spread_state` and `query_state` of _rollout_messages. `_report` is now `report_counts`; functions that other modules call lose their underscore.

The checks of `make check` passed, and 75 of 75 tests of test_rollouts, test_rollouts_machine, test_rollout_verdict, test_rollout_formats, test_platform_rollouts and test_calls. The rest of the tests was not run.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -27,7 +27,7 @@
 from marjoramledge_core import _quota
 from marjoramledge_core import _records
 from marjoramledge_core import _reports
-from marjoramledge_core import _rollouts
+from marjoramledge_core import _rollout_calls
 from marjoramledge_core import _settings
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
@@ -166,7 +166,7 @@
     """Dispatch an accepted call for the first time, or refuse it."""
     kind = call.kind
     step.budget_of(call.service).earn()
-    _rollouts.accept_call(step, call)
+    _rollout_calls.accept_call(step, call)
     if kind.hedging:
         hedge_s = _hedge_delay_s(step, kind)
         if kind.target_s is not None:
@@ -219,7 +219,7 @@
     _observe_version(step, attempt.server, event.config)
     attempt.server.note_answer_status(event.status)
     _note_answer(step, attempt.server, event.load, event.is_error)
-    _rollouts.note_answered(step, attempt, is_error=event.is_error)
+    _rollout_calls.note_answered(step, attempt, is_error=event.is_error)
     if event.is_error and _retry_error(step, call, attempt):
         return
     step.state.answered_calls.note(call.fingerprint, step.now)
@@ -263,7 +263,7 @@
     if event.reason in _FAULT_REASONS:
         _note_fault(step, attempt.server)
     if event.run is _outcomes.RunState.MAY_HAVE_RUN:
-        _rollouts.note_lost(step, attempt)
+        _rollout_calls.note_lost(step, attempt)
     call.is_body_consumed = call.is_body_consumed or event.is_body_consumed
     if not attempt.server.is_local and event.load is None:
         _lost_nodes.note_broken_connection(step, call, attempt, event)
--- a/packages/core/marjoramledge_core/_dispatch.py
+++ b/packages/core/marjoramledge_core/_dispatch.py
@@ -19,7 +19,7 @@
 from marjoramledge_core import _load
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _records
-from marjoramledge_core import _rollouts
+from marjoramledge_core import _rollout_calls
 from marjoramledge_core import _routing
 from marjoramledge_core import _state
 from marjoramledge_core import _zone_overflow
@@ -55,7 +55,7 @@
     state = step.state
     directory = _refresh_directory(step)
     gate = state.gate
-    groups = _rollouts.split_servers(
+    groups = _rollout_calls.split_servers(
         step, call, directory.candidates(call.service)
     )
     local = directory.loads.get(state.node)
@@ -138,7 +138,7 @@
         expected_s=server.latency_s,
         estimate_age_s=server.report_age_s(step.now),
     )
-    _rollouts.note_sent(step, call, attempt)
+    _rollout_calls.note_sent(step, call, attempt)
     call.attempts[attempt_id] = attempt
     call.tried.add(server.node)
     server.start_call()
@@ -176,7 +176,7 @@
     """Cancel an open attempt; return whether it certainly has not run."""
     if not attempt.is_open:
         return False
-    _rollouts.note_cancelled(step, attempt)
+    _rollout_calls.note_cancelled(step, attempt)
     close(step, attempt)
     if attempt.server.is_local and step.state.gate.abandon(attempt.attempt):
         return True
@@ -203,7 +203,7 @@
     """
     if len(call.attempts) + 1 >= FIRST_QUEUEING_ATTEMPT:
         return True
-    groups = _rollouts.split_servers(
+    groups = _rollout_calls.split_servers(
         step, call, step.state.directory.candidates(call.service)
     )
     # A call that may leave its group for another one should not do so for a
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -31,6 +31,10 @@
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _quota
 from marjoramledge_core import _records
+from marjoramledge_core import _rollout_exchange
+from marjoramledge_core import _rollout_messages
+from marjoramledge_core import _rollout_phases
+from marjoramledge_core import _rollout_store
 from marjoramledge_core import _rollouts
 from marjoramledge_core import _server_status
 from marjoramledge_core import _state
@@ -172,7 +176,7 @@
     while step.returned_work:
         work, reason = step.returned_work.pop()
         _calls.work_returned(step, work, reason)
-    _rollouts.attach_states(step)
+    _rollout_messages.attach_states(step)
     return step.out
 
 
@@ -191,7 +195,7 @@
     replies_from = len(step.out)
     step.state.membership.receive_message(message, step.now, step.out)
     _apply_recalled_departure(step, recalled)
-    _rollouts.receive(step, message)
+    _rollout_exchange.receive(step, message)
     step.publish_suspicions(
         step.state.quarantine.record_suspicions(message.suspicions, step.now),
         is_relayed=True,
@@ -283,7 +287,7 @@
     )
     if before == _version_numbers.UNKNOWN_ERA:
         return
-    _rollouts.enter_era(step)
+    _rollout_store.enter_era(step)
     spread_s = max(
         MIN_RESTORE_SPREAD_S,
         state.membership.present_count / FLEET_RESTORES_PER_S,
@@ -311,7 +315,7 @@
         detail=f"version {state.versions.describe()}",
     )
     _gate_handlers.apply_service(step)
-    _rollouts.apply_orders(step, is_first=is_first)
+    _rollout_phases.apply_orders(step, is_first=is_first)
     is_open = step.is_zone_open()
     if was_open and not is_open:
         step.record(_records.RecordKind.ZONE_CLOSED, detail=state.zone)
@@ -341,7 +345,7 @@
     if event.options == step.state.options:
         return
     step.state.options = event.options
-    _rollouts.apply_orders(step, is_first=True)
+    _rollout_phases.apply_orders(step, is_first=True)
     step.record(
         _records.RecordKind.OPTIONS_CHANGED, detail=repr(event.options)
     )
@@ -462,8 +466,8 @@
     _events.VersionReadEnded: _end_version_read,
     _events.ManifestFetched: _adopt_manifest,
     _events.ManifestFailed: _handle_failed_fetch,
-    _events.RolloutRead: _rollouts.row_read,
-    _events.RolloutWritten: _rollouts.row_written,
+    _events.RolloutRead: _rollout_store.row_read,
+    _events.RolloutWritten: _rollout_store.row_written,
     _events.DrainOrdered: _gate_handlers.order_drain,
     _events.OptionsChanged: _change_options,
     _events.StopRequested: _begin_stop,
--- a/packages/core/marjoramledge_core/_rollout_state.py
+++ b/packages/core/marjoramledge_core/_rollout_state.py
@@ -2,7 +2,7 @@
 
 Holds the orders of the configuration, the states that are known, and what the
 node does for them as an entry (exposure, counts) and as a deciding node (test,
-access to the store).  ``_rollouts`` has the handlers.
+access to the store).  ``_rollouts`` has the periodic work.
 """
 
 import collections.abc
