Roll-outs: an order that ends untested blocks nothing; count lost answers

Found by a review, by trials on tests/rollout_fleet.py: an invalid order whose version is the one that runs refused every request of the service (799 of 799), and so did a withdrawn order once the servers carried its version. A reversal that no evidence demanded, or whose order is gone, now leaves its version as the last choice.

An answer that ends before any of it is forwarded counts as a failure; a version that aborts all answers was completed before.

--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -279,6 +279,7 @@
     call.delivered = None
     call.advance(_state.CallPhase.SENT)
     call.is_body_consumed = not call.is_body_buffered
+    _rollout_calls.note_answer_lost(step, attempt)
     _note_fault(step, attempt.server)
     reason = _outcomes.Reason.ANSWER_CUT_SHORT
     if step.now >= call.deadline_at:
--- a/packages/core/marjoramledge_core/_rollout_calls.py
+++ b/packages/core/marjoramledge_core/_rollout_calls.py
@@ -144,6 +144,15 @@
     )
     if not is_error and not sample.is_cold and not counted:
         times.note(sample.service, sample.kind, elapsed_s)
+    attempt.answered_sample = sample
+
+
+def note_answer_lost(step: _state.Step, attempt: _state.Attempt) -> None:
+    """Count an answer that ended before any of it was forwarded."""
+    sample, attempt.answered_sample = attempt.answered_sample, None
+    if sample is not None:
+        counts = _rollout_orders.ResponseCounts(responses=1, failures=1)
+        _count(step, sample, counts)
 
 
 def note_lost(step: _state.Step, attempt: _state.Attempt) -> None:
--- a/packages/core/marjoramledge_core/_rollout_exchange.py
+++ b/packages/core/marjoramledge_core/_rollout_exchange.py
@@ -57,6 +57,7 @@
                 received,
                 _rollout_orders.RolloutPhase.REVERTED,
                 "the order was withdrawn",
+                is_untested=True,
             )
         return
     merged = _rollout_orders.merge_states(known, received)
--- a/packages/core/marjoramledge_core/_rollout_messages.py
+++ b/packages/core/marjoramledge_core/_rollout_messages.py
@@ -21,6 +21,9 @@
 MAX_BROADCAST_MEMBERS: typing.Final = 128
 CHANGE_FANOUT: typing.Final = 16
 RELAY_FANOUT: typing.Final = 3
+# States that have ended and are stored are attached for this long.  Later,
+# nodes that start read the row or ask.
+ATTACHED_S: typing.Final = 60.0
 # States in one message that is sent for another purpose.
 MAX_ATTACHED_STATES: typing.Final = 8
 _ATTACHED_KINDS: typing.Final = frozenset(
@@ -96,16 +99,22 @@
         if not isinstance(command, _commands.SendMessage):
             continue
         if command.message.kind in _ATTACHED_KINDS:
-            notices = notices or _list_notices(table)
+            notices = notices or _list_notices(table, step.now)
             command.message = dataclasses.replace(
                 command.message, rollouts=notices
             )
 
 
 def _list_notices(
-    table: _rollout_state.RolloutTable,
+    table: _rollout_state.RolloutTable, now: float
 ) -> tuple[_rollout_orders.RolloutNotice, ...]:
-    latest = sorted(table.states.values(), key=lambda s: -s.changed_at)
+    recent = [
+        state
+        for state in table.states.values()
+        if not (state.is_final and state.is_stored)
+        or now - state.changed_at < ATTACHED_S
+    ]
+    latest = sorted(recent, key=lambda state: -state.changed_at)
     return tuple(
         _rollout_orders.RolloutNotice(
             state=dataclasses.replace(state, reason="")
--- a/packages/core/marjoramledge_core/_rollout_orders.py
+++ b/packages/core/marjoramledge_core/_rollout_orders.py
@@ -58,7 +58,8 @@
     ``is_stored`` is true if the store has confirmed ``phase``.  Times are
     monotonic, in seconds, of the clock of the node that holds this value:
     ``started_at`` is the start of the roll-out and ``changed_at`` that of the
-    phase.
+    phase.  ``is_untested`` marks a reversal that no evidence demanded, as of
+    an invalid or withdrawn order.
     """
 
     service: _ids.ServiceName
@@ -69,6 +70,7 @@
     changed_at: float
     is_stored: bool = False
     reason: str = ""
+    is_untested: bool = False
 
     @property
     def key(self) -> tuple[_ids.ServiceName, _ids.OrderId]:
--- a/packages/core/marjoramledge_core/_rollout_phases.py
+++ b/packages/core/marjoramledge_core/_rollout_phases.py
@@ -52,13 +52,7 @@
         if before is not None and (
             after is None or after.order != before.order
         ):
-            _end_order(
-                step,
-                before,
-                "withdrawn"
-                if after is None
-                else (f"replaced by an order for version {after.version}"),
-            )
+            _end_order(step, before, after)
         if after is None:
             del table.orders[service]
         else:
@@ -82,9 +76,19 @@
 
 
 def _end_order(
-    step: _state.Step, order: _rollout_orders.RolloutOrder, why: str
+    step: _state.Step,
+    order: _rollout_orders.RolloutOrder,
+    after: _rollout_orders.RolloutOrder | None,
 ) -> None:
-    """End the roll-out of an order that is no longer in force."""
+    """End the roll-out of an order that is no longer in force.
+
+    If another order for the same version replaces it, this is not stored: the
+    row would be taken for the end of that order.
+    """
+    why = "withdrawn"
+    if after is not None:
+        why = f"replaced by an order for version {after.version}"
+    is_settled = after is not None and after.version == order.version
     key = (order.service, order.order)
     known = step.state.rollouts.states.get(key)
     if known is None:
@@ -93,6 +97,7 @@
             order,
             phase=_rollout_orders.RolloutPhase.REVERTED,
             reason=f"the order was {why}",
+            is_stored=is_settled,
         )
     elif not known.is_final:
         change(
@@ -100,6 +105,8 @@
             known,
             _rollout_orders.RolloutPhase.REVERTED,
             f"the order was {why}",
+            is_stored=is_settled,
+            is_untested=True,
         )
 
 
@@ -130,6 +137,8 @@
             changed_at=step.now,
             is_stored=is_stored,
             reason=reason,
+            is_untested=not is_stored
+            and phase is _rollout_orders.RolloutPhase.REVERTED,
         ),
     )
 
@@ -141,6 +150,7 @@
     reason: str,
     *,
     is_stored: bool = False,
+    is_untested: bool = False,
 ) -> None:
     """Enter another phase and tell all nodes."""
     adopt(
@@ -151,6 +161,7 @@
             changed_at=step.now,
             is_stored=is_stored,
             reason=reason,
+            is_untested=is_untested,
         ),
     )
 
--- a/packages/core/marjoramledge_core/_rollout_state.py
+++ b/packages/core/marjoramledge_core/_rollout_state.py
@@ -19,6 +19,10 @@
 from marjoramledge_core import _rollout_verdict
 from marjoramledge_core import _timers
 
+# Delays after failed accesses to the store: each call costs, and an outage may
+# last longer than a roll-out.
+FIRST_STORE_RETRY_S: typing.Final = 0.3
+MAX_STORE_RETRY_S: typing.Final = 2.0
 # Roll-outs of a service that are remembered; versions of older ones can't be
 # told from others any more.
 MAX_STATES_PER_SERVICE: typing.Final = 4
@@ -48,9 +52,15 @@
     etag: str = ""
     is_pending: bool = False
     next_at: float = -math.inf
+    retry_s: float = FIRST_STORE_RETRY_S
     writing: _rollout_orders.RolloutState | None = None
     rewrites: set[Key] = dataclasses.field(default_factory=set)
 
+    def note_failure(self, now: float) -> None:
+        """Delay the next access; longer after each failure in a row."""
+        self.next_at = now + self.retry_s
+        self.retry_s = min(MAX_STORE_RETRY_S, 2.0 * self.retry_s)
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Deciding:
@@ -70,7 +80,9 @@
     """Where the calls of a service may go.
 
     ``target`` is the version of the roll-out in progress and ``blocked`` are
-    versions that a roll-out has reverted.
+    versions that a roll-out has reverted.  Those of them that are ``spare``
+    serve if there is no other server: evidence did not demand the reversal,
+    or no order is in force any more.
     """
 
     target: _ids.ServerVersion | None
@@ -78,6 +90,7 @@
     key: Key | None
     changed_at: float
     blocked: frozenset[_ids.ServerVersion]
+    spare: frozenset[_ids.ServerVersion]
 
 
 class RolloutTable:
@@ -166,6 +179,12 @@
         }
         key = self.current_key(service)
         current = None if key is None else self.states.get(key)
+        is_ordered = service in self.orders
+        spare = frozenset(
+            version
+            for version in blocked
+            if not is_ordered or latest[version].is_untested
+        )
         if current is not None:
             if not current.is_final:
                 blocked.discard(current.version)
@@ -175,6 +194,7 @@
                 key=key,
                 changed_at=current.changed_at,
                 blocked=frozenset(blocked),
+                spare=spare,
             )
         order = self.orders.get(service)
         if order is None and not blocked:
@@ -185,6 +205,7 @@
             key=key,
             changed_at=-math.inf,
             blocked=frozenset(blocked),
+            spare=spare,
         )
 
 
@@ -196,6 +217,8 @@
     ``is_exposed`` is true for an attempt that may go to a version under test.
     """
     usable = [s for s in servers if s.version not in routing.blocked]
+    if not usable:
+        return [[s for s in servers if s.version in routing.spare]]
     new = [s for s in usable if s.version == routing.target]
     old = [s for s in usable if s.version != routing.target]
     match routing.phase:
--- a/packages/core/marjoramledge_core/_rollout_store.py
+++ b/packages/core/marjoramledge_core/_rollout_store.py
@@ -21,7 +21,6 @@
 PROMOTION_S: typing.Final = 1.0
 # Each further deciding node waits this much longer before it writes.
 WRITE_STAGGER_S: typing.Final = 0.8
-STORE_RETRY_S: typing.Final = 0.3
 # With a fresh order, the roll-out starts without the store after this time.
 START_WITHOUT_STORE_S: typing.Final = 1.0
 
@@ -100,7 +99,7 @@
     access.is_read = event.is_success
     order = table.orders.get(event.service)
     if not event.is_success:
-        access.next_at = step.now + STORE_RETRY_S
+        access.note_failure(step.now)
         key = table.current_key(event.service)
         if order is not None and key not in table.states:
             waited_s = step.now - table.ordered_at[event.service, order.order]
@@ -108,6 +107,7 @@
                 _rollout_phases.start(step, order)
         _rollout_phases.set_timer(step, _rollout_phases.TICK_S)
         return
+    access.retry_s = _rollout_state.FIRST_STORE_RETRY_S
     access.etag = "" if event.row is None else event.row.etag
     if event.row is not None:
         _adopt_row(step, access, event.row)
@@ -182,7 +182,7 @@
         # Another node wrote first, or the answer was lost: the row tells.
         access.is_read = False
         if not event.is_conflict:
-            access.next_at = step.now + STORE_RETRY_S
+            access.note_failure(step.now)
         return
     access.etag = event.row.etag
     access.rewrites.discard(written.key)
--- a/packages/core/marjoramledge_core/_rollouts.py
+++ b/packages/core/marjoramledge_core/_rollouts.py
@@ -116,4 +116,11 @@
         phase = _rollout_orders.RolloutPhase.PROMOTING
     else:
         return
-    _rollout_phases.change(step, state, phase, verdict.reason)
+    is_reverted = phase is _rollout_orders.RolloutPhase.REVERTED
+    _rollout_phases.change(
+        step,
+        state,
+        phase,
+        verdict.reason,
+        is_untested=is_reverted and not verdict.is_proven,
+    )
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -126,6 +126,7 @@
     estimate_age_s: float | None
     is_open: bool = True
     sample: _rollout_evidence.Sample | None = None
+    answered_sample: _rollout_evidence.Sample | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/node/marjoramledge_node/_wire.py
+++ b/packages/node/marjoramledge_node/_wire.py
@@ -107,6 +107,7 @@
         9: (_I64, "run", False),
         10: (_I64, "number", False),
         11: (_LIST, "counts", (_STRUCT, _CountsStruct), False),
+        12: (_BOOL, "is_untested", False),
     }
     default_spec = [(field[1], None) for field in thrift_spec.values()]
 
@@ -431,6 +432,7 @@
         changed_age_ms=round(1000 * (now - state.changed_at)),
         is_stored=state.is_stored,
         reason=state.reason[:MAX_REASON_CHARS] or None,
+        is_untested=state.is_untested or None,
     )
     if report is not None:
         struct.run = report.run
@@ -483,6 +485,7 @@
             changed_at=now - max(0, struct.changed_age_ms) / 1000,
             is_stored=bool(struct.is_stored),
             reason=struct.reason or "",
+            is_untested=bool(struct.is_untested),
         ),
         report=report,
     )
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -1,7 +1,9 @@
 """Roll-outs by a few nodes under virtual time."""
 
+import dataclasses
 import typing
 
+from marjoramledge_core import ids
 from marjoramledge_core import node
 import pytest
 import rollout_fleet
@@ -192,6 +194,29 @@
 
 
 def test_a_second_order_replaces_the_first_one() -> None:
+    other = ids.ServerVersion("v3")
+    versions = [OLD] * 6 + [NEW] * 3 + [other] * 3
+    fleet = rollout_fleet.Fleet(versions=versions, seed=1)
+    fleet.order(rollout_fleet.build_order())
+    fleet.run(3.0, calls_per_s=CALLS_PER_S)
+    fleet.order(rollout_fleet.build_order("2", other))
+    fleet.run(12.0, calls_per_s=CALLS_PER_S)
+    assert fleet.phases("1") == {REVERTED}
+    assert fleet.phases("2") == {COMPLETED}
+    written = [(row.order, row.phase) for row in fleet.store.history]
+    assert written == [
+        ("1", node.RolloutPhase.RUNNING),
+        ("1", REVERTED),
+        ("2", node.RolloutPhase.RUNNING),
+        ("2", COMPLETED),
+    ]
+
+
+# Guards against a row that reports the end of an earlier order for the same
+# version: it would be taken for the end of the order in force.
+def test_a_second_order_for_the_same_version_does_not_end_as_the_first() -> (
+    None
+):
     fleet = _build_fleet()
     fleet.order(rollout_fleet.build_order())
     fleet.run(3.0, calls_per_s=CALLS_PER_S)
@@ -202,7 +227,6 @@
     written = [(row.order, row.phase) for row in fleet.store.history]
     assert written == [
         ("1", node.RolloutPhase.RUNNING),
-        ("1", REVERTED),
         ("2", node.RolloutPhase.RUNNING),
         ("2", COMPLETED),
     ]
@@ -258,3 +282,37 @@
     fleet.run(3.0, calls_per_s=CALLS_PER_S)
     assert fleet.sent[NEW] >= fleet.calls
     assert not fleet.refused
+
+
+# Guards against an order that refuses all requests of its service.
+@pytest.mark.parametrize("problem", ["invalid duration", ""])
+def test_an_order_for_the_only_version_that_ends_refuses_nothing(
+    problem: str,
+) -> None:
+    fleet = rollout_fleet.Fleet(versions=[OLD] * 4, seed=1)
+    fleet.run(5.0, calls_per_s=40.0)
+    order = rollout_fleet.build_order()
+    fleet.order(dataclasses.replace(order, version=OLD, problem=problem))
+    fleet.run(3.0, calls_per_s=40.0)
+    if not problem:
+        fleet.order()
+    fleet.run(10.0, calls_per_s=40.0)
+    assert fleet.phases() == {REVERTED}
+    assert not fleet.refused
+
+
+# Guards against a reversal that blocks a version after its order has gone.
+def test_a_version_serves_alone_once_no_order_reverts_it() -> None:
+    fleet = rollout_fleet.Fleet(versions=[OLD, OLD, NEW, NEW], seed=1)
+    fleet.run(5.0, calls_per_s=40.0)
+    fleet.order(rollout_fleet.build_order())
+    fleet.run(3.0, calls_per_s=40.0)
+    fleet.order()
+    fleet.run(3.0, calls_per_s=40.0)
+    for number in range(2):
+        fleet.versions[number] = NEW
+        fleet.announce(number)
+    fleet.run(2.0)
+    refused = fleet.refused
+    fleet.run(10.0, calls_per_s=40.0)
+    assert fleet.refused == refused
