--- a/packages/core/marjoramledge_core/_calls.py
+++ b/packages/core/marjoramledge_core/_calls.py
@@ -14,6 +14,7 @@
 
 from marjoramledge_core import _access
 from marjoramledge_core import _commands
+from marjoramledge_core import _confirmation_rounds
 from marjoramledge_core import _dispatch
 from marjoramledge_core import _events
 from marjoramledge_core import _gate_handlers
@@ -23,11 +24,14 @@
 from marjoramledge_core import _manifest
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _queue
+from marjoramledge_core import _quota
 from marjoramledge_core import _records
 from marjoramledge_core import _reports
+from marjoramledge_core import _rollout_calls
 from marjoramledge_core import _settings
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
+from marjoramledge_core import _zone_measurements
 
 # Mean Retry-After of a refusal: overload caused by a noisy neighbour or a
 # restart typically ends within this time.
@@ -98,9 +102,14 @@
         return
     access = _access.authorize(step, event, kind)
     if access.reason is not None:
-        _refuse_on_arrival(step, event, access.reason, kind=kind.name)
+        _refuse_on_arrival(
+            step,
+            event,
+            access.reason,
+            kind=kind.name,
+            detail=_confirmation_rounds.describe(step),
+        )
         return
-    # A workspace's limit over the whole fleet is applied here.
     quarantine_s = _gate_handlers.quarantine_left_s(step, event.fingerprint)
     if quarantine_s is not None:
         _refuse_on_arrival(
@@ -127,8 +136,37 @@
         return
     call = _build_call(step, event, access, deadline_s)
     step.state.calls[call.call] = call
-    step.budget_of(call.service).earn()
     _set_timer(step, call, call.deadline_at, _timers.TimerKind.CALL_DEADLINE)
+    workspace = access.limited_workspace
+    if workspace is None:
+        start_call(step, call)
+        return
+    decision = _quota.admit(step, call, workspace)
+    if decision is not None:
+        apply_decision(step, decision)
+
+
+def apply_decision(step: _state.Step, decision: _quota.Decision) -> None:
+    """Start or refuse a call when it is known if its limit allows it."""
+    call = step.state.calls.get(decision.call)
+    if call is None:
+        return
+    if decision.is_admitted:
+        start_call(step, call)
+        return
+    _refuse(
+        step,
+        call,
+        _outcomes.Reason.WORKSPACE_LIMIT,
+        retry_after_s=decision.retry_after_s,
+    )
+
+
+def start_call(step: _state.Step, call: _state.Call) -> None:
+    """Dispatch an accepted call for the first time, or refuse it."""
+    kind = call.kind
+    step.budget_of(call.service).earn()
+    _rollout_calls.accept_call(step, call)
     if kind.hedging:
         hedge_s = _hedge_delay_s(step, kind)
         if kind.target_s is not None:
@@ -181,9 +219,11 @@
     _observe_version(step, attempt.server, event.config)
     attempt.server.note_answer_status(event.status)
     _note_answer(step, attempt.server, event.load, event.is_error)
+    _rollout_calls.note_answered(step, attempt, is_error=event.is_error)
     if event.is_error and _retry_error(step, call, attempt):
         return
     step.state.answered_calls.note(call.fingerprint, step.now)
+    _zone_measurements.note_answer(step, call, attempt)
     step.latency_of(call.kind).note(step.now - attempt.sent_at)
     call.advance(_state.CallPhase.ANSWERED)
     if event.is_error or _should_record_answer(step, call):
@@ -222,6 +262,8 @@
     _note_report(step, attempt.server, event.load)
     if event.reason in _FAULT_REASONS:
         _note_fault(step, attempt.server)
+    if event.run is _outcomes.RunState.MAY_HAVE_RUN:
+        _rollout_calls.note_lost(step, attempt)
     call.is_body_consumed = call.is_body_consumed or event.is_body_consumed
     if not attempt.server.is_local and event.load is None:
         _lost_nodes.note_broken_connection(step, call, attempt, event)
@@ -237,6 +279,7 @@
     call.delivered = None
     call.advance(_state.CallPhase.SENT)
     call.is_body_consumed = not call.is_body_buffered
+    _rollout_calls.note_answer_lost(step, attempt)
     _note_fault(step, attempt.server)
     reason = _outcomes.Reason.ANSWER_CUT_SHORT
     if step.now >= call.deadline_at:
@@ -528,7 +571,11 @@
 
 
 def _refuse(
-    step: _state.Step, call: _state.Call, reason: _outcomes.Reason
+    step: _state.Step,
+    call: _state.Call,
+    reason: _outcomes.Reason,
+    *,
+    retry_after_s: float | None = None,
 ) -> None:
     """Answer a call as refused, or as unknown if it may have run."""
     _remove_call(step, call.call)
@@ -538,6 +585,7 @@
         kind = _records.RecordKind.CALL_UNKNOWN
     else:
         call.advance(_state.CallPhase.REFUSED)
+        _quota.give_back(step, call)
         run = _outcomes.RunState.NOT_RUN
         kind = _records.RecordKind.CALL_REFUSED
     _record(
@@ -546,7 +594,14 @@
         kind,
         detail=f"{reason.value}; {_describe_call(step, call)}",
     )
-    _send_refusal(step, call.call, reason, run, kind=call.kind.name)
+    _send_refusal(
+        step,
+        call.call,
+        reason,
+        run,
+        kind=call.kind.name,
+        retry_after_s=retry_after_s,
+    )
 
 
 def _should_record_answer(step: _state.Step, call: _state.Call) -> bool:
@@ -606,12 +661,13 @@
     *,
     kind: _ids.KindName | None = None,
     retry_after_s: float | None = None,
+    detail: str = "",
 ) -> None:
     step.record(
         _records.RecordKind.CALL_REFUSED,
         call=event.call,
         request=event.request,
-        detail=reason.value,
+        detail=f"{reason.value}; {detail}" if detail else reason.value,
     )
     _send_refusal(
         step,
--- a/packages/core/marjoramledge_core/_commands.py
+++ b/packages/core/marjoramledge_core/_commands.py
@@ -12,6 +12,7 @@
 from marjoramledge_core import _members
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _records
+from marjoramledge_core import _rollout_orders
 from marjoramledge_core import _server_status
 from marjoramledge_core import _settings
 
@@ -162,10 +163,12 @@
     """Read the current configuration version from the store.
 
     A store that supports long polling may wait for a change for up to
-    ``wait_s``.  The event ``VersionReadEnded`` must follow.
+    ``wait_s``.  The event ``VersionReadEnded`` must follow.  With
+    ``is_confirming``, it is read in addition to the regular reads.
     """
 
     wait_s: float
+    is_confirming: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -181,6 +184,25 @@
     ordered_at: float
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ReadRollout:
+    """Read the row of a service's roll-out; ``RolloutRead`` must follow."""
+
+    service: _ids.ServiceName
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class WriteRollout:
+    """Write the row of a service's roll-out; ``RolloutWritten`` must follow.
+
+    The row must still have ``etag``; empty if there must be none.
+    """
+
+    service: _ids.ServiceName
+    row: _rollout_orders.RolloutRow
+    etag: str
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class StopAccepting:
     """Accept no new connections and close the idle ones."""
@@ -219,6 +241,8 @@
     | StoreDeparture
     | ReadVersion
     | FetchManifest
+    | ReadRollout
+    | WriteRollout
     | StopAccepting
     | StopNode
     | WriteRecord
--- a/packages/core/marjoramledge_core/_dispatch.py
+++ b/packages/core/marjoramledge_core/_dispatch.py
@@ -18,8 +18,11 @@
 from marjoramledge_core import _ids
 from marjoramledge_core import _load
 from marjoramledge_core import _outcomes
+from marjoramledge_core import _records
+from marjoramledge_core import _rollout_calls
 from marjoramledge_core import _routing
 from marjoramledge_core import _state
+from marjoramledge_core import _zone_overflow
 
 # With three of four servers full, nine of ten calls find room within eight
 # attempts; the remaining calls queue.
@@ -52,12 +55,16 @@
     state = step.state
     directory = _refresh_directory(step)
     gate = state.gate
+    groups = _rollout_calls.split_servers(
+        step, call, directory.candidates(call.service)
+    )
     local = directory.loads.get(state.node)
     if (
         local is not None
         and gate.server is not None
         and gate.server.service == call.service
         and local.node not in call.tried
+        and any(server is local for server in groups[0])
         and _gate_handlers.reason_to_refuse(step) is None
     ):
         report = gate.report(step.now)
@@ -75,12 +82,41 @@
         # The attempt may queue, and a gate that refused the call before may
         # have the shortest queue now: exclude only faulty servers.
         excluded = call.faulty
-    return _routing.choose_server(
-        directory.candidates(call.service),
-        excluded,
+    offer = _draw_offer(step, call)
+    for servers in groups:
+        server = _routing.choose_server(
+            servers, excluded, step.now, step.rng, offer
+        )
+        if server is not None:
+            return server
+    return None
+
+
+def _draw_offer(
+    step: _state.Step, call: _state.Call
+) -> _zone_overflow.Offer | None:
+    """Draw the zone that a call may use, if overflow is enabled.
+
+    Only the first attempt follows the shares.  Once a gate has refused a
+    call, or a hedge is sent, any zone is better than the one that failed it.
+    """
+    options = step.state.options.zone_overflow
+    if options is None or call.attempts:
+        return None
+    overflow = step.state.zone_overflow
+    changes = overflow.update(
+        call.service,
+        step.state.directory.candidates(call.service),
+        options,
         step.now,
-        step.rng,
     )
+    for change in changes:
+        step.record(
+            _records.RecordKind.ZONE_SHARE_CHANGED,
+            service=call.service,
+            detail=change.detail,
+        )
+    return overflow.draw(call.service, options, step.rng)
 
 
 def send(
@@ -102,6 +138,7 @@
         expected_s=server.latency_s,
         estimate_age_s=server.report_age_s(step.now),
     )
+    _rollout_calls.note_sent(step, call, attempt)
     call.attempts[attempt_id] = attempt
     call.tried.add(server.node)
     server.start_call()
@@ -139,6 +176,7 @@
     """Cancel an open attempt; return whether it certainly has not run."""
     if not attempt.is_open:
         return False
+    _rollout_calls.note_cancelled(step, attempt)
     close(step, attempt)
     if attempt.server.is_local and step.state.gate.abandon(attempt.attempt):
         return True
@@ -165,7 +203,12 @@
     """
     if len(call.attempts) + 1 >= FIRST_QUEUEING_ATTEMPT:
         return True
-    candidates = step.state.directory.candidates(call.service)
+    groups = _rollout_calls.split_servers(
+        step, call, step.state.directory.candidates(call.service)
+    )
+    # A call that may leave its group for another one should not do so for a
+    # short queue: the old servers of a promoted version are about to stop.
+    candidates = next((group for group in groups if server in group), ())
     if all(
         other is server or other.node in call.tried for other in candidates
     ):
--- a/packages/core/marjoramledge_core/_document.py
+++ b/packages/core/marjoramledge_core/_document.py
@@ -15,8 +15,10 @@
 
 from marjoramledge_core import _ids
 from marjoramledge_core import _priority
+from marjoramledge_core import _rollout_orders
 from marjoramledge_core import _routes
 from marjoramledge_core import _settings
+from marjoramledge_core import _workspace_document
 
 INVENTORY_FILE: typing.Final = "inventory.toml"
 RULES_FILE: typing.Final = "rules.toml"
@@ -26,6 +28,7 @@
     {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 )
 _MAX_DEADLINE_MS: typing.Final = 3_600_000
+_MIN_ROLLOUT_MS: typing.Final = 1000
 _MAX_RUNS: typing.Final = 10
 _MAX_WEIGHT: typing.Final = 1_000_000
 _MAX_COLD_RATE: typing.Final = 100_000
@@ -252,6 +255,10 @@
     organisation = inventory.string("organisation")
     zones = _read_zones(inventory)
     services = _read_services(inventory)
+    rollouts = _read_rollouts(inventory, services)
+    workspaces = _workspace_document.read_workspaces(
+        inventory.array("workspace")
+    )
     inventory.reject_unknown()
     defaults = rules.table("defaults")
     default_deadline_ms = defaults.integer(
@@ -276,6 +283,8 @@
             measuring=measuring,
             default_deadline_s=default_deadline_ms / 1000,
             routes=_routes.RouteTable(routes),
+            rollouts=rollouts,
+            workspaces=workspaces,
         )
     )
 
@@ -347,6 +356,37 @@
     return tuple(services)
 
 
+def _read_rollouts(
+    inventory: _TableReader, services: tuple[_settings.Service, ...]
+) -> tuple[_rollout_orders.RolloutOrder, ...]:
+    """Read the orders of roll-outs; a service has at most one."""
+    declared = {service.name for service in services}
+    orders: dict[str, _rollout_orders.RolloutOrder] = {}
+    for reader in inventory.array("rollout"):
+        service = _ids.ServiceName(reader.string("service"))
+        version = reader.string("version")
+        duration_ms = reader.integer(
+            "duration_ms", _MIN_ROLLOUT_MS, _MAX_DEADLINE_MS
+        )
+        name = f"{version}/{duration_ms}"
+        if reader.is_given("order"):
+            name = reader.string("order")
+        if service and service not in declared:
+            reader.report("service", "must be a service of the inventory")
+        if service in orders:
+            reader.report("service", f"{service} has another order")
+        if len(version.encode()) > _ids.MAX_SERVER_VERSION_BYTES:
+            reader.report("version", "is too long")
+        reader.reject_unknown()
+        orders[service] = _rollout_orders.RolloutOrder(
+            service=service,
+            version=_ids.ServerVersion(version),
+            duration_s=duration_ms / 1000,
+            order=_ids.OrderId(name),
+        )
+    return tuple(orders.values())
+
+
 def _read_cold_rate(reader: _TableReader) -> float | None:
     if not reader.is_given("cold_calls_per_s"):
         return None
@@ -517,4 +557,5 @@
             "max_runs", 1, _MAX_RUNS, _settings.DEFAULT_MAX_RUNS
         ),
         target_s=target_s,
+        is_public=reader.boolean("public", False),
     )
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -15,6 +15,8 @@
 from marjoramledge_core import _answered_requests
 from marjoramledge_core import _calls
 from marjoramledge_core import _commands
+from marjoramledge_core import _confirmation
+from marjoramledge_core import _confirmation_rounds
 from marjoramledge_core import _directory
 from marjoramledge_core import _events
 from marjoramledge_core import _gate
@@ -27,12 +29,20 @@
 from marjoramledge_core import _options
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _quarantine
+from marjoramledge_core import _quota
 from marjoramledge_core import _records
+from marjoramledge_core import _rollout_exchange
+from marjoramledge_core import _rollout_messages
+from marjoramledge_core import _rollout_phases
+from marjoramledge_core import _rollout_store
+from marjoramledge_core import _rollouts
 from marjoramledge_core import _server_status
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
 from marjoramledge_core import _version_numbers
 from marjoramledge_core import _versions
+from marjoramledge_core import _zone_measurements
+from marjoramledge_core import _zone_overflow
 
 # Interval at which a stopping node checks whether calls still run.
 STOP_CHECK_S: typing.Final = 0.05
@@ -42,8 +52,6 @@
 # Time that a stopping node stays up after each of its last steps, so that
 # its final messages are still sent.
 STOP_LINGER_S: typing.Final = 0.2
-# Nodes that read the store often, in zones of their own.
-FREQUENT_READERS: typing.Final = 2
 # After the store was restored, all nodes write their rows again: within this
 # time, and at most this many a second.
 MIN_RESTORE_SPREAD_S: typing.Final = 1.0
@@ -114,6 +122,7 @@
             other_zone_cost_s=options.other_zone_cost_s,
             other_zone_cost_share=options.other_zone_cost_share,
         ),
+        zone_overflow=_zone_overflow.Overflow(zone=identity.zone),
         calls={},
         quarantine=_quarantine.Quarantine(),
         answered_by_server=_answered_requests.AnsweredRequests(),
@@ -122,7 +131,10 @@
         latencies={},
         budgets={},
         prioritized_kinds=_kind_priorities.PrioritizedKinds(),
+        confirmation=_confirmation.Confirmation(),
+        confirmation_rounds=_confirmation.ConfirmationRounds(),
     )
+    state.quota.started_at = now
     state.membership.start(now)
     state.versions.start(now)
     timers.set(now, _timers.TimerKind.SERVER_PROBE)
@@ -164,6 +176,7 @@
     while step.returned_work:
         work, reason = step.returned_work.pop()
         _calls.work_returned(step, work, reason)
+    _rollout_messages.attach_states(step)
     return step.out
 
 
@@ -174,9 +187,15 @@
 
 def _handle_message(step: _state.Step, event: _events.MessageReceived) -> None:
     message = event.message
+    if message.kind is _members.MessageKind.QUOTA:
+        _decide_calls(step, _quota.receive(step, message))
+        return
+    _zone_measurements.note_message(step, message)
     recalled = step.state.membership.myself.departed
+    replies_from = len(step.out)
     step.state.membership.receive_message(message, step.now, step.out)
     _apply_recalled_departure(step, recalled)
+    _rollout_exchange.receive(step, message)
     step.publish_suspicions(
         step.state.quarantine.record_suspicions(message.suspicions, step.now),
         is_relayed=True,
@@ -195,6 +214,7 @@
         step.out,
     )
     step.state.membership.set_config(step.state.versions.in_force)
+    _confirmation_rounds.note_message(step, message, replies_from)
 
 
 def _merge_members(step: _state.Step, event: _events.MembersReceived) -> None:
@@ -232,6 +252,16 @@
     known = _manifest.KnownVersion(ref=event.ref, known_at=step.now)
     step.state.versions.observe_version(known, None, step.now, step.out)
     step.state.membership.set_config(step.state.versions.in_force)
+    _confirmation_rounds.note_read(step, event.ref, event.started_at)
+
+
+def _end_version_read(
+    step: _state.Step, event: _events.VersionReadEnded
+) -> None:
+    if event.is_confirming:
+        _confirmation_rounds.read_ended(step, is_success=event.is_success)
+    else:
+        step.state.versions.read_ended(event.is_success, step.now, step.rng)
 
 
 def _reads_often(state: _state.NodeState) -> bool:
@@ -244,7 +274,7 @@
         if member.status is _members.MemberStatus.ALIVE:
             first = first_of_zone.get(member.zone, member.node)
             first_of_zone[member.zone] = min(first, member.node)
-    zones = sorted(first_of_zone)[:FREQUENT_READERS]
+    zones = sorted(first_of_zone)[: _confirmation_rounds.FREQUENT_READERS]
     return state.node in (first_of_zone[zone] for zone in zones)
 
 
@@ -257,6 +287,7 @@
     )
     if before == _version_numbers.UNKNOWN_ERA:
         return
+    _rollout_store.enter_era(step)
     spread_s = max(
         MIN_RESTORE_SPREAD_S,
         state.membership.present_count / FLEET_RESTORES_PER_S,
@@ -269,12 +300,14 @@
 def _adopt_manifest(step: _state.Step, event: _events.ManifestFetched) -> None:
     state = step.state
     was_open = step.is_zone_open()
+    is_first = state.versions.configuration is None
     is_adopted = state.versions.adopt(
         event.ref, event.configuration, step.now, requested=event.requested
     )
     if not is_adopted:
         return
     state.prioritized_kinds.forget()
+    _confirmation_rounds.start(step)
     state.membership.set_config(state.versions.in_force)
     state.membership.push_now(step.rng, step.out)
     step.record(
@@ -282,6 +315,7 @@
         detail=f"version {state.versions.describe()}",
     )
     _gate_handlers.apply_service(step)
+    _rollout_phases.apply_orders(step, is_first=is_first)
     is_open = step.is_zone_open()
     if was_open and not is_open:
         step.record(_records.RecordKind.ZONE_CLOSED, detail=state.zone)
@@ -303,6 +337,7 @@
     )
     if event.is_unreadable:
         step.state.versions.reject(event.ref)
+        step.state.confirmation.note_unreadable(event.ref.version)
     step.state.versions.fetch_failed(event.ref, step.now, step.rng)
 
 
@@ -310,6 +345,7 @@
     if event.options == step.state.options:
         return
     step.state.options = event.options
+    _rollout_phases.apply_orders(step, is_first=True)
     step.record(
         _records.RecordKind.OPTIONS_CHANGED, detail=repr(event.options)
     )
@@ -383,6 +419,11 @@
         _TIMER_HANDLERS[timer.kind](step, timer)
 
 
+def _decide_calls(step: _state.Step, decisions: list[_quota.Decision]) -> None:
+    for decision in decisions:
+        _calls.apply_decision(step, decision)
+
+
 def _retry_fetch(step: _state.Step, timer: _timers.Timer) -> None:
     alive = [
         member
@@ -422,11 +463,11 @@
     _events.MembersReceived: _merge_members,
     _events.StoredMembersRead: _merge_stored_members,
     _events.VersionRead: _note_version,
-    _events.VersionReadEnded: lambda step, event: (
-        step.state.versions.read_ended(event.is_success, step.now, step.rng)
-    ),
+    _events.VersionReadEnded: _end_version_read,
     _events.ManifestFetched: _adopt_manifest,
     _events.ManifestFailed: _handle_failed_fetch,
+    _events.RolloutRead: _rollout_store.row_read,
+    _events.RolloutWritten: _rollout_store.row_written,
     _events.DrainOrdered: _gate_handlers.order_drain,
     _events.OptionsChanged: _change_options,
     _events.StopRequested: _begin_stop,
@@ -450,7 +491,7 @@
         _gate_handlers.probe_server(step)
     ),
     _timers.TimerKind.MEMBER_PROBE: lambda step, timer: (
-        step.state.membership.probe_next(step.now, step.rng, step.out)
+        _zone_measurements.probe_next(step)
     ),
     _timers.TimerKind.PROBE_TIMEOUT: lambda step, timer: (
         step.state.membership.probe_timed_out(
@@ -482,5 +523,15 @@
         )
     ),
     _timers.TimerKind.CONFIG_FETCH: _retry_fetch,
+    _timers.TimerKind.CONFIRMATION: lambda step, timer: (
+        _confirmation_rounds.check(step)
+    ),
+    _timers.TimerKind.ROLLOUT_TICK: lambda step, timer: _rollouts.tick(step),
     _timers.TimerKind.STOP_STEP: lambda step, timer: _continue_stop(step),
+    _timers.TimerKind.QUOTA_ASK: lambda step, timer: _decide_calls(
+        step, _quota.ask_due(step, timer.number)
+    ),
+    _timers.TimerKind.QUOTA_POLL: lambda step, timer: _decide_calls(
+        step, _quota.poll_due(step, timer.number)
+    ),
 }
--- a/packages/core/marjoramledge_core/_plan.py
+++ b/packages/core/marjoramledge_core/_plan.py
@@ -8,7 +8,9 @@
 import dataclasses
 import enum
 
+from marjoramledge_core import _rollout_orders
 from marjoramledge_core import _settings
+from marjoramledge_core import _workspace_document
 
 
 class ChangeAction(enum.Enum):
@@ -75,6 +77,9 @@
         "measuring.slot_share": f"{configuration.measuring.slot_share:g}",
         "defaults.deadline_s": f"{configuration.default_deadline_s:g}",
     }
+    items.update(
+        _workspace_document.flatten_workspaces(configuration.workspaces)
+    )
     for zone in configuration.zones.values():
         _add_fields(items, f"zones.{zone.name}", zone)
     for service in configuration.services.values():
@@ -86,13 +91,20 @@
         location = f"routes.{route.host}{route.prefix}"
         items[f"{location}.name"] = route.target.name
         _add_fields(items, location, route.target)
+    for order in configuration.rollouts.values():
+        _add_fields(items, f"rollouts.{order.service}", order)
     return items
 
 
 def _add_fields(
     items: dict[str, str],
     prefix: str,
-    value: _settings.Zone | _settings.Service | _settings.RequestKind,
+    value: (
+        _settings.Zone
+        | _settings.Service
+        | _settings.RequestKind
+        | _rollout_orders.RolloutOrder
+    ),
 ) -> None:
     for field in dataclasses.fields(value):
         if field.name != "name":
--- a/packages/core/marjoramledge_core/_records.py
+++ b/packages/core/marjoramledge_core/_records.py
@@ -19,10 +19,16 @@
     acknowledged, ``SERVER_FELL_COLD`` a server that became cold again without
     announcing it, and ``CONFIG_HEARD`` the first notice of a newer
     configuration.
+    ``CONFIG_UNPROVEN`` begins a time in which requests with keys are refused,
+    since the configuration may be outdated, and ``CONFIG_PROVEN`` ends it.
     ``LIMIT_CHANGED`` concerns the gate's own limit of concurrent calls, and
     the ``RATE_LIMIT`` kinds the limit that the server names in its answers.
+    The ``ROLLOUT`` kinds are the phases of a roll-out, with its reason.
     ``LEAVING_INVALID`` is an answer that says unreadably whether the server
-    leaves.
+    leaves.  ``QUOTA_PRESSED`` summarises the calls that an entry refused
+    because of a workspace's limit, and ``QUOTA_OWNER_SILENT`` is a node that
+    decides on limits and does not answer.  ``ZONE_SHARE_CHANGED`` tells which
+    share of the calls may use another zone, and why.
     """
 
     CALL_REFUSED = "call-refused"
@@ -43,6 +49,8 @@
     RATE_LIMIT_ENDED = "rate-limit-ended"
     RATE_LIMIT_INVALID = "rate-limit-invalid"
     LEAVING_INVALID = "leaving-invalid"
+    QUOTA_PRESSED = "quota-pressed"
+    QUOTA_OWNER_SILENT = "quota-owner-silent"
     SERVER_DIED = "server-died"
     DEATH_WITHDRAWN = "death-withdrawn"
     SUSPICION_LEARNED = "suspicion-learned"
@@ -57,13 +65,20 @@
     CONFIG_FETCHED = "config-fetched"
     CONFIG_ADOPTED = "config-adopted"
     CONFIG_REFUSED = "config-refused"
+    CONFIG_PROVEN = "config-proven"
+    CONFIG_UNPROVEN = "config-unproven"
     DRAIN_ORDERED = "drain-ordered"
     DRAIN_ENDED = "drain-ended"
+    ZONE_SHARE_CHANGED = "zone-share-changed"
     ZONE_CLOSED = "zone-closed"
     ZONE_OPENED = "zone-opened"
     STORE_FAILED = "store-failed"
     STORE_RECOVERED = "store-recovered"
     STORE_ERA = "store-era"
+    ROLLOUT_STARTED = "rollout-started"
+    ROLLOUT_PROMOTED = "rollout-promoted"
+    ROLLOUT_COMPLETED = "rollout-completed"
+    ROLLOUT_REVERTED = "rollout-reverted"
     LOOP_STALLED = "loop-stalled"
     OPTIONS_CHANGED = "options-changed"
     STOP_BEGUN = "stop-begun"
--- a/packages/core/marjoramledge_core/_state.py
+++ b/packages/core/marjoramledge_core/_state.py
@@ -9,6 +9,7 @@
 from marjoramledge_core import _answered_requests
 from marjoramledge_core import _budget
 from marjoramledge_core import _commands
+from marjoramledge_core import _confirmation
 from marjoramledge_core import _directory
 from marjoramledge_core import _gate
 from marjoramledge_core import _ids
@@ -21,11 +22,15 @@
 from marjoramledge_core import _outcomes
 from marjoramledge_core import _quarantine
 from marjoramledge_core import _queue
+from marjoramledge_core import _quota_state
 from marjoramledge_core import _records
+from marjoramledge_core import _rollout_evidence
+from marjoramledge_core import _rollout_state
 from marjoramledge_core import _settings
 from marjoramledge_core import _timers
 from marjoramledge_core import _version_numbers
 from marjoramledge_core import _versions
+from marjoramledge_core import _zone_overflow
 
 
 class CallPhase(enum.Enum):
@@ -108,7 +113,8 @@
     which the call can be sent to another server if this one refuses it.
     ``expected_s`` is the latency that was expected of the server, and
     ``estimate_age_s`` the age of the load report behind that estimate; None
-    if there was no report.
+    if there was no report.  ``sample`` is how the attempt will be counted in a
+    roll-out; None if it is not, or has been.
     """
 
     attempt: _ids.AttemptId
@@ -119,6 +125,8 @@
     expected_s: float
     estimate_age_s: float | None
     is_open: bool = True
+    sample: _rollout_evidence.Sample | None = None
+    answered_sample: _rollout_evidence.Sample | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -129,7 +137,9 @@
     where one failed for another reason than overload.  ``failed_runs``
     counts the failed attempts that ran or may have run.  ``workspace`` is the
     caller's workspace: empty if it has none, and None if the configuration
-    lists no workspaces.
+    lists no workspaces.  ``is_exposed`` is true if the first attempt may go to
+    a version under test.  ``quota_at`` is the time at which the
+    workspace's limit was charged for the call.
     """
 
     call: _ids.CallId
@@ -151,6 +161,8 @@
     may_have_run: bool = False
     failed_runs: int = 0
     workspace: _ids.WorkspaceName | None = None
+    is_exposed: bool = False
+    quota_at: float | None = None
 
     def advance(self, phase: CallPhase) -> None:
         """Enter another phase; the transition must be an allowed one."""
@@ -206,6 +218,7 @@
     membership: _membership.Membership
     versions: _versions.VersionTracker
     directory: _directory.Directory
+    zone_overflow: _zone_overflow.Overflow
     directory_revision: tuple[int, int] = (-1, -1)
     calls: dict[_ids.CallId, Call]
     quarantine: _quarantine.Quarantine
@@ -217,6 +230,11 @@
     ]
     budgets: dict[_ids.ServiceName, _budget.RetryBudget]
     prioritized_kinds: _kind_priorities.PrioritizedKinds
+    confirmation: _confirmation.Confirmation
+    confirmation_rounds: _confirmation.ConfirmationRounds
+    rollouts: _rollout_state.RolloutTable = dataclasses.field(
+        default_factory=_rollout_state.RolloutTable
+    )
     deaths: int = 0
     ordinary_answers: int = 0
     presumed_death: PresumedDeath | None = None
@@ -225,6 +243,9 @@
     rate_start_timer: _timers.Timer | None = None
     stop_phase: StopPhase = StopPhase.RUNNING
     stop_begun_at: float = 0.0
+    quota: _quota_state.QuotaState = dataclasses.field(
+        default_factory=_quota_state.QuotaState
+    )
 
     @property
     def is_server_released(self) -> bool:
@@ -308,6 +329,7 @@
             server=server_state,
             slots=myself.slots if server is None else server.slots,
             departed=gate.starts.last_departed,
+            server_version=None if server is None else server.version,
             now=self.now,
         )
 
--- a/packages/core/marjoramledge_core/_timers.py
+++ b/packages/core/marjoramledge_core/_timers.py
@@ -26,7 +26,11 @@
     MEMBER_REGISTER = enum.auto()
     CONFIG_READ = enum.auto()
     CONFIG_FETCH = enum.auto()
+    CONFIRMATION = enum.auto()
+    ROLLOUT_TICK = enum.auto()
     STOP_STEP = enum.auto()
+    QUOTA_ASK = enum.auto()
+    QUOTA_POLL = enum.auto()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/node/marjoramledge_node/_main.py
+++ b/packages/node/marjoramledge_node/_main.py
@@ -4,6 +4,7 @@
 import sys
 import typing
 
+from marjoramledge_core import configuration
 from marjoramledge_core import ids
 from marjoramledge_core import node
 from marjoramledge_store import client
@@ -11,6 +12,7 @@
 import typer
 
 from marjoramledge_node import _auth
+from marjoramledge_node import _connection_limits
 from marjoramledge_node import _environment
 from marjoramledge_node import _options
 from marjoramledge_node import _process
@@ -148,6 +150,26 @@
             "known to the fleet refuses calls.",
         ),
     ] = node.DEFAULT_OUTDATED_LIMIT_S,
+    zone_overflow: typing.Annotated[
+        bool,
+        typer.Option(
+            "--zone-overflow/--no-zone-overflow",
+            envvar="MARJORAMLEDGE_ZONE_OVERFLOW",
+            help="Let a share of the calls use other zones at the cost of "
+            "the measured round trip while the own zone is busy.",
+        ),
+    ] = False,
+    zone_crossing_cost_ms: typing.Annotated[
+        float,
+        typer.Option(
+            "--zone-crossing-cost-ms",
+            envvar="MARJORAMLEDGE_ZONE_CROSSING_COST_MS",
+            min=0.0,
+            max=60000.0,
+            help="Milliseconds that a call must gain by leaving its zone, "
+            "besides the round trip; used with --zone-overflow.",
+        ),
+    ] = 0.0,
     log_format: typing.Annotated[
         _options.LogFormat,
         typer.Option(
@@ -181,6 +203,52 @@
             help="IP:PORT that serves Prometheus metrics; empty for none.",
         ),
     ] = "",
+    max_head_bytes: typing.Annotated[
+        int,
+        typer.Option(
+            "--max-head-bytes",
+            envvar="MARJORAMLEDGE_MAX_HEAD_BYTES",
+            min=1024,
+            help="Bytes of the longest request head of a caller.",
+        ),
+    ] = configuration.DEFAULT_MAX_HEAD_BYTES,
+    max_body_bytes: typing.Annotated[
+        int,
+        typer.Option(
+            "--max-body-bytes",
+            envvar="MARJORAMLEDGE_MAX_BODY_BYTES",
+            min=1,
+            help="Bytes of the longest request body of a caller.",
+        ),
+    ] = configuration.DEFAULT_MAX_BODY_BYTES,
+    head_timeout_s: typing.Annotated[
+        float,
+        typer.Option(
+            "--head-timeout-s",
+            envvar="MARJORAMLEDGE_HEAD_TIMEOUT_S",
+            min=1.0,
+            help="Seconds that a request head may take to arrive.",
+        ),
+    ] = configuration.DEFAULT_HEAD_TIMEOUT_S,
+    idle_timeout_s: typing.Annotated[
+        float,
+        typer.Option(
+            "--idle-timeout-s",
+            envvar="MARJORAMLEDGE_IDLE_TIMEOUT_S",
+            min=1.0,
+            help="Seconds for which a connection without a request stays "
+            "open while there is room.",
+        ),
+    ] = configuration.DEFAULT_IDLE_TIMEOUT_S,
+    memory_mb: typing.Annotated[
+        int,
+        typer.Option(
+            "--memory-mb",
+            envvar="MARJORAMLEDGE_MEMORY_MB",
+            min=128,
+            help="Memory of the VM; connections hold a quarter of it at most.",
+        ),
+    ] = _connection_limits.DEFAULT_MEMORY_MB,
     statsd: typing.Annotated[
         str,
         typer.Option(
@@ -197,6 +265,17 @@
             help="Prefix of all statsd metric names.",
         ),
     ] = "marjoramledge",
+    expose_share: typing.Annotated[
+        float,
+        typer.Option(
+            "--expose-share",
+            envvar="MARJORAMLEDGE_EXPOSE_SHARE",
+            min=0.0,
+            max=1.0,
+            help="Largest share of a service's requests that a version "
+            "receives while its roll-out runs.",
+        ),
+    ] = node.DEFAULT_EXPOSE_SHARE,
 ) -> None:
     """Run the load balancer node of a backend server's VM.
 
@@ -223,8 +302,24 @@
         seeds=_parse_addresses(seed, "--seeds"),
         keys=_parse_option(_auth.parse_keys, keys, "--keys"),
         core_options=node.Options(
-            stop_limit_s=stop_limit_s, outdated_limit_s=outdated_limit_s
+            stop_limit_s=stop_limit_s,
+            outdated_limit_s=outdated_limit_s,
+            rollouts=node.RolloutOptions(expose_share=expose_share),
+            zone_overflow=(
+                node.ZoneOverflow(
+                    crossing_cost_s=zone_crossing_cost_ms / 1000.0
+                )
+                if zone_overflow
+                else None
+            ),
+        ),
+        request_limits=configuration.RequestLimits(
+            max_head_bytes=max_head_bytes,
+            max_body_bytes=max_body_bytes,
+            head_timeout_s=head_timeout_s,
+            idle_timeout_s=idle_timeout_s,
         ),
+        memory_mb=memory_mb,
         log_format=log_format,
         log_level=log_level,
         statsd_address=(
--- a/packages/node/marjoramledge_node/_metrics_port.py
+++ b/packages/node/marjoramledge_node/_metrics_port.py
@@ -1,6 +1,7 @@
 """HTTP port that serves the metrics in the Prometheus text format."""
 
 import collections.abc
+import math
 import typing
 
 from aiohttp import web
@@ -8,6 +9,7 @@
 from marjoramledge_core import node
 
 from marjoramledge_node import _bounded_server
+from marjoramledge_node import _connection_limits
 from marjoramledge_node import _counts
 from marjoramledge_node import _engine
 
@@ -116,11 +118,49 @@
         for fault_kind, count in self._counts.faults.items():
             faults.add_metric((fault_kind,), count)
         yield faults
+        yield from self._collect_limits()
+        shares = core.GaugeMetricFamily(
+            "marjoramledge_zone_share",
+            "Share of the calls that may use another zone at the cost of the "
+            "round trip only.",
+            labels=("service", "zone"),
+        )
+        overflow = self._engine.state.zone_overflow
+        for service, zone, share, _ in overflow.list_shares():
+            shares.add_metric((service, zone), share)
+        yield shares
         for name, help_text, value in self._gauges():
             yield core.GaugeMetricFamily(
                 f"marjoramledge_{name}", help_text, value
             )
 
+    def _collect_limits(self) -> collections.abc.Iterator["core.Metric"]:
+        """Yield the counts of calls of limited workspaces."""
+        from prometheus_client import core
+
+        quota = self._engine.state.quota
+        calls = core.CounterMetricFamily(
+            "marjoramledge_limited_calls",
+            "Calls of workspaces with a limit at this entry.",
+            labels=("workspace", "outcome"),
+        )
+        for outcome, counts in (
+            ("admitted", quota.admitted),
+            ("refused", quota.refused),
+        ):
+            for workspace, count in counts.items():
+                calls.add_metric((workspace, outcome), count)
+        yield calls
+        held = core.GaugeMetricFamily(
+            "marjoramledge_limit_share_held",
+            "Part of the limits that this node decides on as an owner.",
+            labels=("group",),
+        )
+        now = self._engine.now()
+        for number, group in enumerate(quota.groups):
+            held.add_metric((str(number),), group.owner.held_share(now))
+        yield held
+
     def _gauges(self) -> collections.abc.Iterator[tuple[str, str, float]]:
         state, now = self._engine.state, self._engine.now()
         report = state.gate.report(now)
@@ -160,6 +200,13 @@
             "Seconds since this node knows of a newer configuration.",
             state.versions.behind_s(now),
         )
+        confirmed_s = state.confirmation.age_s(now)
+        if confirmed_s < math.inf:
+            yield (
+                "configuration_confirmed_age_seconds",
+                "Seconds since the configuration was known to be the newest.",
+                confirmed_s,
+            )
         present = state.membership.present_count
         yield "members_present", "Members that are present.", present
         yield (
@@ -177,6 +224,26 @@
             "Log lines suppressed by rate limiting.",
             self._count_suppressed_lines(),
         )
+        for rollout, exposure in state.rollouts.exposures.items():
+            name = _sanitize_name(rollout[0])
+            yield (
+                f"rollout_calls_{name}",
+                "Calls to a service since its roll-out began.",
+                exposure.calls,
+            )
+            yield (
+                f"rollout_exposed_{name}",
+                "Calls that were sent to the version under test.",
+                exposure.spent,
+            )
+        for service in state.rollouts.services():
+            key = state.rollouts.current_key(service)
+            known = None if key is None else state.rollouts.states.get(key)
+            yield (
+                f"rollout_phase_{_sanitize_name(service)}",
+                "0 unknown, 1 running, 2 promoting, 3 reverted, 4 completed.",
+                0.0 if known is None else float(known.phase),
+            )
         for service, budget in state.budgets.items():
             yield (
                 f"repeats_left_{_sanitize_name(service)}",
@@ -199,6 +266,9 @@
     return "".join(c if c.isalnum() else "_" for c in name)
 
 
-def make_server(port: MetricsPort) -> web.Server:
+def make_server(
+    port: MetricsPort,
+    table: _connection_limits.ConnectionTable | None = None,
+) -> web.Server:
     """Create the HTTP server of the metrics port."""
-    return _bounded_server.Server(port.serve, access_log=None)
+    return _bounded_server.Server(port.serve, table=table, access_log=None)
--- a/packages/node/marjoramledge_node/_upstream.py
+++ b/packages/node/marjoramledge_node/_upstream.py
@@ -42,6 +42,8 @@
     }
 )
 BODY_IDLE_TIMEOUT_S: typing.Final = 60.0
+# A response is received ahead of its caller up to twice this size.
+ANSWER_BUFFER_BYTES: typing.Final = 65536
 PROBE_TIMEOUT_S: typing.Final = 1.0
 # A health page is only a line or two.
 MAX_PROBE_BYTES: typing.Final = 65536
@@ -224,6 +226,7 @@
         timeout=_build_timeouts(BODY_IDLE_TIMEOUT_S),
         auto_decompress=False,
         skip_auto_headers=_AUTO_HEADERS,
+        read_bufsize=ANSWER_BUFFER_BYTES,
         max_line_size=16384,
         max_field_size=16384,
     )
@@ -368,8 +371,7 @@
                         return ProbeResult(is_alive=False)
                     return self._read_probe(server, response)
         except (aiohttp.ClientError, OSError) as error:
-            if isinstance(error, bounded_http.EndlessAnswerError):
-                _log_endless_answer(server.host, server.port, error)
+            bounded_http.log_if_faulty(error, server.host, server.port)
             loguru.logger.bind(event="probe-failed").debug(
                 "backend server did not answer a health probe: {!r}", error
             )
@@ -592,8 +594,7 @@
                     "a request failed with an internal error", error
                 )
                 return result.Failure(_LOCAL_ERROR)
-            if isinstance(error, bounded_http.EndlessAnswerError):
-                _log_endless_answer(host, port, error)
+            bounded_http.log_if_faulty(error, host, port)
             return result.Failure(_OUTCOME_UNKNOWN)
         except Exception as error:  # The core must get an outcome.
             _faults.report("a request failed with an internal error", error)
@@ -609,12 +610,6 @@
         )
 
 
-def _log_endless_answer(host: str, port: int, error: Exception) -> None:
-    loguru.logger.bind(event="answer-aborted", host=host, port=port).warning(
-        "closed the connection to a faulty server: {}", error
-    )
-
-
 def _log_late_fetch(target: str, error: Exception) -> None:
     loguru.logger.bind(event="fetch-retried").debug(
         "fetching {} from the same peer again: {}", target, error
