--- a/packages/core/marjoramledge_core/_dispatch.py
+++ b/packages/core/marjoramledge_core/_dispatch.py
@@ -208,7 +208,10 @@
     )
     # A call that may leave its group for another one should not do so for a
     # short queue: the old servers of a promoted version are about to stop.
-    candidates = next((group for group in groups if server in group), ())
+    candidates = next(
+        (group for group in groups if any(other is server for other in group)),
+        (),
+    )
     if all(
         other is server or other.node in call.tried for other in candidates
     ):
