--- a/packages/core/marjoramledge_core/_members.py
+++ b/packages/core/marjoramledge_core/_members.py
@@ -219,3 +219,36 @@
     rollouts: tuple[_rollout_orders.RolloutNotice, ...] = ()
     quota_reports: tuple[_quota_messages.QuotaReport, ...] = ()
     quota_shares: tuple[_quota_messages.QuotaShare, ...] = ()
+
+
+def build_bare_message(
+    sender: Member,
+    kind: MessageKind,
+    *,
+    target: _ids.NodeId | None = None,
+    sequence: int = 0,
+    suspicions: tuple[_quarantine.Suspicion, ...] = (),
+    load: _reports.LoadReport | None = None,
+    rollouts: tuple[_rollout_orders.RolloutNotice, ...] = (),
+    quota_reports: tuple[_quota_messages.QuotaReport, ...] = (),
+    quota_shares: tuple[_quota_messages.QuotaShare, ...] = (),
+) -> Message:
+    """Build a message without member records and configuration version.
+
+    ``sender`` is the record of the node that sends it, which is also the
+    target unless another one is given.
+    """
+    return Message(
+        kind=kind,
+        sender=sender.node,
+        sender_address=sender.address,
+        sequence=sequence,
+        target=sender.node if target is None else target,
+        config=_manifest.NO_VERSION,
+        updates=(),
+        suspicions=suspicions,
+        load=load,
+        rollouts=rollouts,
+        quota_reports=quota_reports,
+        quota_shares=quota_shares,
+    )
--- a/packages/core/marjoramledge_core/_membership.py
+++ b/packages/core/marjoramledge_core/_membership.py
@@ -732,14 +732,10 @@
         load: _reports.LoadReport | None = None,
     ) -> None:
         """Send suspicions or a load report without membership updates."""
-        message = _members.Message(
-            kind=kind,
-            sender=self._roster.myself.node,
-            sender_address=self._roster.myself.address,
-            sequence=0,
+        message = _members.build_bare_message(
+            self._roster.myself,
+            kind,
             target=receiver.node,
-            config=_manifest.NO_VERSION,
-            updates=(),
             suspicions=suspicions,
             load=load,
         )
--- a/packages/core/marjoramledge_core/_quota_decisions.py
+++ b/packages/core/marjoramledge_core/_quota_decisions.py
@@ -9,7 +9,6 @@
 
 from marjoramledge_core import _commands
 from marjoramledge_core import _ids
-from marjoramledge_core import _manifest
 from marjoramledge_core import _members
 from marjoramledge_core import _quota_groups
 from marjoramledge_core import _quota_messages
@@ -157,16 +156,11 @@
     shares: tuple[_quota_messages.QuotaShare, ...] = (),
 ) -> None:
     """Send a datagram about limits to a node."""
-    myself = step.state.membership.myself
-    message = _members.Message(
-        kind=_members.MessageKind.QUOTA,
-        sender=myself.node,
-        sender_address=myself.address,
-        sequence=number,
+    message = _members.build_bare_message(
+        step.state.membership.myself,
+        _members.MessageKind.QUOTA,
         target=node,
-        config=_manifest.NO_VERSION,
-        updates=(),
-        suspicions=(),
+        sequence=number,
         quota_reports=reports,
         quota_shares=shares,
     )
--- a/packages/core/marjoramledge_core/_rollout_messages.py
+++ b/packages/core/marjoramledge_core/_rollout_messages.py
@@ -9,7 +9,6 @@
 import typing
 
 from marjoramledge_core import _commands
-from marjoramledge_core import _manifest
 from marjoramledge_core import _members
 from marjoramledge_core import _rollout_orders
 from marjoramledge_core import _rollout_state
@@ -129,16 +128,9 @@
     notices: tuple[_rollout_orders.RolloutNotice, ...],
 ) -> None:
     """Send notices of roll-outs to one node."""
-    myself = step.state.membership.myself
-    message = _members.Message(
-        kind=_members.MessageKind.ROLLOUT,
-        sender=myself.node,
-        sender_address=myself.address,
-        sequence=0,
-        target=myself.node,
-        config=_manifest.NO_VERSION,
-        updates=(),
-        suspicions=(),
+    message = _members.build_bare_message(
+        step.state.membership.myself,
+        _members.MessageKind.ROLLOUT,
         rollouts=notices,
     )
     step.out.append(_commands.SendMessage(address=address, message=message))
