--- a/packages/store/marjoramledge_store/_client.py
+++ b/packages/store/marjoramledge_store/_client.py
@@ -81,30 +81,17 @@
 
     async def read_version(self) -> _ports.Outcome[_ports.VersionRow | None]:
         """Read which configuration is in force; None before the first."""
-        reply_result = await self._request(
-            "GET", _entity_path(CONFIG_TABLE, "configuration", _CURRENT_KEY)
+        return await self._read_entity(
+            _entity_path(CONFIG_TABLE, "configuration", _CURRENT_KEY),
+            lambda entity, etag: _ports.VersionRow(
+                ref=configuration.VersionRef(
+                    version=ids.ConfigVersion(int(entity["Version"])),
+                    digest=ids.Digest(str(entity["Digest"])),
+                ),
+                change_id=str(entity["ChangeId"]),
+                etag=etag,
+            ),
         )
-        if isinstance(reply_result, result.Failure):
-            return reply_result
-        reply = reply_result.unwrap()
-        if reply.status == 404:
-            return result.Success(None)
-        if reply.status != 200:
-            return result.Failure(_errors.StoreError.REJECTED)
-        try:
-            entity = json.loads(reply.body)
-            return result.Success(
-                _ports.VersionRow(
-                    ref=configuration.VersionRef(
-                        version=ids.ConfigVersion(int(entity["Version"])),
-                        digest=ids.Digest(str(entity["Digest"])),
-                    ),
-                    change_id=str(entity["ChangeId"]),
-                    etag=reply.etag,
-                )
-            )
-        except (ValueError, KeyError, TypeError):
-            return result.Failure(_errors.StoreError.REJECTED)
 
     async def wait_version(
         self, known: configuration.VersionRef, wait_s: float
@@ -247,29 +234,16 @@
         self, service: ids.ServiceName
     ) -> _ports.Outcome[node.RolloutRow | None]:
         """Read how the roll-out of a service stands; None without a row."""
-        reply_result = await self._request(
-            "GET", _entity_path(ROLLOUTS_TABLE, "rollouts", service)
+        return await self._read_entity(
+            _entity_path(ROLLOUTS_TABLE, "rollouts", service),
+            lambda entity, etag: node.RolloutRow(
+                service=service,
+                version=ids.ServerVersion(str(entity["Version"])),
+                phase=_PHASES[entity["Phase"]],
+                order=ids.OrderId(str(entity["Order"])),
+                etag=etag,
+            ),
         )
-        if isinstance(reply_result, result.Failure):
-            return reply_result
-        reply = reply_result.unwrap()
-        if reply.status == 404:
-            return result.Success(None)
-        if reply.status != 200:
-            return result.Failure(_errors.StoreError.REJECTED)
-        try:
-            entity = json.loads(reply.body)
-            return result.Success(
-                node.RolloutRow(
-                    service=service,
-                    version=ids.ServerVersion(str(entity["Version"])),
-                    phase=_PHASES[entity["Phase"]],
-                    order=ids.OrderId(str(entity["Order"])),
-                    etag=reply.etag,
-                )
-            )
-        except (ValueError, KeyError, TypeError):
-            return result.Failure(_errors.StoreError.REJECTED)
 
     async def write_rollout(
         self, service: ids.ServiceName, row: node.RolloutRow, etag: str
@@ -334,6 +308,28 @@
             return result.Success(((), ()))
         return _parse_page(reply, _parse_departure_row)
 
+    async def _read_entity(
+        self,
+        path: str,
+        parse: collections.abc.Callable[[dict[str, typing.Any], str], ParsedT],
+    ) -> _ports.Outcome[ParsedT | None]:
+        """Read one entity; None if there is none.
+
+        ``parse`` builds the value from the entity's fields and its etag.
+        """
+        reply_result = await self._request("GET", path)
+        if isinstance(reply_result, result.Failure):
+            return reply_result
+        reply = reply_result.unwrap()
+        if reply.status == 404:
+            return result.Success(None)
+        if reply.status != 200:
+            return result.Failure(_errors.StoreError.REJECTED)
+        try:
+            return result.Success(parse(json.loads(reply.body), reply.etag))
+        except (ValueError, KeyError, TypeError):
+            return result.Failure(_errors.StoreError.REJECTED)
+
     async def _request(
         self,
         method: str,
