--- a/packages/node/marjoramledge_node/_bounded_server.py
+++ b/packages/node/marjoramledge_node/_bounded_server.py
@@ -241,6 +241,7 @@
             began_s = time.thread_time()
             self._parse(piece)
             spent_s = time.thread_time() - began_s
+            self._table.update(self)
             expensive_s = spent_s - len(piece) * _EXPECTED_S_PER_BYTE
             if expensive_s > _MIN_EXPENSIVE_S:
                 self._parsing = self._loop.call_later(
@@ -251,12 +252,11 @@
             if self._messages and has_more:
                 # The library resumes when it takes a request.
                 self._pause_reading_for_buffer()
-            self._table.update(self)
         if begin < len(data):
             self._unparsed = data[begin:]
+            self._table.update(self)
         if self._unparsed or self._parsing is not None:
             self._pause_transport_reading()
-        self._table.update(self)
 
     def _go_on(self) -> None:
         self._parsing = None
