--- a/packages/core/marjoramledge_core/_document.py
+++ b/packages/core/marjoramledge_core/_document.py
@@ -528,7 +528,7 @@
     path: str,
 ) -> _settings.RequestKind:
     """Read the options that kinds and routes have in common."""
-    priorities = tuple(level.name.lower() for level in _settings.Priority)
+    priorities = tuple(level.name.lower() for level in _priority.Priority)
     priority = reader.choice("priority", priorities, "normal")
     idempotent = reader.boolean("idempotent")
     deadline_ms = reader.integer(
--- a/packages/core/marjoramledge_core/_quota_voter.py
+++ b/packages/core/marjoramledge_core/_quota_voter.py
@@ -54,11 +54,6 @@
         self._is_used_here = False
         self._buckets: dict[_ids.WorkspaceName, _LocalBucket] = {}
 
-    @property
-    def holder(self) -> _ids.NodeId:
-        """The node that the share was delegated to last."""
-        return self._holder
-
     def is_delegated(self, now: float) -> bool:
         """Return whether an owner holds the share."""
         return now < self._expires_at
