--- a/packages/core/marjoramledge_core/_confirmation_rounds.py
+++ b/packages/core/marjoramledge_core/_confirmation_rounds.py
@@ -21,6 +21,7 @@
 from marjoramledge_core import _manifest
 from marjoramledge_core import _members
 from marjoramledge_core import _records
+from marjoramledge_core import _roster
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
 from marjoramledge_core import _version_numbers
@@ -235,11 +236,7 @@
         ),
         key=lambda member: member.node,
     )
-    first_of_zone: dict[_ids.ZoneName, _members.Member] = {}
-    for member in alive:
-        first_of_zone.setdefault(member.zone, member)
-    zones = sorted(first_of_zone)[:FREQUENT_READERS]
-    rounds.readers = tuple(first_of_zone[zone] for zone in zones)
+    rounds.readers = _roster.list_first_of_zones(alive, FREQUENT_READERS)
     rounds.relays = ()
     if len(alive) > MAX_DIRECT_MEMBERS:
         others = [member for member in alive if member not in rounds.readers]
--- a/packages/core/marjoramledge_core/_node.py
+++ b/packages/core/marjoramledge_core/_node.py
@@ -36,6 +36,7 @@
 from marjoramledge_core import _rollout_phases
 from marjoramledge_core import _rollout_store
 from marjoramledge_core import _rollouts
+from marjoramledge_core import _roster
 from marjoramledge_core import _server_status
 from marjoramledge_core import _state
 from marjoramledge_core import _timers
@@ -269,13 +270,11 @@
 
     All nodes choose the same: the first one in each of the first zones.
     """
-    first_of_zone: dict[_ids.ZoneName, _ids.NodeId] = {}
-    for member in state.membership.members.values():
-        if member.status is _members.MemberStatus.ALIVE:
-            first = first_of_zone.get(member.zone, member.node)
-            first_of_zone[member.zone] = min(first, member.node)
-    zones = sorted(first_of_zone)[: _confirmation_rounds.FREQUENT_READERS]
-    return state.node in (first_of_zone[zone] for zone in zones)
+    readers = _roster.list_first_of_zones(
+        state.membership.members.values(),
+        _confirmation_rounds.FREQUENT_READERS,
+    )
+    return any(member.node == state.node for member in readers)
 
 
 def _enter_era(step: _state.Step, before: int) -> None:
--- a/packages/core/marjoramledge_core/_rollout_deciders.py
+++ b/packages/core/marjoramledge_core/_rollout_deciders.py
@@ -8,7 +8,7 @@
 import typing
 
 from marjoramledge_core import _ids
-from marjoramledge_core import _members
+from marjoramledge_core import _roster
 from marjoramledge_core import _state
 
 DECIDING_ZONES: typing.Final = 3
@@ -23,14 +23,10 @@
     revision, known = state.rollouts.deciders
     if revision == state.membership.revision:
         return known
-    first_of_zone: dict[_ids.ZoneName, _ids.NodeId] = {}
-    for member in state.membership.members.values():
-        is_alive = member.status is _members.MemberStatus.ALIVE
-        if is_alive and member.is_confirmed:
-            first = first_of_zone.get(member.zone, member.node)
-            first_of_zone[member.zone] = min(first, member.node)
-    zones = sorted(first_of_zone)[:DECIDING_ZONES]
-    deciders = tuple(first_of_zone[zone] for zone in zones)
+    firsts = _roster.list_first_of_zones(
+        state.membership.members.values(), DECIDING_ZONES, confirmed_only=True
+    )
+    deciders = tuple(member.node for member in firsts)
     state.rollouts.deciders = (state.membership.revision, deciders)
     return deciders
 
--- a/packages/core/marjoramledge_core/_roster.py
+++ b/packages/core/marjoramledge_core/_roster.py
@@ -174,3 +174,25 @@
             if member.status is not _members.MemberStatus.LEFT
             and member.address != self._myself.address
         }
+
+
+def list_first_of_zones(
+    members: collections.abc.Iterable[_members.Member],
+    count: int,
+    *,
+    confirmed_only: bool = False,
+) -> tuple[_members.Member, ...]:
+    """Return the first live member by name in each of the first zones.
+
+    All nodes with the same members choose the same, at most ``count``.
+    """
+    first_of_zone: dict[_ids.ZoneName, _members.Member] = {}
+    for member in members:
+        if member.status is not _members.MemberStatus.ALIVE:
+            continue
+        if confirmed_only and not member.is_confirmed:
+            continue
+        first = first_of_zone.get(member.zone)
+        if first is None or member.node < first.node:
+            first_of_zone[member.zone] = member
+    return tuple(first_of_zone[zone] for zone in sorted(first_of_zone)[:count])
