--- a/packages/core/marjoramledge_core/_document_review.py
+++ b/packages/core/marjoramledge_core/_document_review.py
@@ -65,6 +65,9 @@
 _Issue = tuple[str, str]
 _Issues = collections.abc.Iterator[_Issue]
 _Table = dict[str, typing.Any]
+_EarlierKinds = collections.abc.Sequence[
+    collections.abc.Mapping[str, _ids.KindName]
+]
 
 
 def review_documents(
@@ -79,6 +82,7 @@
         )
         return DocumentReview(errors=errors, warnings=(), configuration=None)
     configuration = parsed.unwrap()
+    earlier = _find_earlier(configuration.kinds)
     inventory = tomllib.loads(files[_document.INVENTORY_FILE])
     rules = tomllib.loads(files[_document.RULES_FILE])
     problems = [
@@ -86,9 +90,12 @@
         for file, issues in (
             (
                 _document.INVENTORY_FILE,
-                _review_inventory(configuration, inventory),
+                _review_inventory(configuration, inventory, earlier),
+            ),
+            (
+                _document.RULES_FILE,
+                _review_rules(configuration, rules, earlier),
             ),
-            (_document.RULES_FILE, _review_rules(configuration, rules)),
         )
         for key, message in issues
     ]
@@ -171,9 +178,11 @@
 
 
 def _review_inventory(
-    configuration: _settings.Configuration, inventory: _Table
+    configuration: _settings.Configuration,
+    inventory: _Table,
+    earlier: _EarlierKinds,
 ) -> _Issues:
-    reached = _find_reached_services(configuration)
+    reached = _find_reached_services(configuration, earlier)
     for service in configuration.services.values():
         if service.name not in reached:
             yield (
@@ -235,11 +244,13 @@
 
 
 def _review_rules(
-    configuration: _settings.Configuration, rules: _Table
+    configuration: _settings.Configuration,
+    rules: _Table,
+    earlier: _EarlierKinds,
 ) -> _Issues:
     for position, kind in enumerate(configuration.kinds):
         key = f"kinds[{position}]"
-        yield from _review_matching(configuration, position)
+        yield from _review_matching(configuration, position, earlier[position])
         yield from _review_limits(configuration, key, kind)
     targets = {
         (route.host, route.prefix): route.target
@@ -258,7 +269,9 @@
 
 
 def _review_matching(
-    configuration: _settings.Configuration, position: int
+    configuration: _settings.Configuration,
+    position: int,
+    earlier_of: collections.abc.Mapping[str, _ids.KindName],
 ) -> _Issues:
     kind = configuration.kinds[position]
     if not _has_kinds(configuration, kind.service):
@@ -267,7 +280,6 @@
             f"can never match: each host of service {kind.service} has "
             "routes, which are looked up alone",
         )
-    earlier_of = _find_earlier(configuration.kinds, position)
     if not earlier_of:
         return
     methods = ", ".join(sorted(earlier_of))
@@ -283,15 +295,20 @@
 
 
 def _find_earlier(
-    kinds: collections.abc.Sequence[_settings.RequestKind], position: int
-) -> dict[str, _ids.KindName]:
-    """Map each method that never gets to a kind to the kind before it."""
-    kind = kinds[position]
-    found: dict[str, _ids.KindName] = {}
-    for earlier in kinds[:position]:
-        if earlier.service == kind.service and _covers(earlier, kind):
-            for method in earlier.methods & kind.methods:
-                found.setdefault(method, earlier.name)
+    kinds: collections.abc.Iterable[_settings.RequestKind],
+) -> _EarlierKinds:
+    """Map, for each kind, methods that never get to it to the kind before."""
+    kinds_of: dict[_ids.ServiceName, list[_settings.RequestKind]] = {}
+    found: list[dict[str, _ids.KindName]] = []
+    for kind in kinds:
+        earlier_of: dict[str, _ids.KindName] = {}
+        earlier_kinds = kinds_of.setdefault(kind.service, [])
+        for earlier in earlier_kinds:
+            if _covers(earlier, kind):
+                for method in earlier.methods & kind.methods:
+                    earlier_of.setdefault(method, earlier.name)
+        earlier_kinds.append(kind)
+        found.append(earlier_of)
     return found
 
 
@@ -317,7 +334,7 @@
 
 
 def _find_reached_services(
-    configuration: _settings.Configuration,
+    configuration: _settings.Configuration, earlier: _EarlierKinds
 ) -> set[_ids.ServiceName]:
     reached = {
         name
@@ -326,10 +343,8 @@
     }
     targets = [
         kind
-        for position, kind in enumerate(configuration.kinds)
-        if kind.service in reached
-        and len(_find_earlier(configuration.kinds, position))
-        < len(kind.methods)
+        for kind, earlier_of in zip(configuration.kinds, earlier, strict=True)
+        if kind.service in reached and len(earlier_of) < len(kind.methods)
     ]
     targets.extend(
         route.target for route in configuration.routes if ":" not in route.host
