--- a/packages/core/marjoramledge_core/_quota.py
+++ b/packages/core/marjoramledge_core/_quota.py
@@ -395,6 +395,7 @@
         count = 0 if share is None else share.granted
         # A node that was frozen meanwhile must not admit what came before.
         timely = [call for call in calls if call.since >= oldest][:count]
+        admitted = {call.call for call in timely}
         decisions += [
             _quota_decisions.note_admitted(step, call) for call in timely
         ]
@@ -412,7 +413,7 @@
         decisions += [
             _quota_decisions.refuse(step, call.call, name, block)
             for call in calls
-            if call not in timely
+            if call.call not in admitted
         ]
     if group.waiting:
         waiting, group.waiting = group.waiting, []
--- a/packages/core/marjoramledge_core/_rollout_state.py
+++ b/packages/core/marjoramledge_core/_rollout_state.py
@@ -229,7 +229,8 @@
             if not is_exposed:
                 return [old]
             tested = _select_tested(routing, new)
-            return [tested, [s for s in new if s not in tested], old]
+            nodes = {server.node for server in tested}
+            return [tested, [s for s in new if s.node not in nodes], old]
         case _rollout_orders.RolloutPhase.PROMOTING:
             return [new, old]
         case _rollout_orders.RolloutPhase.COMPLETED:
