--- a/packages/core/marjoramledge_core/_zone_measurements.py
+++ b/packages/core/marjoramledge_core/_zone_measurements.py
@@ -42,8 +42,10 @@
     step: _state.Step, call: _state.Call, attempt: _state.Attempt
 ) -> None:
     """Record the response time of an answer for the zone that gave it."""
+    if step.state.options.zone_overflow is None:
+        return
     typical_s = step.latency_of(call.kind).value_s
-    if step.state.options.zone_overflow is None or typical_s <= 0.0:
+    if typical_s <= 0.0:
         return
     step.state.zone_overflow.note_answer(
         call.service,
